--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration, load generator and measurements."""
--- /dev/null
+++ b/jacinthhaven/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, codecs and external protocols on the circuits poller."""
--- /dev/null
+++ b/jacinthhaven/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of the proxy."""
--- /dev/null
+++ b/jacinthhaven/decide/__init__.py
@@ -0,0 +1,1 @@
+"""Decision code as state machines without sockets, driven by messages and time."""
--- /dev/null
+++ b/jacinthhaven/decide/messages.py
@@ -0,0 +1,180 @@
+"""Messages between the decision code and the tasks that own sockets.
+
+Every message has a type of its own, and its type names its destination.
+The decision code returns messages from `handle` and `tick`; the process
+or a test delivers them to the task that owns the addressed socket.
+"""
+
+import dataclasses
+import typing
+
+from jacinthhaven.kernel import failures
+from jacinthhaven.records import backend, callers
+
+
+@dataclasses.dataclass(slots=True)
+class CallerRequest:
+    """Caller side to decision code: a checked statement request.
+
+    Attributes:
+      number: Number of the request, unique within the process.
+      database: Name of the database.
+      body: Parsed request.
+    """
+
+    number: int
+    database: str
+    body: callers.StatementRequest
+
+
+@dataclasses.dataclass(slots=True)
+class CallerOutcome:
+    """Caller side to decision code: question for a write's outcome."""
+
+    number: int
+    database: str
+    body: callers.OutcomeRequest
+
+
+@dataclasses.dataclass(slots=True)
+class CallerGone:
+    """Caller side to decision code: the caller closed its connection."""
+
+    number: int
+
+
+@dataclasses.dataclass(slots=True)
+class CallerAnswer:
+    """Decision code to caller side: answer to one request.
+
+    Attributes:
+      number: Number of the request.
+      answer: Body of the answer.
+      failure: Failure that the answer reports, or None.
+    """
+
+    number: int
+    answer: callers.Answer
+    failure: failures.Failure | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class BackendOpen:
+    """Decision code to backend task: open a connection.
+
+    Attributes:
+      connection: Number of the connection, unique within the process.
+      instance: Name of the instance.
+      request: Slot and epoch that the connection belongs to.
+    """
+
+    connection: int
+    instance: str
+    request: backend.ConnectRequest
+
+
+@dataclasses.dataclass(slots=True)
+class BackendOpened:
+    """Backend task to decision code: the connection accepts calls."""
+
+    connection: int
+
+
+@dataclasses.dataclass(slots=True)
+class BackendCall:
+    """Decision code to backend task: send one request on a connection.
+
+    A connection carries one call at a time.
+    """
+
+    connection: int
+    number: int
+    request: backend.Request
+
+
+@dataclasses.dataclass(slots=True)
+class BackendReply:
+    """Backend task to decision code: answer to one call.
+
+    Attributes:
+      connection: Number of the connection.
+      number: Number of the call.
+      reply: Typed reply, or a failure if the instance refused the call.
+    """
+
+    connection: int
+    number: int
+    reply: backend.Reply | failures.Failure
+
+
+@dataclasses.dataclass(slots=True)
+class BackendClose:
+    """Decision code to backend task: close a connection."""
+
+    connection: int
+
+
+@dataclasses.dataclass(slots=True)
+class BackendLost:
+    """Backend task to decision code: a connection failed or was refused.
+
+    Attributes:
+      connection: Number of the connection.
+      failure: `connection_refused` if it never opened, else
+        `connection_lost`; a call in flight may have been executed.
+    """
+
+    connection: int
+    failure: failures.Failure
+
+
+@dataclasses.dataclass(slots=True)
+class PeerSend:
+    """Decision code to peer task: send a payload to a member.
+
+    Attributes:
+      member: Name of the member.
+      payload: Record of `records.peers`.
+    """
+
+    member: str
+    payload: typing.Any
+
+
+@dataclasses.dataclass(slots=True)
+class PeerReceived:
+    """Peer task to decision code: a payload arrived from a member."""
+
+    member: str
+    payload: typing.Any
+
+
+@dataclasses.dataclass(slots=True)
+class PeerLost:
+    """Peer task to decision code: no connection to a member.
+
+    Payloads sent and not answered may or may not have arrived.
+    """
+
+    member: str
+
+
+@dataclasses.dataclass(slots=True)
+class DecisionLine:
+    """Decision code to log: one routing or placement decision.
+
+    Attributes:
+      event: Kind of decision, such as `route` or `promote`.
+      fields: Values of the log line by name.
+    """
+
+    event: str
+    fields: dict[str, typing.Any]
+
+
+@dataclasses.dataclass(slots=True)
+class Count:
+    """Decision code to metrics: increase a counter."""
+
+    name: str
+    amount: int = 1
--- /dev/null
+++ b/jacinthhaven/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Abstract base classes of the outside systems that the proxy talks to."""
--- /dev/null
+++ b/jacinthhaven/records/__init__.py
@@ -0,0 +1,1 @@
+"""Slotted data classes exchanged between tasks and between processes."""
--- /dev/null
+++ b/jacinthhaven/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the database group and the platform, used by tests and demo."""
--- /dev/null
+++ b/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scenario language, fakes and history checker for the decision code."""
