--- /dev/null
+++ b/jacinthhaven/adapters/http_messages.py
@@ -0,0 +1,187 @@
+"""HTTP/1.1 message parsing and formatting on `httptools`.
+
+The parser collects whole messages with a size limit, so that the servers
+and clients above it see complete requests and responses only.
+"""
+
+import dataclasses
+import http
+import types
+import typing
+
+import httptools
+
+MAX_BODY_BYTES = 1_048_576
+_MAX_HEADERS = 64
+_MAX_HEAD_BYTES = 16_384
+
+_REASONS = types.MappingProxyType(
+    {status.value: status.phrase for status in http.HTTPStatus},
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Message:
+    """One complete HTTP request or response.
+
+    Attributes:
+      method: Request method; empty for a response.
+      path: Request target; empty for a response.
+      status: Status code; 0 for a request.
+      headers: Header values by lower-case name.
+      body: Decoded body.
+      keep_alive: Whether the connection stays open after this message.
+    """
+
+    method: str = ''
+    path: str = ''
+    status: int = 0
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes = b''
+    keep_alive: bool = True
+
+
+class BadMessageError(Exception):
+    """The peer sent bytes that are not an acceptable HTTP message.
+
+    Attributes:
+      status: Status code that a server answers with.
+    """
+
+    def __init__(self, status: http.HTTPStatus, reason: str) -> None:
+        """Remember the status code and the reason."""
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
+class Parser:
+    """Incremental parser that yields complete messages.
+
+    `httptools` calls the `on_*` methods.
+    """
+
+    def __init__(self, response: bool, max_body: int = MAX_BODY_BYTES) -> None:
+        """Create a parser for responses or for requests.
+
+        Args:
+          response: Whether to parse responses.
+          max_body: Largest accepted body in bytes.
+        """
+        self.max_body = max_body
+        self.messages: list[Message] = []
+        self.current = Message()
+        self.chunks: list[bytes] = []
+        self.sizes = [0, 0]
+        self.refusal: BadMessageError | None = None
+        if response:
+            self.parser = httptools.HttpResponseParser(self)
+        else:
+            self.parser = httptools.HttpRequestParser(self)
+
+    @property
+    def idle(self) -> bool:
+        """Return whether no message has been started."""
+        return not (self.sizes[0] or self.chunks or self.current.path)
+
+    def feed(self, chunk: bytes) -> list[Message]:
+        """Parse received bytes.
+
+        Returns:
+          The messages that are complete now, oldest first.
+
+        Raises:
+          BadMessageError: If the bytes are malformed or too large.
+        """
+        try:
+            self.parser.feed_data(chunk)
+        except httptools.HttpParserUpgrade as error:
+            raise BadMessageError(
+                http.HTTPStatus.BAD_REQUEST,
+                'protocol upgrade is not supported',
+            ) from error
+        except httptools.HttpParserError as error:
+            raise self.refusal or BadMessageError(
+                http.HTTPStatus.BAD_REQUEST,
+                str(error),
+            ) from error
+        complete = self.messages
+        self.messages = []
+        return complete
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the request target."""
+        self._grow(0, len(url), _MAX_HEAD_BYTES)
+        self.current.path += url.decode('latin-1')
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect one header."""
+        self._grow(0, len(name) + len(value), _MAX_HEAD_BYTES)
+        headers = self.current.headers
+        if len(headers) >= _MAX_HEADERS:
+            self._refuse('too many headers')
+        headers[name.decode('latin-1').lower()] = value.decode('latin-1')
+
+    def on_body(self, body: bytes) -> None:
+        """Collect one part of the body."""
+        self._grow(1, len(body), self.max_body)
+        self.chunks.append(body)
+
+    def on_message_complete(self) -> None:
+        """Finish the current message."""
+        message = self.current
+        message.body = b''.join(self.chunks)
+        message.keep_alive = self.parser.should_keep_alive()
+        if isinstance(self.parser, httptools.HttpRequestParser):
+            message.method = self.parser.get_method().decode('ascii')
+        else:
+            message.status = self.parser.get_status_code()
+        self.messages.append(message)
+        self.current = Message()
+        self.chunks = []
+        self.sizes = [0, 0]
+
+    def _grow(self, part: int, size: int, limit: int) -> None:
+        self.sizes[part] += size
+        if self.sizes[part] > limit:
+            self._refuse('message is too large')
+
+    def _refuse(self, reason: str) -> typing.NoReturn:
+        self.refusal = BadMessageError(
+            http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            reason,
+        )
+        raise self.refusal
+
+
+def format_response(status: int, body: bytes, keep_alive: bool = True) -> bytes:
+    """Return the bytes of a response with a JSON body."""
+    close = '' if keep_alive else 'Connection: close\r\n'
+    head = (
+        f'HTTP/1.1 {status} {_REASONS.get(status, "")}\r\n'
+        f'Content-Type: application/json\r\n{close}'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    )
+    return head.encode('ascii') + body
+
+
+def format_request(
+    path: str,
+    body: bytes,
+    headers: str = '',
+    method: str = 'POST',
+) -> bytes:
+    """Return the bytes of a request with a JSON body.
+
+    Args:
+      path: Request target.
+      body: JSON document.
+      headers: Further header lines, each ending in CR LF.
+      method: Request method.
+    """
+    head = (
+        f'{method} {path} HTTP/1.1\r\nHost: jacinthhaven\r\n{headers}'
+        f'Content-Type: application/json\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    )
+    return head.encode('ascii') + body
--- a/jacinthhaven/adapters/poller.py
+++ b/jacinthhaven/adapters/poller.py
@@ -25,6 +25,7 @@
 _MAX_SLEEP_MS = 1000
 
 Callback = typing.Callable[[int], None]
+Action = typing.Callable[[], None]
 
 
 class Poller(pollers.BasePoller):
@@ -37,7 +38,7 @@
         super().__init__(channel=self.channel)
         self.epoll = select.epoll()
         self.callbacks: dict[int, Callback] = {}
-        self.timers: list[tuple[int, int, typing.Callable[[], None]]] = []
+        self.timers: list[tuple[int, int, Action]] = []
         self.soon: collections.deque = collections.deque()
         self.sequence = itertools.count()
         self.clock = clock.MonotonicClock()
@@ -60,13 +61,13 @@
     def call_later(
         self,
         delay_ms: int,
-        callback: typing.Callable[[], None],
+        callback: Action,
     ) -> None:
         """Call a function once after a delay in milliseconds."""
         due = self.clock.now_ms() + delay_ms
         heapq.heappush(self.timers, (due, next(self.sequence), callback))
 
-    def call_soon(self, callback: typing.Callable[[], None]) -> None:
+    def call_soon(self, callback: Action) -> None:
         """Call a function once after the current callbacks."""
         self.soon.append(callback)
 
@@ -82,8 +83,10 @@
         self._run_timers()
 
     def _run_soon(self) -> None:
-        for _ in range(len(self.soon)):
-            self.soon.popleft()()
+        ready = tuple(self.soon)
+        self.soon.clear()
+        for callback in ready:
+            callback()
 
     def _timeout_s(self, time_left_s: float) -> float:
         if self.soon or time_left_s == 0:
--- a/jacinthhaven/adapters/streams.py
+++ b/jacinthhaven/adapters/streams.py
@@ -90,6 +90,12 @@
         self.fd = -1
         self.sock.close()
 
+    def fail(self) -> None:
+        """Close the socket after an error and tell the owner."""
+        if not self.closed:
+            self.close()
+            self.on_close()
+
     def _on_ready(self, mask: int) -> None:
         if self.connecting and not self._finish_connect():
             return
@@ -98,14 +104,14 @@
         if mask & poller.READABLE:
             self._receive()
         elif mask & _HANGUP:
-            self._lost()
+            self.fail()
         if mask & poller.WRITABLE and not self.closed:
             self._flush()
 
     def _finish_connect(self) -> bool:
         error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
-            self._lost()
+            self.fail()
             return False
         self.connecting = False
         if not self.handshaking:
@@ -118,7 +124,7 @@
         except _RETRY:
             return False
         except OSError:
-            self._lost()
+            self.fail()
             return False
         self.handshaking = False
         self._opened()
@@ -136,10 +142,10 @@
         except _RETRY:
             return
         except OSError:
-            self._lost()
+            self.fail()
             return
         if not chunk:
-            self._lost()
+            self.fail()
             return
         self.on_bytes(chunk)
         if not self.closed and isinstance(self.sock, ssl.SSLSocket):
@@ -159,7 +165,7 @@
             except _RETRY:
                 break
             except OSError:
-                self._lost()
+                self.fail()
                 return
             if sent < len(chunk):
                 self.outgoing[0] = chunk[sent:]
@@ -180,10 +186,6 @@
             self.mask = mask
             self.poller.watch(self.fd, mask, self._on_ready)
 
-    def _lost(self) -> None:
-        self.close()
-        self.on_close()
-
 
 def connect(
     loop: poller.Poller,
@@ -202,15 +204,16 @@
     """
     sock = _tcp_socket(address[0])
     error = sock.connect_ex(address)
-    if error not in {0, errno.EINPROGRESS}:
-        loop.call_soon(lambda: None)
     if tls is not None:
         sock = tls.wrap_socket(
             sock,
             server_hostname=address[0],
             do_handshake_on_connect=False,
         )
-    return Stream(loop, sock, connecting=True)
+    stream = Stream(loop, sock, connecting=True)
+    if error not in {0, errno.EINPROGRESS}:
+        loop.call_soon(stream.fail)
+    return stream
 
 
 class Listener:
