--- a/jacinthhaven/decide/messages.py
+++ b/jacinthhaven/decide/messages.py
@@ -9,7 +9,7 @@
 import typing
 
 from jacinthhaven.kernel import failures
-from jacinthhaven.records import backend, callers
+from jacinthhaven.records import backend, callers, store
 
 
 @dataclasses.dataclass(slots=True)
@@ -159,6 +159,53 @@
     member: str
 
 
+@dataclasses.dataclass(slots=True)
+class StoreCall:
+    """Decision code to store task: one call.
+
+    Attributes:
+      number: Number of the call, unique within the process. The events of
+        a watch carry the number of the watch's call.
+      request: Typed request.
+    """
+
+    number: int
+    request: store.Request
+
+
+@dataclasses.dataclass(slots=True)
+class StoreReply:
+    """Store task to decision code: reply, watch events or failure.
+
+    A failure of kind `store_unavailable` says nothing about whether the
+    call took effect.
+    """
+
+    number: int
+    reply: store.Reply | failures.Failure
+
+
+@dataclasses.dataclass(slots=True)
+class StoreCancel:
+    """Decision code to store task: end a watch."""
+
+    number: int
+
+
+@dataclasses.dataclass(slots=True)
+class InstanceOrder:
+    """Promotion code to owner: send a command to an instance.
+
+    The owner sends it on the instance's control connection before the next
+    status request and reports the reply with the same order.
+    """
+
+    instance: str
+    request: (
+        backend.FenceRequest | backend.PromoteRequest | backend.FollowRequest
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class DecisionLine:
     """Decision code to log: one routing or placement decision.
--- /dev/null
+++ b/jacinthhaven/records/store.py
@@ -0,0 +1,138 @@
+"""Records of the calls to the platform's key-value store.
+
+The store offers compare-and-swap on revisions, leases and watches. Keys
+and values are text; revisions count all changes of the whole store.
+"""
+
+import msgspec
+
+
+class KeyValue(msgspec.Struct, frozen=True):
+    """One stored key.
+
+    Attributes:
+      key: Name of the key.
+      value: Stored document; empty in a deletion event.
+      create_revision: Revision that created the key.
+      mod_revision: Revision that changed it last.
+      lease: Lease that the key is bound to; 0 for none.
+    """
+
+    key: str
+    value: str
+    create_revision: int
+    mod_revision: int
+    lease: int = 0
+
+
+class Compare(msgspec.Struct, frozen=True):
+    """Condition that a key's last change has exactly this revision.
+
+    Revision 0 means that the key must not exist.
+    """
+
+    key: str
+    mod_revision: int
+
+
+class Put(msgspec.Struct, frozen=True):
+    """Write of one key, bound to a lease unless `lease` is 0."""
+
+    key: str
+    value: str
+    lease: int = 0
+
+
+class Delete(msgspec.Struct, frozen=True):
+    """Removal of one key."""
+
+    key: str
+
+
+class ReadRequest(msgspec.Struct, frozen=True):
+    """Linearizable read of all keys that start with a prefix."""
+
+    prefix: str
+
+
+class SwapRequest(msgspec.Struct, frozen=True):
+    """Writes that happen together if all conditions hold."""
+
+    compares: tuple[Compare, ...]
+    changes: tuple[Put | Delete, ...]
+
+
+class LeaseRequest(msgspec.Struct, frozen=True):
+    """Request for a new lease with a time to live in milliseconds."""
+
+    ttl_ms: int
+
+
+class KeepAliveRequest(msgspec.Struct, frozen=True):
+    """Renewal of a lease."""
+
+    lease: int
+
+
+class RevokeRequest(msgspec.Struct, frozen=True):
+    """End of a lease; all keys bound to it are deleted."""
+
+    lease: int
+
+
+class WatchRequest(msgspec.Struct, frozen=True):
+    """Watch of all keys that start with a prefix.
+
+    Attributes:
+      prefix: Start of the watched keys.
+      start_revision: First revision to report.
+    """
+
+    prefix: str
+    start_revision: int
+
+
+class ReadReply(msgspec.Struct, frozen=True):
+    """Keys found by a read and the store's revision at that time."""
+
+    revision: int
+    entries: tuple[KeyValue, ...]
+
+
+class SwapReply(msgspec.Struct, frozen=True):
+    """Result of a swap: whether it was written, and the revision."""
+
+    succeeded: bool
+    revision: int
+
+
+class LeaseReply(msgspec.Struct, frozen=True):
+    """Granted or renewed lease; `ttl_ms` is 0 if the lease is gone."""
+
+    lease: int
+    ttl_ms: int
+
+
+class WatchEvents(msgspec.Struct, frozen=True):
+    """Changes reported by a watch.
+
+    Attributes:
+      revision: Store revision up to which the changes are complete.
+      changed: Keys that were written, in order.
+      deleted: Names of the keys that were deleted.
+    """
+
+    revision: int
+    changed: tuple[KeyValue, ...]
+    deleted: tuple[str, ...]
+
+
+Request = (
+    ReadRequest
+    | SwapRequest
+    | LeaseRequest
+    | KeepAliveRequest
+    | RevokeRequest
+    | WatchRequest
+)
+Reply = ReadReply | SwapReply | LeaseReply | WatchEvents
