--- a/jacinthhaven/adapters/http_server.py
+++ b/jacinthhaven/adapters/http_server.py
@@ -22,7 +22,7 @@
 class Exchange:
     """One request and the place of its answer in the connection's order."""
 
-    __slots__ = ('connection', 'message', 'answer')
+    __slots__ = ('connection', 'message', 'answer', 'number')
 
     def __init__(
         self,
@@ -33,6 +33,7 @@
         self.connection = connection
         self.message = message
         self.answer: bytes | None = None
+        self.number = 0
 
     @property
     def abandoned(self) -> bool:
--- /dev/null
+++ b/jacinthhaven/decide/confirmations.py
@@ -0,0 +1,56 @@
+"""Writes that wait until a majority has their log position."""
+
+import heapq
+import itertools
+
+from jacinthhaven.decide import work
+
+
+class Confirmations:
+    """Waiting writes of one database, ordered by position, in one term."""
+
+    __slots__ = ('term', 'heap', 'sequence')
+
+    def __init__(self) -> None:
+        """Start with nothing waiting."""
+        self.term = 0
+        self.heap: list[tuple[int, int, work.Work]] = []
+        self.sequence = itertools.count()
+
+    def __len__(self) -> int:
+        """Return how many writes wait."""
+        return len(self.heap)
+
+    def add(self, job: work.Work) -> list[work.Work]:
+        """Wait for a write's position in its term.
+
+        Returns:
+          Writes of an earlier term that can no longer be confirmed there;
+          the new term decides whether they survive.
+        """
+        stale = self.start_term(job.term)
+        entry = (job.position, next(self.sequence), job)
+        heapq.heappush(self.heap, entry)
+        return stale
+
+    def start_term(self, term: int) -> list[work.Work]:
+        """Move to a higher term and return the writes left behind."""
+        if term <= self.term:
+            return []
+        stale = [job for _position, _number, job in self.heap]
+        self.term = term
+        self.heap = []
+        return stale
+
+    def clear(self) -> list[work.Work]:
+        """Remove and return all waiting writes."""
+        waiting = [job for _position, _number, job in self.heap]
+        self.heap = []
+        return waiting
+
+    def confirmed(self, position: int) -> list[work.Work]:
+        """Remove and return the writes up to a confirmed position."""
+        found = []
+        while self.heap and self.heap[0][0] <= position:
+            found.append(heapq.heappop(self.heap)[2])
+        return found
--- /dev/null
+++ b/jacinthhaven/decide/entry.py
@@ -0,0 +1,489 @@
+"""Entry: from a caller's request to an owner and back.
+
+The entry checks requests and tokens, chooses an owner, repeats a request
+at another owner when that is safe, and matches every answer by request
+number and attempt, so that a late answer reaches nobody else.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import typing
+
+import msgspec
+
+from jacinthhaven.decide import (
+    messages,
+    requests,
+    tokens,
+    transactions,
+    work,
+)
+from jacinthhaven.kernel import failures
+from jacinthhaven.records import callers, peers, presets
+
+# Failures after which another owner may still execute the request.
+_ELSEWHERE = frozenset(
+    (
+        failures.NO_OWNER.code,
+        failures.NO_PRIMARY.code,
+        failures.DRAINING.code,
+        failures.STALE_EPOCH.code,
+    ),
+)
+_MAX_ATTEMPTS = 6
+# Requests without a reachable owner are tried again this often.
+_RETRY_MS = 50
+# The owner's more precise answer at its deadline must arrive first.
+_ANSWER_MARGIN_MS = 30
+_ANSWER_DECODER = msgspec.json.Decoder(callers.Answer)
+
+
+@dataclasses.dataclass(slots=True)
+class Pending:
+    """One caller request that waits for its answer.
+
+    Attributes:
+      number: Number of the request.
+      database: Name of the database.
+      kind: Kind of the work.
+      body: Request with session and request id filled in.
+      token: Session token before this request.
+      deadline_ms: When the request is given up.
+      member: Owner that has it now; empty if none has.
+      attempt: Number of the newest attempt.
+      tried: Owners that could not execute it.
+      maybe_run: Whether an owner was lost that may have executed it.
+      strict: Whether it needs a proof of the term after its arrival.
+      retry_ms: When to look for an owner again.
+    """
+
+    number: int
+    database: str
+    kind: str
+    body: callers.StatementRequest | callers.OutcomeRequest
+    token: tokens.Token
+    deadline_ms: int
+    member: str = ''
+    attempt: int = 0
+    tried: set[str] = dataclasses.field(default_factory=set)
+    maybe_run: bool = False
+    strict: bool = False
+    retry_ms: int = 0
+
+
+class OwnerFinder(typing.Protocol):
+    """Knowledge of the owners, given to the entry by the node."""
+
+    def owners(self, database: str) -> list[str] | None:
+        """Return the live owners of a database, preferred ones first.
+
+        Returns:
+          Member names; None if the database is not known.
+        """
+
+    def alive(self, member: str) -> bool:
+        """Return whether a member is believed to be reachable."""
+
+    def same_zone(self, member: str) -> bool:
+        """Return whether a member is in this node's availability zone."""
+
+
+class Entry:
+    """Caller side of the decision code of one process."""
+
+    def __init__(
+        self,
+        member: str,
+        signer: tokens.Signer,
+        finder: OwnerFinder,
+    ) -> None:
+        """Create an entry without requests.
+
+        Args:
+          member: Name of this node.
+          signer: Checks and creates tokens.
+          finder: Finds the owners of databases.
+        """
+        self.member = member
+        self.signer = signer
+        self.finder = finder
+        self.policy = presets.Policy()
+        self.pending: dict[int, Pending] = {}
+        self.waiting: dict[int, Pending] = {}
+        self.deadlines: list[tuple[int, int]] = []
+        self.in_flight: dict[str, int] = {}
+        self.request_ids = itertools.count(1)
+        self.outbox: list[typing.Any] = []
+
+    def take(self) -> list[typing.Any]:
+        """Return and clear the collected messages."""
+        out = self.outbox
+        self.outbox = []
+        return out
+
+    def on_request(
+        self,
+        message: messages.CallerRequest,
+        now_ms: int,
+    ) -> list[typing.Any]:
+        """Accept a statement request."""
+        body = message.body
+        wrong = requests.problem(body)
+        if wrong:
+            failure = failures.BAD_REQUEST.because(wrong)
+            return self._refuse_now(message.number, body, failure)
+        token = self._session_token(body)
+        if isinstance(token, failures.Failure):
+            return self._refuse_now(message.number, body, token)
+        strict = bool(body.session) and not body.token
+        body.session = token.session
+        if body.kind in {work.WRITE, work.COMMIT} and not body.request_id:
+            body.request_id = f'{message.number:x}-{next(self.request_ids)}'
+        pending = Pending(
+            message.number,
+            message.database,
+            body.kind,
+            body,
+            token,
+            now_ms + (body.deadline_ms or self.policy.preset.deadline_ms),
+            strict=strict and body.kind == work.READ,
+        )
+        return self._accept(pending, now_ms)
+
+    def on_outcome(
+        self,
+        message: messages.CallerOutcome,
+        now_ms: int,
+    ) -> list[typing.Any]:
+        """Accept a question for a write's outcome."""
+        body = message.body
+        token = self._session_token(body)
+        if isinstance(token, failures.Failure):
+            return self._refuse_now(message.number, body, token)
+        pending = Pending(
+            message.number,
+            message.database,
+            work.RESOLVE,
+            body,
+            token,
+            now_ms + (body.deadline_ms or self.policy.preset.deadline_ms),
+        )
+        return self._accept(pending, now_ms)
+
+    def on_gone(self, number: int) -> list[typing.Any]:
+        """Drop a request whose caller closed its connection."""
+        pending = self.pending.get(number)
+        if pending is not None:
+            if pending.member:
+                cancel = peers.ForwardCancel(number)
+                self.outbox.append(messages.PeerSend(pending.member, cancel))
+            self._finish(number)
+        return self.take()
+
+    def on_answer(
+        self,
+        member: str,
+        forwarded: peers.ForwardAnswer,
+        now_ms: int,
+    ) -> list[typing.Any]:
+        """Accept an owner's answer."""
+        pending = self.pending.get(forwarded.number)
+        if pending is None or (
+            (pending.member, pending.attempt) != (member, forwarded.attempt)
+        ):
+            self.outbox.append(messages.Count('late_answers'))
+            return self.take()
+        try:
+            answer = _ANSWER_DECODER.decode(forwarded.answer)
+        except msgspec.MsgspecError:
+            self.outbox.append(messages.Count('bad_answers'))
+            answer = callers.Answer(
+                failures.Outcome.UNKNOWN.value,
+                error=failures.PROTOCOL_ERROR.code,
+                detail='the owner sent a malformed answer',
+            )
+            forwarded.failure = failures.PROTOCOL_ERROR.code
+        if self._may_try_elsewhere(pending, forwarded, now_ms):
+            self._release(pending)
+            pending.tried.add(member)
+            self._dispatch(pending, now_ms)
+        else:
+            self._complete(pending, answer, forwarded)
+        return self.take()
+
+    def on_peer_lost(self, member: str, now_ms: int) -> list[typing.Any]:
+        """Recover the requests that a lost member had."""
+        lost = [
+            pending
+            for pending in self.pending.values()
+            if pending.member == member
+        ]
+        for pending in lost:
+            self._release(pending)
+            pending.tried.add(member)
+            pending.maybe_run = True
+            if pending.kind in work.STEPS or pending.kind == work.BEGIN:
+                self._recover_step(pending, now_ms)
+            else:
+                self._dispatch(pending, now_ms)
+        return self.take()
+
+    def tick(self, now_ms: int) -> list[typing.Any]:
+        """Expire requests and look for owners again."""
+        while self.deadlines and self.deadlines[0][0] <= now_ms:
+            number = heapq.heappop(self.deadlines)[1]
+            pending = self.pending.get(number)
+            if pending is not None:
+                self._expire(pending)
+        for pending in tuple(self.waiting.values()):
+            if now_ms >= pending.retry_ms:
+                pending.tried.clear()
+                self._dispatch(pending, now_ms)
+        return self.take()
+
+    # Acceptance.
+
+    def _session_token(
+        self,
+        body: callers.StatementRequest | callers.OutcomeRequest,
+    ) -> tokens.Token | failures.Failure:
+        if not body.session and not body.token:
+            return tokens.Token(self.signer.new_session())
+        if not self.signer.valid_session(body.session):
+            return failures.BAD_TOKEN.because('session id was not issued')
+        if not body.token:
+            return tokens.Token(body.session)
+        token = self.signer.parse(body.token)
+        if isinstance(token, tokens.Token) and token.session != body.session:
+            return failures.BAD_TOKEN.because('token of another session')
+        return token
+
+    def _accept(self, pending: Pending, now_ms: int) -> list[typing.Any]:
+        self.pending[pending.number] = pending
+        heapq.heappush(
+            self.deadlines,
+            (pending.deadline_ms, pending.number),
+        )
+        self._dispatch(pending, now_ms)
+        return self.take()
+
+    def _refuse_now(
+        self,
+        number: int,
+        body: callers.StatementRequest | callers.OutcomeRequest,
+        failure: failures.Failure,
+    ) -> list[typing.Any]:
+        answer = callers.Answer(
+            failure.outcome.value,
+            request_id=body.request_id,
+            error=failure.kind.code,
+            detail=failure.reason,
+        )
+        return [messages.CallerAnswer(number, answer, failure)]
+
+    # Dispatch.
+
+    def _dispatch(self, pending: Pending, now_ms: int) -> None:
+        self.waiting.pop(pending.number, None)
+        owner = self._choose(pending)
+        if isinstance(owner, failures.Failure):
+            self._fail(pending, owner)
+        elif owner:
+            self._send(pending, owner, now_ms)
+        else:
+            pending.retry_ms = now_ms + _RETRY_MS
+            self.waiting[pending.number] = pending
+
+    def _choose(self, pending: Pending) -> str | failures.Failure:
+        """Return the owner to use, empty to wait, or a final failure."""
+        if pending.kind in work.STEPS:
+            return self._transaction_owner(pending)
+        owners = self.finder.owners(pending.database)
+        if owners is None:
+            return failures.UNKNOWN_DATABASE.because(pending.database)
+        usable = [name for name in owners if name not in pending.tried]
+        return min(usable, key=self._cost, default='')
+
+    def _cost(self, member: str) -> tuple[bool, bool, int]:
+        """Prefer this node, then its availability zone, then less load."""
+        return (
+            member != self.member,
+            not self.finder.same_zone(member),
+            self.in_flight.get(member, 0),
+        )
+
+    def _transaction_owner(self, pending: Pending) -> str | failures.Failure:
+        owner = transactions.owner_of(pending.body.transaction)
+        if owner in pending.tried or not self.finder.alive(owner):
+            return failures.UNKNOWN_TRANSACTION.because(
+                'the owner of the transaction is gone',
+            )
+        return owner
+
+    def _send(self, pending: Pending, owner: str, now_ms: int) -> None:
+        pending.member = owner
+        pending.attempt += 1
+        self.in_flight[owner] = self.in_flight.get(owner, 0) + 1
+        payload: peers.StatementForward | peers.OutcomeForward
+        if pending.kind == work.RESOLVE:
+            payload = self._outcome_forward(pending, now_ms)
+        else:
+            payload = self._statement_forward(pending, now_ms)
+        self.outbox.append(messages.PeerSend(owner, payload))
+
+    def _statement_forward(
+        self,
+        pending: Pending,
+        now_ms: int,
+    ) -> peers.StatementForward:
+        body = msgspec.structs.replace(pending.body, token='')
+        forward = peers.StatementForward(
+            pending.number,
+            pending.database,
+            msgspec.json.encode(body),
+            self._remaining_ms(pending, now_ms),
+            attempt=pending.attempt,
+            strict=pending.strict,
+        )
+        needed = pending.token.positions.get(pending.database)
+        if needed is not None:
+            forward.needed_term = needed.term
+            forward.needed_position = needed.position
+        return forward
+
+    def _outcome_forward(
+        self,
+        pending: Pending,
+        now_ms: int,
+    ) -> peers.OutcomeForward:
+        question = callers.OutcomeRequest(
+            pending.token.session,
+            pending.body.request_id,
+        )
+        return peers.OutcomeForward(
+            pending.number,
+            pending.database,
+            msgspec.json.encode(question),
+            self._remaining_ms(pending, now_ms),
+            pending.attempt,
+        )
+
+    def _remaining_ms(self, pending: Pending, now_ms: int) -> int:
+        return max(pending.deadline_ms - now_ms - _ANSWER_MARGIN_MS, 1)
+
+    # Answers.
+
+    def _may_try_elsewhere(
+        self,
+        pending: Pending,
+        forwarded: peers.ForwardAnswer,
+        now_ms: int,
+    ) -> bool:
+        if pending.kind in work.STEPS or pending.attempt >= _MAX_ATTEMPTS:
+            return False
+        if forwarded.failure == failures.UNCONFIRMED.code:
+            # The request key makes the repeat of a write safe.
+            pending.maybe_run = True
+            return self._remaining_ms(pending, now_ms) > _ANSWER_MARGIN_MS
+        return forwarded.failure in _ELSEWHERE
+
+    def _recover_step(self, pending: Pending, now_ms: int) -> None:
+        """Handle the loss of the owner that held a transaction."""
+        if pending.kind == work.COMMIT:
+            # The commit may have run; its request key tells.
+            pending.kind = work.RESOLVE
+            self._dispatch(pending, now_ms)
+        elif pending.kind == work.BEGIN:
+            self._dispatch(pending, now_ms)
+        else:
+            failure = failures.UNKNOWN_TRANSACTION.because(
+                'the transaction was rolled back with its owner',
+            )
+            self._fail(pending, failure)
+
+    def _complete(
+        self,
+        pending: Pending,
+        answer: callers.Answer,
+        forwarded: peers.ForwardAnswer,
+    ) -> None:
+        failure = None
+        if forwarded.failure:
+            kind = failures.BY_CODE.get(
+                forwarded.failure,
+                failures.PROTOCOL_ERROR,
+            )
+            failure = kind.because(forwarded.reason)
+            if self._contradicts(pending, failure):
+                self._fail(pending, failure)
+                return
+        elif pending.kind in work.LOGGED:
+            self._extend_token(pending, answer)
+        self._answer(pending, answer, failure)
+
+    def _contradicts(
+        self,
+        pending: Pending,
+        failure: failures.Failure,
+    ) -> bool:
+        """Return whether a lost attempt makes "not run" unproved.
+
+        A lost owner may still have a copy of a write on its way. Only the
+        cancellation of the request key rules that out.
+        """
+        return (
+            pending.maybe_run
+            and pending.kind in work.LOGGED
+            and failure.outcome is failures.Outcome.NOT_RUN
+            and failure.kind is not failures.CANCELLED
+        )
+
+    def _fail(self, pending: Pending, failure: failures.Failure) -> None:
+        if self._contradicts(pending, failure):
+            failure = failures.UNCONFIRMED.because(failure.reason)
+        answer = callers.Answer(
+            failure.outcome.value,
+            error=failure.kind.code,
+            detail=failure.reason,
+        )
+        self._answer(pending, answer, failure)
+
+    def _expire(self, pending: Pending) -> None:
+        if pending.member and pending.kind in work.LOGGED:
+            pending.maybe_run = True
+        failure = failures.DEADLINE.because('deadline has passed')
+        self._fail(pending, failure)
+
+    def _extend_token(self, pending: Pending, answer: callers.Answer) -> None:
+        pending.token = tokens.advance(
+            pending.token,
+            pending.database,
+            tokens.Position(answer.term, answer.position),
+        )
+
+    def _answer(
+        self,
+        pending: Pending,
+        answer: callers.Answer,
+        failure: failures.Failure | None,
+    ) -> None:
+        self._finish(pending.number)
+        answer.session = pending.token.session
+        answer.request_id = pending.body.request_id
+        answer.token = self.signer.sign(pending.token)
+        self.outbox.append(
+            messages.CallerAnswer(pending.number, answer, failure),
+        )
+
+    def _finish(self, number: int) -> Pending | None:
+        pending = self.pending.pop(number, None)
+        self.waiting.pop(number, None)
+        if pending is not None:
+            self._release(pending)
+        return pending
+
+    def _release(self, pending: Pending) -> None:
+        if pending.member:
+            self.in_flight[pending.member] -= 1
+            pending.member = ''
--- /dev/null
+++ b/jacinthhaven/decide/executor.py
@@ -0,0 +1,151 @@
+"""Execution of the requests of one group at an owner.
+
+The executor is the front of the parts that queue, send, answer and
+recover requests: dispatch, results and recovery.
+"""
+
+import heapq
+import itertools
+import typing
+
+from jacinthhaven.decide import (
+    database,
+    dispatch,
+    recovery,
+    replies,
+    work,
+)
+from jacinthhaven.kernel import failures
+
+if typing.TYPE_CHECKING:
+    from jacinthhaven.decide import group_state, messages
+
+
+class Executor:
+    """Accepts requests and events and keeps their deadlines."""
+
+    def __init__(self, state: 'group_state.GroupState') -> None:
+        """Work on the state of one group."""
+        self.state = state
+        self.dispatcher = dispatch.Dispatcher(state)
+        self.recovery = recovery.Recovery(state, self.dispatcher)
+        self.replies = replies.Replies(state, self.dispatcher, self.recovery)
+        self.deadlines: list[tuple[int, int, work.Work]] = []
+        self.sequence = itertools.count()
+
+    def submit(self, job: work.Work, now_ms: int) -> None:
+        """Accept a request; its answer follows in the outbox."""
+        base = self.state.databases[job.database]
+        job.arrived_ms = now_ms
+        entry = (job.deadline_ms, next(self.sequence), job)
+        heapq.heappush(self.deadlines, entry)
+        base.budget.request(self.state.preset.retry_ratio)
+        if job.kind in work.STEPS:
+            self.replies.start_step(job, now_ms)
+        else:
+            self._enqueue(base, job)
+            self.dispatcher.pump(base, now_ms)
+
+    def on_opened(self, now_ms: int) -> None:
+        """Use a connection that was opened."""
+        self.dispatcher.pump_all(now_ms)
+
+    def on_reply(self, message: 'messages.BackendReply', now_ms: int) -> None:
+        """Accept the reply to a call."""
+        self.replies.on_reply(message, now_ms)
+        self.dispatcher.pump_all(now_ms)
+
+    def on_lost(self, connection: int, now_ms: int) -> None:
+        """Recover the request that was in flight on a lost connection."""
+        self.recovery.on_lost(connection)
+        self.dispatcher.pump_all(now_ms)
+
+    def on_status(self, now_ms: int) -> None:
+        """Use new knowledge about the instances."""
+        for base in self.state.databases.values():
+            if base.refresh():
+                self.recovery.on_new_term(base)
+            self.replies.on_status(base)
+            self.dispatcher.retry_parked(base, now_ms)
+        self.dispatcher.pump_all(now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Expire requests, parked reads and idle transactions."""
+        self._expire(now_ms)
+        limit_ms = now_ms - self.state.preset.transaction_idle_ms
+        for transaction in self.state.transactions.idle_since(limit_ms):
+            self.recovery.abort(transaction)
+        for base in self.state.databases.values():
+            self.dispatcher.retry_parked(base, now_ms)
+            self.dispatcher.pump(base, now_ms)
+
+    def quiet(self, name: str) -> bool:
+        """Return whether no write of a database is running or unconfirmed."""
+        return not (
+            self.state.databases[name].confirmations
+            or self.state.transactions.of_database(name)
+            or self.state.calls.logged_in_flight(name)
+        )
+
+    def cancel(self, member: str, number: int) -> None:
+        """Drop a queued request whose caller is gone.
+
+        Args:
+          member: Entry that forwarded the request.
+          number: Request number of the entry.
+        """
+
+        def matches(job: work.Work) -> bool:  # noqa: WPS430
+            origin = job.origin
+            return (origin.member, origin.number) == (member, number)
+
+        for base in self.state.databases.values():
+            for job in base.admission.remove_if(matches):
+                job.finished = True
+
+    def refuse_all(self, kind: failures.Kind, reason: str) -> None:
+        """Refuse everything that waits, when the owner stops."""
+        for base in self.state.databases.values():
+            self.refuse_waiting(base, kind, reason)
+            for job in base.confirmations.clear():
+                job.lost = True
+                self.state.refuse(job, kind.because(reason))
+
+    def refuse_waiting(
+        self,
+        base: database.Database,
+        kind: failures.Kind,
+        reason: str,
+    ) -> None:
+        """Refuse the requests of a database that wait in the queue."""
+        waiting = base.admission.remove_if(_always)
+        waiting.extend(base.parked)
+        base.parked = []
+        for job in waiting:
+            self.state.refuse(job, kind.because(reason))
+
+    def _enqueue(self, base: database.Database, job: work.Work) -> None:
+        limit = self.state.preset.queue_limit
+        for shed in base.admission.push(job, limit):
+            self.state.count('shed')
+            failure = failures.OVERLOADED.because('queue is full')
+            self.state.refuse(shed, failure)
+
+    def _expire(self, now_ms: int) -> None:
+        expired = False
+        while self.deadlines and self.deadlines[0][0] <= now_ms:
+            job = heapq.heappop(self.deadlines)[2]
+            if not job.finished:
+                expired = True
+                self.recovery.expire(job)
+        if expired:
+            for base in self.state.databases.values():
+                base.admission.remove_if(_is_finished)
+
+
+def _always(_job: work.Work) -> bool:
+    return True
+
+
+def _is_finished(job: work.Work) -> bool:
+    return job.finished
--- /dev/null
+++ b/jacinthhaven/decide/pool.py
@@ -0,0 +1,159 @@
+"""Connections of one slot to one instance.
+
+The pool never holds more connections than the slot's share, whatever
+their state, so the shares of all slots together stay within the
+instance's limit.
+"""
+
+import collections
+import itertools
+
+from jacinthhaven.decide import messages
+from jacinthhaven.kernel import failures
+from jacinthhaven.records import backend
+
+_FIRST_BACKOFF_MS = 50
+_LAST_BACKOFF_MS = 2000
+
+Opened = list[messages.BackendOpen]
+
+
+class Pool:
+    """Data connections to one instance."""
+
+    __slots__ = (
+        'instance',
+        'share',
+        'slot',
+        'numbers',
+        'idle',
+        'busy',
+        'opening',
+        'backoff_ms',
+        'retry_at_ms',
+        'started_ms',
+    )
+
+    def __init__(
+        self,
+        instance: str,
+        share: int,
+        slot: backend.ConnectRequest,
+        numbers: itertools.count,
+    ) -> None:
+        """Create a pool without connections.
+
+        Args:
+          instance: Name of the instance.
+          share: Most connections that the pool may hold.
+          slot: Slot and epoch that the connections belong to.
+          numbers: Allocator of connection numbers of the process.
+        """
+        self.instance = instance
+        self.share = share
+        self.slot = slot
+        self.numbers = numbers
+        self.idle: collections.deque[int] = collections.deque()
+        self.busy: set[int] = set()
+        self.opening: set[int] = set()
+        self.backoff_ms = 0
+        self.retry_at_ms = 0
+        self.started_ms = 0
+
+    @property
+    def size(self) -> int:
+        """Return how many connections are open or opening."""
+        return self.usable + len(self.busy)
+
+    @property
+    def usable(self) -> int:
+        """Return how many connections are idle or will be soon."""
+        return len(self.idle) + len(self.opening)
+
+    def open_more(self, wanted: int, now_ms: int) -> Opened:
+        """Open connections until `wanted` are idle or opening.
+
+        Args:
+          wanted: Connections that waiting work could use now.
+          now_ms: Current time.
+        """
+        opened: Opened = []
+        if now_ms < self.retry_at_ms:
+            return opened
+        room = min(wanted - self.usable, self.share - self.size)
+        for _ in range(room):
+            number = next(self.numbers)
+            self.opening.add(number)
+            opened.append(
+                messages.BackendOpen(number, self.instance, self.slot),
+            )
+        return opened
+
+    def take(self) -> int:
+        """Take an idle connection.
+
+        Raises:
+          IndexError: If none is idle.
+        """
+        # The most recently used connection first, so that surplus
+        # connections stay unused.
+        connection = self.idle.pop()
+        self.busy.add(connection)
+        return connection
+
+    def give_back(self, connection: int) -> None:
+        """Return a connection whose call is answered."""
+        if connection in self.busy:
+            self.busy.discard(connection)
+            self.idle.append(connection)
+
+    def on_opened(self, connection: int, now_ms: int) -> None:
+        """Add a connection that accepts calls now."""
+        if connection in self.opening:
+            self.opening.discard(connection)
+            self.idle.append(connection)
+            self.backoff_ms = 0
+            self.started_ms = self.started_ms or now_ms
+
+    def on_lost(
+        self,
+        connection: int,
+        failure: failures.Failure,
+        now_ms: int,
+    ) -> None:
+        """Remove a lost connection and delay the next attempt."""
+        was_opening = connection in self.opening
+        self.forget(connection)
+        if was_opening:
+            doubled = max(_FIRST_BACKOFF_MS, 2 * self.backoff_ms)
+            self.backoff_ms = min(doubled, _LAST_BACKOFF_MS)
+            self.retry_at_ms = now_ms + self.backoff_ms
+
+    def forget(self, connection: int) -> None:
+        """Remove a connection that is closed."""
+        self.opening.discard(connection)
+        self.busy.discard(connection)
+        if connection in self.idle:
+            self.idle.remove(connection)
+
+    def close_all(self) -> list[messages.BackendClose]:
+        """Close every connection."""
+        numbers = [*self.idle, *self.busy, *self.opening]
+        self.idle.clear()
+        self.busy.clear()
+        self.opening.clear()
+        return [messages.BackendClose(number) for number in numbers]
+
+    def ramp_limit(self, slow_start_ms: int, now_ms: int) -> int:
+        """Return how many connections may be busy during slow start.
+
+        Args:
+          slow_start_ms: Time from the first connection to the full share.
+          now_ms: Current time.
+        """
+        if slow_start_ms <= 0:
+            return self.share
+        elapsed_ms = now_ms - self.started_ms
+        if elapsed_ms >= slow_start_ms:
+            return self.share
+        return max(1, self.share * elapsed_ms // slow_start_ms)
--- /dev/null
+++ b/jacinthhaven/decide/recovery.py
@@ -0,0 +1,125 @@
+"""What happens to requests whose result was not seen.
+
+Reads are repeated within the retry budget. Requests with a request key
+are repeated under that key, which the database applies at most once.
+"""
+
+import typing
+
+from jacinthhaven.decide import database, dispatch, transactions, work
+from jacinthhaven.kernel import failures
+
+if typing.TYPE_CHECKING:
+    from jacinthhaven.decide import group_state
+
+
+class Recovery:
+    """Repeats or refuses requests after losses and changes of primary."""
+
+    def __init__(
+        self,
+        state: 'group_state.GroupState',
+        dispatcher: dispatch.Dispatcher,
+    ) -> None:
+        """Work on the state of one group."""
+        self.state = state
+        self.dispatcher = dispatcher
+
+    def recover(self, job: work.Work) -> None:
+        """Repeat or refuse a request whose copy has no visible result."""
+        if job.finished:
+            return
+        base = self.state.databases[job.database]
+        if job.kind in {work.STATEMENT, work.ROLLBACK}:
+            failure = failures.UNKNOWN_TRANSACTION.because(
+                'the transaction was rolled back with its connection',
+            )
+            self.state.refuse(job, failure)
+        elif job.logged:
+            self.repeat(job)
+        elif base.budget.spend():
+            self.dispatcher.use_primary(base, job, 'lost')
+        else:
+            failure = failures.UNAVAILABLE.because('retry budget is spent')
+            self.state.refuse(job, failure)
+
+    def repeat(self, job: work.Work) -> None:
+        """Send a logged request again under its request key.
+
+        The key makes the repeat safe: the database returns the recorded
+        result if the lost copy ran. A commit cannot be repeated, since its
+        transaction is gone; its key is looked up and cancelled if absent.
+        """
+        if job.finished:
+            return
+        job.lost = True
+        job.position = 0
+        if job.kind == work.COMMIT:
+            job.kind = work.RESOLVE
+        self.state.count('repeats')
+        self._requeue(job)
+
+    def refuse_surely(self, job: work.Work, failure: failures.Failure) -> None:
+        """Refuse a request; cancel its key first if a copy was lost.
+
+        An earlier copy could still arrive after this refusal, so a request
+        with a lost copy is refused only after its key is cancelled.
+        """
+        if job.lost and job.kind == work.WRITE and not job.finished:
+            job.kind = work.RESOLVE
+            job.refusal = failure
+            self._requeue(job)
+        else:
+            self.state.refuse(job, failure)
+
+    def on_lost(self, connection: int) -> None:
+        """Recover the request that was in flight on a lost connection."""
+        transaction = self.state.transactions.on_connection(connection)
+        if transaction is not None:
+            self.state.transactions.end(transaction.name)
+        call = self.state.calls.lose(connection)
+        if call is not None and call.job is not None:
+            self.recover(call.job)
+
+    def on_new_term(self, base: database.Database) -> None:
+        """Give up what depends on the primary of an earlier term."""
+        for call in self.state.calls.older_than(base.name, base.term):
+            job = call.job
+            call.job = None
+            if job is not None:
+                self.recover(job)
+        table = self.state.transactions
+        for transaction in table.older_than(base.name, base.term):
+            self.abort(transaction)
+        for stale in base.confirmations.start_term(base.term):
+            self.repeat(stale)
+
+    def abort(self, transaction: transactions.Transaction) -> None:
+        """Close the connection of a transaction, which rolls it back.
+
+        A rollback call could be lost in the same way as the caller, so the
+        connection is not used again.
+        """
+        self.state.transactions.end(transaction.name)
+        self.state.count('transactions_aborted')
+        call = self.state.calls.by_connection.get(transaction.connection)
+        job = None if call is None else call.job
+        self.state.close(transaction.instance, transaction.connection)
+        if job is not None:
+            self.recover(job)
+
+    def expire(self, job: work.Work) -> None:
+        """Refuse a request whose deadline has passed."""
+        call = self.state.calls.by_connection.get(job.connection)
+        running = call is not None and call.job is job
+        if job.logged and (job.position or running):
+            job.lost = True
+        self.state.count('deadlines')
+        self.state.refuse(
+            job,
+            failures.DEADLINE.because('deadline has passed'),
+        )
+
+    def _requeue(self, job: work.Work) -> None:
+        base = self.state.databases[job.database]
+        base.admission.push_front(job)
--- /dev/null
+++ b/jacinthhaven/decide/replies.py
@@ -0,0 +1,272 @@
+"""What a caller is told after a backend server has replied."""
+
+import typing
+
+from jacinthhaven.decide import (
+    admission,
+    calls,
+    database,
+    dispatch,
+    positions,
+    recovery,
+    routing,
+    transactions,
+    work,
+)
+from jacinthhaven.kernel import failures
+from jacinthhaven.records import backend, callers
+
+if typing.TYPE_CHECKING:
+    from jacinthhaven.decide import group_state, messages
+
+
+class Replies:
+    """Turns replies into answers, confirmations and repeats."""
+
+    def __init__(
+        self,
+        state: 'group_state.GroupState',
+        dispatcher: dispatch.Dispatcher,
+        rescue: recovery.Recovery,
+    ) -> None:
+        """Work on the state of one group."""
+        self.state = state
+        self.dispatcher = dispatcher
+        self.recovery = rescue
+
+    def on_reply(
+        self,
+        message: 'messages.BackendReply',
+        now_ms: int,
+    ) -> None:
+        """Accept the reply to a call on a data connection."""
+        call = self.state.calls.finish(message.number)
+        if call is None:
+            self.state.count('late_replies')
+            return
+        job = call.job
+        if job is None or job.finished:
+            self._free_abandoned(call)
+        elif isinstance(message.reply, failures.Failure):
+            self._on_refusal(call, job, message.reply, now_ms)
+        else:
+            self._on_result(call, job, message.reply)
+
+    def on_status(self, base: database.Database) -> None:
+        """Release the answers that new knowledge about a database allows."""
+        for job in base.confirmed():
+            self._on_confirmed(job)
+        waiting = base.strict
+        base.strict = []
+        for strict_job in waiting:
+            if strict_job.answer is not None and not strict_job.finished:
+                self._answer_read(strict_job, strict_job.answer)
+
+    def start_step(self, job: work.Work, now_ms: int) -> None:
+        """Send a step of a transaction on the connection that it holds."""
+        transaction = self.state.transactions.find(
+            job.transaction,
+            job.session,
+        )
+        if transaction is None or transaction.database != job.database:
+            failure = failures.UNKNOWN_TRANSACTION.because(
+                'no such open transaction in this session',
+            )
+            self.state.refuse(job, failure)
+        elif transaction.busy:
+            failure = failures.BAD_REQUEST.because(
+                'a step of the transaction is still running',
+            )
+            self.state.refuse(job, failure)
+        else:
+            transaction.busy = True
+            transaction.used_ms = now_ms
+            job.term = transaction.term
+            self.dispatcher.call(
+                job,
+                transaction.connection,
+                transaction.instance,
+            )
+
+    def _free_abandoned(self, call: calls.Call) -> None:
+        """Free the connection of a call that nobody waits for."""
+        self.state.count('late_replies')
+        held = self.state.transactions.on_connection(call.connection)
+        if call.begins or held is not None:
+            if held is not None:
+                self.state.transactions.end(held.name)
+            self.state.close(call.instance, call.connection)
+        else:
+            self.state.pools[call.instance].give_back(call.connection)
+
+    # Results.
+
+    def _on_result(
+        self,
+        call: calls.Call,
+        job: work.Work,
+        reply: backend.Reply,
+    ) -> None:
+        if job.kind == work.BEGIN:
+            self._on_begun(call, job)
+            return
+        if job.kind == work.STATEMENT:
+            self._finish_step(job)
+        else:
+            self.state.transactions.end(job.transaction)
+            self.state.pools[call.instance].give_back(call.connection)
+        if isinstance(reply, backend.ResolveReply):
+            self._on_resolved(job, reply)
+        elif isinstance(reply, backend.ExecuteReply):
+            self._on_executed(job, reply)
+
+    def _on_begun(self, call: calls.Call, job: work.Work) -> None:
+        name = self.state.transactions.new_name()
+        self.state.transactions.add(
+            transactions.Transaction(
+                name,
+                job.session,
+                job.database,
+                call.instance,
+                call.connection,
+                job.term,
+                job.arrived_ms,
+            ),
+        )
+        answer = self._done(job)
+        answer.transaction = name
+        self.state.answer(job, answer)
+
+    def _finish_step(self, job: work.Work) -> None:
+        transaction = self.state.transactions.find(
+            job.transaction,
+            job.session,
+        )
+        if transaction is not None:
+            transaction.busy = False
+
+    def _on_executed(
+        self,
+        job: work.Work,
+        reply: backend.ExecuteReply,
+    ) -> None:
+        answer = self._done(job)
+        answer.result = reply.result
+        answer.term = reply.log_term
+        answer.position = reply.position
+        answer.duplicate = reply.duplicate
+        job.answer = answer
+        if job.logged:
+            self._confirm(job, reply.position)
+        elif job.kind == work.READ:
+            self._on_read(job, answer, positions.covers(reply, job.needed))
+        else:
+            self.state.answer(job, answer)
+
+    def _on_read(
+        self,
+        job: work.Work,
+        answer: callers.Answer,
+        covered: bool,
+    ) -> None:
+        if covered:
+            self._answer_read(job, answer)
+        else:
+            self.state.count('uncovered_reads')
+            base = self.state.databases[job.database]
+            self.dispatcher.use_primary(base, job, 'uncovered')
+
+    def _on_resolved(
+        self,
+        job: work.Work,
+        reply: backend.ResolveReply,
+    ) -> None:
+        answer = self._done(job)
+        answer.position = reply.position
+        job.answer = answer
+        if reply.done:
+            job.refusal = None
+            answer.result = reply.result
+            answer.duplicate = True
+        else:
+            job.refusal = job.refusal or failures.CANCELLED.because(
+                'the request has not run and can no longer run',
+            )
+        self._confirm(job, reply.position)
+
+    def _confirm(self, job: work.Work, position: int) -> None:
+        """Hold the answer until a majority has the position."""
+        base = self.state.databases[job.database]
+        job.position = position
+        if job.answer:
+            job.answer.term = job.term
+        if job.term < base.term:
+            self.recovery.repeat(job)
+            return
+        for stale in base.confirmations.add(job):
+            self.recovery.repeat(stale)
+        for confirmed in base.confirmed():
+            self._on_confirmed(confirmed)
+
+    def _on_confirmed(self, job: work.Work) -> None:
+        if job.refusal:
+            job.lost = False
+            self.state.refuse(job, job.refusal)
+        elif job.answer:
+            self.state.answer(job, job.answer)
+
+    def _answer_read(self, job: work.Work, answer: callers.Answer) -> None:
+        base = self.state.databases[job.database]
+        if job.strict and base.proved_ms < job.arrived_ms:
+            base.strict.append(job)
+        else:
+            self.state.answer(job, answer)
+
+    def _done(self, job: work.Work) -> callers.Answer:
+        on_replica = job.lane == admission.REPLICA_LANE
+        return callers.Answer(
+            failures.Outcome.DONE.value,
+            served_by=job.instance,
+            role=routing.REPLICA if on_replica else routing.PRIMARY,
+            preset_revision=self.state.policy.revision,
+        )
+
+    # Refusals.
+
+    def _on_refusal(
+        self,
+        call: calls.Call,
+        job: work.Work,
+        failure: failures.Failure,
+        now_ms: int,
+    ) -> None:
+        if job.kind in work.STEPS:
+            self._on_step_refused(call, job, failure)
+            return
+        base = self.state.databases[job.database]
+        self.state.pools[call.instance].give_back(call.connection)
+        if failure.kind is failures.STALE_TERM:
+            base.refuse_term(job.term, now_ms)
+            base.admission.push_front(job)
+        elif failure.outcome is failures.Outcome.UNKNOWN:
+            self.recovery.recover(job)
+        else:
+            self.recovery.refuse_surely(job, failure)
+
+    def _on_step_refused(
+        self,
+        call: calls.Call,
+        job: work.Work,
+        failure: failures.Failure,
+    ) -> None:
+        if job.kind == work.STATEMENT:
+            self._finish_step(job)
+            self.state.refuse(job, failure)
+            return
+        # The state of a transaction whose end was refused is not known.
+        self.state.transactions.end(job.transaction)
+        self.state.close(call.instance, call.connection)
+        if failure.outcome is failures.Outcome.UNKNOWN:
+            self.recovery.recover(job)
+        else:
+            self.state.refuse(job, failure)
--- /dev/null
+++ b/jacinthhaven/decide/routing.py
@@ -0,0 +1,151 @@
+"""Choice of the copy that executes a statement.
+
+First the copies that may serve are found by rules that every policy has
+to keep (read-your-writes, age, leaving); then the policy named by the
+preset picks one of them. Policies are plug-ins.
+"""
+
+import abc
+import dataclasses
+import random
+
+from jacinthhaven.decide import pool, positions, views, work
+from jacinthhaven.kernel import plugins
+from jacinthhaven.records import backend, presets
+
+PRIMARY = 'primary'
+REPLICA = 'replica'
+
+
+@dataclasses.dataclass(slots=True)
+class Candidate:
+    """Copy that may serve a statement.
+
+    Attributes:
+      instance: Name of the instance.
+      zone: Availability zone of the instance.
+      busy: Connections in use.
+    """
+
+    instance: str
+    zone: str
+    busy: int
+
+
+class RoutingPolicy(abc.ABC):
+    """Preference among the copies that may serve a read."""
+
+    uses_replicas = True
+
+    @abc.abstractmethod
+    def choose(
+        self,
+        candidates: list[Candidate],
+        rng: random.Random,
+    ) -> Candidate | None:
+        """Return the preferred candidate, or None to use the primary.
+
+        Args:
+          candidates: Replicas with a free connection that may serve.
+          rng: Seeded source of random numbers.
+        """
+
+
+@plugins.register(plugins.ROUTING_POLICY, 'replica_first')
+class ReplicaFirst(RoutingPolicy):
+    """Uses the less busy of two random replicas.
+
+    Two random choices avoid that every owner sends its load to the same
+    least busy replica between two status responses.
+    """
+
+    def choose(
+        self,
+        candidates: list[Candidate],
+        rng: random.Random,
+    ) -> Candidate | None:
+        """Return the less busy of two random candidates."""
+        if len(candidates) > 2:
+            candidates = rng.sample(candidates, 2)
+        return min(candidates, key=_load, default=None)
+
+
+@plugins.register(plugins.ROUTING_POLICY, 'primary_only')
+class PrimaryOnly(RoutingPolicy):
+    """Uses no replica, for maintenance of replicas."""
+
+    uses_replicas = False
+
+    def choose(
+        self,
+        candidates: list[Candidate],
+        rng: random.Random,
+    ) -> Candidate | None:
+        """Return None always."""
+
+
+def _load(option: Candidate) -> int:
+    return option.busy
+
+
+@dataclasses.dataclass(slots=True)
+class DatabaseView:
+    """Inputs of the eligibility rules for one database.
+
+    Attributes:
+      database: Name of the database.
+      instances: Views of all instances of the group.
+      complete_ms: Until when each copy's data is proved complete, by
+        instance name.
+    """
+
+    database: str
+    instances: views.Instances
+    complete_ms: dict[str, int]
+
+
+def eligible_replicas(
+    view: DatabaseView,
+    job: work.Work,
+    preset: presets.Preset,
+    now_ms: int,
+) -> list[views.InstanceView]:
+    """Return the replicas that may serve a read.
+
+    A replica may serve if it is not leaving, excluded or suspected, its
+    log covers the session's token, and its age is proved to be allowed.
+    """
+    oldest_ms = max(now_ms - job.max_age_ms, 0)
+    return [
+        instance
+        for instance in view.instances.values()
+        if usable(instance, preset)
+        and view.complete_ms.get(instance.name, views.NEVER_MS) >= oldest_ms
+        and _may_serve(instance.copies.get(view.database), job)
+    ]
+
+
+def usable(instance: views.InstanceView, preset: presets.Preset) -> bool:
+    """Return whether an instance may get new work."""
+    return not (
+        instance.leaving
+        or instance.suspected
+        or instance.name in preset.excluded_instances
+    )
+
+
+def _may_serve(
+    copy: backend.DatabaseStatus | None,
+    job: work.Work,
+) -> bool:
+    if copy is None or copy.primary:
+        return False
+    return positions.covers(copy, job.needed)
+
+
+def candidate(
+    instance: views.InstanceView,
+    connections: pool.Pool,
+) -> Candidate:
+    """Return a candidate with the load of its connections."""
+    return Candidate(instance.name, instance.zone, len(connections.busy))
--- /dev/null
+++ b/jacinthhaven/decide/tokens.py
@@ -0,0 +1,131 @@
+"""Signed session ids and session tokens.
+
+A token lets any proxy honour read-your-writes without shared state. The
+signature keeps a caller from claiming a session that it was not given,
+and so from reading the recorded result of another caller's request.
+"""
+
+import base64
+import binascii
+import hmac
+import random
+
+import msgspec
+
+from jacinthhaven.kernel import failures
+
+_SESSION_BYTES = 12
+_SESSION_TAG_BYTES = 9
+_TOKEN_TAG_BYTES = 15
+_BITS_PER_BYTE = 8
+# Bounds the size of a token; the oldest written databases are dropped
+# first, and reads of a dropped database go to the primary.
+MAX_DATABASES = 32
+
+
+class Position(msgspec.Struct, array_like=True, frozen=True):
+    """Log position of a confirmed write with the term that wrote it."""
+
+    term: int
+    position: int
+
+
+class Token(msgspec.Struct, array_like=True):
+    """Newest confirmed write of a session, by database name."""
+
+    session: str
+    positions: dict[str, Position] = msgspec.field(default_factory=dict)
+
+
+class Signer:
+    """Creates and checks session ids and tokens under the cluster key."""
+
+    def __init__(self, cluster_key: bytes, rng: random.Random) -> None:
+        """Remember the key.
+
+        Args:
+          cluster_key: Secret shared by all proxies.
+          rng: Source of session ids; must be unpredictable in production.
+        """
+        self.session_key = hmac.digest(cluster_key, b'session', 'sha256')
+        self.token_key = hmac.digest(cluster_key, b'token', 'sha256')
+        self.rng = rng
+        self.encoder = msgspec.msgpack.Encoder()
+        self.decoder = msgspec.msgpack.Decoder(Token)
+
+    def new_session(self) -> str:
+        """Return a new session id of 28 characters."""
+        unique = self.rng.getrandbits(_SESSION_BYTES * _BITS_PER_BYTE)
+        raw = unique.to_bytes(_SESSION_BYTES, 'big')
+        return _to_text(raw + self._session_tag(raw))
+
+    def valid_session(self, session: str) -> bool:
+        """Return whether the session id was issued under this key."""
+        raw = _from_text(session)
+        if len(raw) != _SESSION_BYTES + _SESSION_TAG_BYTES:
+            return False
+        unique = raw[:_SESSION_BYTES]
+        return hmac.compare_digest(
+            raw[_SESSION_BYTES:],
+            self._session_tag(unique),
+        )
+
+    def sign(self, token: Token) -> str:
+        """Return the text form of a token."""
+        raw = self.encoder.encode(token)
+        return _to_text(self._token_tag(raw) + raw)
+
+    def parse(self, text: str) -> Token | failures.Failure:
+        """Return the token, or a `bad_token` failure if it is forged."""
+        raw = _from_text(text)
+        body = raw[_TOKEN_TAG_BYTES:]
+        if not hmac.compare_digest(
+            raw[:_TOKEN_TAG_BYTES],
+            self._token_tag(body),
+        ):
+            return failures.BAD_TOKEN.because('signature does not match')
+        try:
+            return self.decoder.decode(body)
+        except msgspec.MsgspecError:
+            return failures.BAD_TOKEN.because('token has an unknown format')
+
+    def _session_tag(self, raw: bytes) -> bytes:
+        digest = hmac.digest(self.session_key, raw, 'sha256')
+        return digest[:_SESSION_TAG_BYTES]
+
+    def _token_tag(self, raw: bytes) -> bytes:
+        return hmac.digest(self.token_key, raw, 'sha256')[:_TOKEN_TAG_BYTES]
+
+
+def advance(token: Token, database: str, newest: Position) -> Token:
+    """Return a token that also covers a newer confirmed write.
+
+    Args:
+      token: Previous token of the session.
+      database: Name of the written database.
+      newest: Term and position of the write.
+    """
+    known = token.positions.get(database)
+    if known is not None and _order(known) >= _order(newest):
+        return token
+    positions = dict(token.positions)
+    positions.pop(database, None)
+    positions[database] = newest
+    while len(positions) > MAX_DATABASES:
+        positions.pop(next(iter(positions)))
+    return Token(token.session, positions)
+
+
+def _order(position: Position) -> tuple[int, int]:
+    return position.term, position.position
+
+
+def _to_text(raw: bytes) -> str:
+    return base64.urlsafe_b64encode(raw).rstrip(b'=').decode('ascii')
+
+
+def _from_text(text: str) -> bytes:
+    try:
+        return base64.urlsafe_b64decode(f'{text}=='.encode('ascii'))
+    except (binascii.Error, UnicodeEncodeError):
+        return b''
--- a/jacinthhaven/decide/views.py
+++ b/jacinthhaven/decide/views.py
@@ -21,6 +21,7 @@
       zone: Availability zone of the instance.
       boot: Identifier of its current start; empty before first contact.
       leaving: Whether it must not get new work.
+      leaving_since_ms: When it was first known to be leaving.
       asked_ms: When the newest answered status request was sent.
       heard_ms: When the newest status response arrived.
       suspected: Whether its silence exceeds the suspicion timeout.
@@ -31,6 +32,7 @@
     zone: str
     boot: str = ''
     leaving: bool = False
+    leaving_since_ms: int = NEVER_MS
     asked_ms: int = NEVER_MS
     heard_ms: int = NEVER_MS
     suspected: bool = False
@@ -38,6 +40,13 @@
         default_factory=dict,
     )
 
+    def forget(self) -> None:
+        """Drop the knowledge that came from the status responses."""
+        self.copies = {}
+        self.asked_ms = NEVER_MS
+        self.heard_ms = NEVER_MS
+        self.suspected = False
+
     def silent_ms(self, now_ms: int) -> int:
         """Return the milliseconds since the last status response."""
         if self.heard_ms == NEVER_MS:
--- a/jacinthhaven/records/peers.py
+++ b/jacinthhaven/records/peers.py
@@ -12,7 +12,10 @@
       body: `callers.StatementRequest` as JSON, with session and request id
         filled in.
       remaining_ms: Time left until the caller's deadline.
-      fresh_session: Whether the session was started by this request.
+      needed_term: Term of the newest write that the session has seen.
+      needed_position: Its log position; 0 if the session has none.
+      strict: Whether the answer needs a proof that the term of the data
+        was current after the request arrived.
       attempt: Number of this attempt, from 1.
     """
 
@@ -20,7 +23,9 @@
     database: str
     body: bytes
     remaining_ms: int
-    fresh_session: bool = False
+    needed_term: int = 0
+    needed_position: int = 0
+    strict: bool = False
     attempt: int = 1
 
 
@@ -32,12 +37,14 @@
       database: Name of the database.
       body: `callers.OutcomeRequest` as JSON.
       remaining_ms: Time left until the caller's deadline.
+      attempt: Number of this attempt, from 1.
     """
 
     number: int
     database: str
     body: bytes
     remaining_ms: int
+    attempt: int = 1
 
 
 class ForwardAnswer(msgspec.Struct):
