--- /dev/null
+++ b/jacinthhaven/adapters/settings_file.py
@@ -0,0 +1,118 @@
+"""Loading of the settings of one proxy process from a YAML file."""
+
+import os
+import types
+
+import pydantic
+
+from jacinthhaven.adapters import yaml_file
+from jacinthhaven.records import settings
+
+# Shorter keys can be guessed; 32 characters of hexadecimal are 128 bits.
+MIN_KEY_BYTES = 32
+
+_MESSAGES = types.MappingProxyType(
+    {
+        'extra_forbidden': 'unknown key',
+        'missing': 'required key is missing',
+        'model_type': 'must be a mapping',
+    },
+)
+
+
+def read_key(name: str) -> bytes:
+    """Return the key stored in a file, without surrounding white space.
+
+    Raises:
+      yaml_file.UnreadableFileError: If the file cannot be read or the key
+        is short.
+    """
+    key = yaml_file.read_text(name).strip().encode()
+    if len(key) < MIN_KEY_BYTES:
+        raise yaml_file.UnreadableFileError(
+            name,
+            f'key is shorter than {MIN_KEY_BYTES} characters',
+        )
+    return key
+
+
+def parse_settings(
+    text: str,
+    folder: str,
+    check_files: bool = True,
+) -> settings.Settings | list[yaml_file.FileError]:
+    """Validate the text of a settings file.
+
+    Args:
+      text: One YAML document.
+      folder: Directory that relative file names refer to.
+      check_files: Whether the files that the settings name must be
+        readable.
+
+    Returns:
+      The settings, or all errors ordered by position.
+    """
+    return validate(yaml_file.parse(text), folder, check_files)
+
+
+def validate(
+    document: yaml_file.Document,
+    folder: str,
+    check_files: bool = True,
+) -> settings.Settings | list[yaml_file.FileError]:
+    """Validate a parsed settings file; see `parse_settings`."""
+    if document.errors:
+        return sorted(document.errors)
+    context = {'file_check': _FileCheck(folder, check_files)}
+    try:
+        return settings.Settings.model_validate(document.root, context=context)
+    except pydantic.ValidationError as error:
+        return sorted(
+            document.error_at(
+                detail['loc'],
+                _MESSAGES.get(detail['type'], detail['msg']),
+            )
+            for detail in error.errors(include_url=False)
+        )
+
+
+def load(
+    name: str,
+    check_files: bool = True,
+) -> settings.Settings | list[yaml_file.FileError]:
+    """Read and validate a settings file.
+
+    Args:
+      name: Name of the file.
+      check_files: Whether the key, certificate and CA files that the
+        settings name must be readable.
+
+    Returns:
+      The settings with absolute file names, or all errors by position.
+
+    Raises:
+      yaml_file.UnreadableFileError: If the settings file cannot be read.
+    """
+    text = yaml_file.read_text(name)
+    folder = os.path.dirname(os.path.abspath(name))
+    return parse_settings(text, folder, check_files)
+
+
+class _FileCheck:
+    """Check of the files that the settings name."""
+
+    def __init__(self, folder: str, enabled: bool) -> None:
+        """Remember the directory that relative names refer to."""
+        self.folder = folder
+        self.enabled = enabled
+
+    def __call__(self, kind: str, name: str) -> tuple[str, str]:
+        """Return the absolute file name and what is wrong with the file."""
+        full = os.path.join(self.folder, name)
+        read = read_key if kind == settings.KEY_FILE else yaml_file.read_text
+        try:
+            if self.enabled:
+                read(full)
+        except yaml_file.UnreadableFileError as error:
+            return full, str(error)
+        return full, ''
