--- /dev/null
+++ b/jacinthhaven/adapters/examples_test.py
@@ -0,0 +1,45 @@
+"""Tests that the example files are valid and match the deployments."""
+
+import pathlib
+
+import pytest
+
+from jacinthhaven.adapters import config_file, settings_file
+from jacinthhaven.records import presets, settings
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+DEPLOYMENTS = (('exchange', 20), ('brightline', 40))
+
+
+def test_no_example_is_left_out():
+    """Guards against an example file that no test checks."""
+    assert sorted(path.name for path in EXAMPLES.iterdir()) == sorted(
+        f'{cluster}{suffix}'
+        for cluster, _limit in DEPLOYMENTS
+        for suffix in ('.yaml', '-config.yaml')
+    )
+
+
+@pytest.mark.parametrize(('cluster', 'limit'), DEPLOYMENTS)
+def test_settings_match_the_deployment(cluster, limit):
+    """Guards against example settings that a proxy would refuse."""
+    name = str(EXAMPLES / f'{cluster}.yaml')
+    loaded = settings_file.load(name, check_files=False)
+    assert isinstance(loaded, settings.Settings), loaded
+    group = loaded.groups[0]
+    assert len({instance.zone for instance in group.instances}) == 3
+    assert (len(group.databases), group.connection_limit) == (3, limit)
+    assert len(loaded.seeds) == 7
+
+
+@pytest.mark.parametrize(('cluster', 'limit'), DEPLOYMENTS)
+def test_presets_match_the_deployment(cluster, limit):
+    """Guards against example presets with errors or unknown instances."""
+    loaded = config_file.load(str(EXAMPLES / f'{cluster}-config.yaml'))
+    assert isinstance(loaded, presets.Configuration), loaded
+    assert set(loaded.presets) == {'ordinary', 'peak', 'maintenance'}
+    node = settings_file.load(str(EXAMPLES / f'{cluster}.yaml'), False)
+    known = {instance.name for instance in node.groups[0].instances}
+    for preset in loaded.presets.values():
+        assert known.issuperset(preset.excluded_instances)
+        assert preset.suspect_ms > node.status_wait_ms
