--- /dev/null
+++ b/jacinthhaven/adapters/peer_codec.py
@@ -0,0 +1,116 @@
+"""Conversion between peer payload records and Cap'n Proto bytes.
+
+Messages use the packed encoding: it shrinks a statement forward of 300
+bytes by a sixth, and it is not slower than the plain encoding.
+"""
+
+import typing
+import zlib
+from importlib import resources
+
+import capnp
+
+from jacinthhaven.adapters import peer_fields
+from jacinthhaven.records import gossip, handshake, peers
+
+# Largest accepted message, before and after decompression. A statement or
+# a configuration document has up to 1 MB, and JSON may quote it twice.
+MAX_MESSAGE_BYTES = 4_194_304
+# Smaller messages do not shrink enough to pay for the compression.
+_COMPRESS_BYTES = 1024
+_COMPRESS_LEVEL = 1
+_WORD_BYTES = 8
+
+
+class BadPayloadError(Exception):
+    """The bytes or the record are not a message of this protocol."""
+
+
+def _load_schema() -> typing.Any:
+    # The file has no path of its own when the package is inside an archive.
+    source = resources.files('jacinthhaven.adapters') / 'peer_schema.capnp'
+    with resources.as_file(source) as path:
+        return capnp.load(str(path))
+
+
+_schema = _load_schema()
+
+
+def encode(payload: typing.Any) -> bytes:
+    """Return the bytes of a payload record.
+
+    Args:
+      payload: Record of `records.peers`, `records.gossip` or
+        `records.handshake`.
+
+    Raises:
+      BadPayloadError: If the record is of another type or a field is out
+        of range.
+    """
+    message = _schema.Envelope.new_message()
+    try:
+        _fill(message, payload)
+    except (LookupError, TypeError, capnp.KjException) as error:
+        raise BadPayloadError(str(error)) from error
+    raw = message.to_bytes_packed()
+    if len(raw) < _COMPRESS_BYTES or not isinstance(payload, gossip.Exchange):
+        return raw
+    envelope = _schema.Envelope.new_message()
+    envelope.compressed = zlib.compress(raw, _COMPRESS_LEVEL)
+    return envelope.to_bytes_packed()
+
+
+def decode(raw: bytes) -> typing.Any:
+    """Return the payload record of received bytes.
+
+    Raises:
+      BadPayloadError: If the bytes are malformed, too large or of an
+        unknown payload type.
+    """
+    try:
+        return _read(raw)
+    except (ValueError, zlib.error, capnp.KjException) as error:
+        raise BadPayloadError(str(error)) from error
+
+
+def _fill(message: typing.Any, payload: typing.Any) -> None:
+    if isinstance(payload, handshake.Proof):
+        message.proof = payload.mac
+    elif isinstance(payload, peers.ForwardCancel):
+        message.forwardCancel = payload.number
+    else:
+        name = peer_fields.UNION_NAMES[type(payload)]
+        peer_fields.write(message.init(name), payload)
+
+
+def _read(raw: bytes) -> typing.Any:
+    message = _parse(raw)
+    name = str(message.which())
+    if name == 'compressed':
+        message = _parse(_inflate(message.compressed))
+        name = str(message.which())
+    if name == 'proof':
+        return handshake.Proof(message.proof)
+    if name == 'forwardCancel':
+        return peers.ForwardCancel(message.forwardCancel)
+    record = peer_fields.RECORDS.get(name)
+    if record is None:
+        raise BadPayloadError(name)
+    return peer_fields.read(record, getattr(message, name))
+
+
+def _parse(raw: bytes) -> typing.Any:
+    # The sender chooses the unpacked size, so the frame size does not
+    # limit it. Reading a field twice counts twice.
+    return _schema.Envelope.from_bytes_packed(
+        raw,
+        MAX_MESSAGE_BYTES * 2 // _WORD_BYTES,
+    )
+
+
+def _inflate(compressed: bytes) -> bytes:
+    inflater = zlib.decompressobj()
+    raw = inflater.decompress(compressed, MAX_MESSAGE_BYTES)
+    if not inflater.eof:
+        raise BadPayloadError('compressed message is too large or cut off')
+    return raw
