Fix busy loop and unhandled error in TLS accepts

A silent client kept the handshake's writable event firing, and a client that reset its connection early raised an error in the accept callback.

--- a/jacinthhaven/adapters/streams.py
+++ b/jacinthhaven/adapters/streams.py
@@ -121,7 +121,13 @@
     def _finish_handshake(self) -> bool:
         try:
             self.sock.do_handshake()
-        except _RETRY:
+        except ssl.SSLWantReadError:
+            # The socket is writable all the time; watching that while the
+            # other side is silent would spin the loop.
+            self._set_mask(poller.READABLE)
+            return False
+        except ssl.SSLWantWriteError:
+            self._set_mask(poller.READABLE | poller.WRITABLE)
             return False
         except OSError:
             self.fail()
@@ -266,11 +272,16 @@
         accepted.setblocking(False)
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if self.tls is not None:
-            accepted = self.tls.wrap_socket(
-                accepted,
-                server_side=True,
-                do_handshake_on_connect=False,
-            )
+            try:
+                accepted = self.tls.wrap_socket(
+                    accepted,
+                    server_side=True,
+                    do_handshake_on_connect=False,
+                )
+            except OSError:
+                # The client has already reset the connection.
+                accepted.close()
+                return
         self.on_stream(Stream(self.poller, accepted))
 
 
