--- /dev/null
+++ b/jacinthhaven/adapters/peers.py
@@ -0,0 +1,248 @@
+"""Peer transport: listener and connections to the other members.
+
+A connection is opened with the first payload for a member and carries
+payloads in both directions, whichever side has opened it. If both sides
+open one at the same time, both stay usable.
+"""
+
+import functools
+import random
+import typing
+
+from jacinthhaven.adapters import (
+    peer_codec,
+    peer_handshake,
+    peer_link,
+    poller,
+    streams,
+    tls,
+)
+from jacinthhaven.decide import messages
+from jacinthhaven.kernel import failures
+from jacinthhaven.ports import peers
+from jacinthhaven.records import handshake, topology
+
+_BACKOFF_MIN_MS = 100
+_BACKOFF_MAX_MS = 5000
+# Covers connecting, TLS and the handshake between distant regions.
+_HANDSHAKE_TIMEOUT_MS = 2000
+# Connections of random gossip partners must not accumulate.
+_IDLE_LIMIT_MS = 120_000
+_IDLE_CHECK_MS = 10_000
+# Strangers can hold at most this many sockets for the handshake timeout.
+_MAX_STRANGERS = 256
+
+TIMED_OUT = failures.Kind('peer_timed_out', failures.Outcome.NOT_RUN, 0)
+TOO_LARGE = failures.Kind('peer_too_large', failures.Outcome.NOT_RUN, 0)
+TOO_MANY = failures.Kind('peer_too_many', failures.Outcome.NOT_RUN, 0)
+REPLACED = failures.Kind('peer_replaced', failures.Outcome.NOT_RUN, 0)
+
+
+class Backoff:
+    """Bounded exponential delay with jitter before the next attempt."""
+
+    __slots__ = ('rng', 'limit_ms', 'retry_ms')
+
+    def __init__(self, rng: random.Random) -> None:
+        """Allow the first attempt at once."""
+        self.rng = rng
+        self.limit_ms = _BACKOFF_MIN_MS
+        self.retry_ms = 0
+
+    def fail(self, now_ms: int) -> None:
+        """Delay the next attempt after a failed one."""
+        delay_ms = self.rng.randint(self.limit_ms // 2, self.limit_ms)
+        self.retry_ms = now_ms + delay_ms
+        self.limit_ms = min(self.limit_ms * 2, _BACKOFF_MAX_MS)
+
+
+class Peers(peers.PeerTransport):
+    """Peer transport over TCP, optionally with TLS."""
+
+    def __init__(
+        self,
+        loop: poller.Poller,
+        hello: handshake.Hello,
+        key: bytes,
+        rng: random.Random,
+        contexts: tls.PeerContexts | None = None,
+    ) -> None:
+        """Create a transport that does not listen yet.
+
+        Args:
+          loop: Poller that watches the sockets.
+          hello: Cluster, version, name and boot of this member.
+          key: Cluster key.
+          rng: Source of the jitter.
+          contexts: TLS contexts, or None for plain TCP.
+        """
+        self.poller = loop
+        self.hello = hello
+        self.key = key
+        self.rng = rng
+        self.contexts = contexts
+        self.deliver: peers.Deliver = _ignore
+        self.on_failure: peers.OnFailure = _ignore
+        self.addresses: dict[str, tuple[str, int]] = {}
+        self.backoffs: dict[str, Backoff] = {}
+        # Link that carries the payloads for a member, open or connecting.
+        self.current: dict[str, peer_link.Link] = {}
+        self.links: set[peer_link.Link] = set()
+        self.listener: streams.Listener | None = None
+        self.stopped = False
+
+    def listen(self, address: tuple[str, int]) -> int:
+        """Start to accept connections.
+
+        Returns:
+          The bound TCP port.
+
+        Raises:
+          OSError: If the address cannot be bound.
+        """
+        self.listener = streams.Listener(
+            self.poller,
+            address,
+            self._on_stream,
+            self.contexts and self.contexts.accepting,
+        )
+        self.poller.call_later(_IDLE_CHECK_MS, self._close_idle)
+        return self.listener.port
+
+    def know(self, members: typing.Iterable[topology.Member]) -> None:
+        """Replace the members whose addresses are known."""
+        addresses = {
+            member.name: (member.host, member.port) for member in members
+        }
+        for name, address in self.addresses.items():
+            if addresses.get(name) != address:
+                self.backoffs.pop(name, None)
+        self.addresses = addresses
+
+    def send(self, message: messages.PeerSend) -> None:
+        """Send a payload; connect first if there is no connection."""
+        raw = peer_codec.encode(message.payload)
+        link = self.current.get(message.member)
+        if len(raw) > peer_codec.MAX_MESSAGE_BYTES:
+            self.on_failure(TOO_LARGE.because(message.member))
+            link = None
+        elif link is None:
+            link = self._connect(message.member)
+        if link is None:
+            self._deliver_lost(message.member)
+        else:
+            link.send(raw)
+
+    def close(self) -> None:
+        """Close the listener and all connections without callbacks."""
+        self.stopped = True
+        if self.listener is not None:
+            self.listener.close()
+        for link in self.links:
+            link.close()
+        self.links.clear()
+        self.current.clear()
+
+    def _connect(self, member: str) -> peer_link.Link | None:
+        address = self.addresses.get(member)
+        backoff = self.backoffs.get(member)
+        now_ms = self.poller.clock.now_ms()
+        if address is None or self.stopped:
+            return None
+        if backoff is not None and now_ms < backoff.retry_ms:
+            return None
+        stream = streams.connect(
+            self.poller,
+            address,
+            self.contexts and self.contexts.connecting,
+        )
+        link = self._add(stream, peer_handshake.CONNECTOR, member)
+        self.current[member] = link
+        return link
+
+    def _on_stream(self, stream: streams.Stream) -> None:
+        strangers = sum(not link.opened for link in self.links)
+        if strangers >= _MAX_STRANGERS:
+            stream.close()
+            self.on_failure(TOO_MANY.because('handshakes'))
+        else:
+            self._add(stream, peer_handshake.ACCEPTOR)
+
+    def _add(
+        self,
+        stream: streams.Stream,
+        role: str,
+        member: str = '',
+    ) -> peer_link.Link:
+        shake = peer_handshake.Handshake(role, self.key, self.hello)
+        link = peer_link.Link(stream, shake, member)
+        link.on_payload = self._on_payload
+        link.on_open = self._on_open
+        link.on_closed = self._on_closed
+        self.links.add(link)
+        self.poller.call_later(
+            _HANDSHAKE_TIMEOUT_MS,
+            functools.partial(self._end_handshake, link),
+        )
+        return link
+
+    def _on_payload(self, link: peer_link.Link, payload: typing.Any) -> None:
+        self.deliver(messages.PeerReceived(link.member, payload))
+
+    def _on_open(self, link: peer_link.Link) -> None:
+        member = link.member
+        self.backoffs.pop(member, None)
+        for other in tuple(self.links):
+            # A restarted member cannot use the connections of its old boot.
+            if other.opened and other.member == member:
+                if other.boot != link.boot:
+                    other.fail(REPLACED.because(member))
+        # The other side may have given up an older connection without our
+        # noticing.
+        self.current[member] = link
+
+    def _on_closed(
+        self,
+        link: peer_link.Link,
+        failure: failures.Failure | None,
+    ) -> None:
+        self.links.discard(link)
+        if failure is not None:
+            self.on_failure(failure)
+        if not link.opened:
+            if not link.member:
+                return
+            backoff = self.backoffs.setdefault(link.member, Backoff(self.rng))
+            backoff.fail(self.poller.clock.now_ms())
+        self._replace(link)
+        self._deliver_lost(link.member)
+
+    def _replace(self, link: peer_link.Link) -> None:
+        if self.current.get(link.member) is not link:
+            return
+        self.current.pop(link.member)
+        for other in self.links:
+            if other.opened and other.member == link.member:
+                self.current[link.member] = other
+                return
+
+    def _deliver_lost(self, member: str) -> None:
+        lost = messages.PeerLost(member)
+        self.poller.call_soon(lambda: self.stopped or self.deliver(lost))
+
+    def _end_handshake(self, link: peer_link.Link) -> None:
+        if not link.opened:
+            link.fail(TIMED_OUT.because(link.member or 'accepted'))
+
+    def _close_idle(self) -> None:
+        if self.stopped:
+            return
+        limit_ms = self.poller.clock.now_ms() - _IDLE_LIMIT_MS
+        for link in tuple(self.links):
+            if link.used_ms < limit_ms:
+                link.fail(None)
+        self.poller.call_later(_IDLE_CHECK_MS, self._close_idle)
+
+
+def _ignore(*_args: typing.Any) -> None:
+    """Do nothing; default of an unset callback."""
