--- a/jacinthhaven/adapters/peer_fields.py
+++ b/jacinthhaven/adapters/peer_fields.py
@@ -21,11 +21,12 @@
 _FIELDS = types.MappingProxyType(
     {
         handshake.Hello: _same('cluster', 'version', 'member', 'boot', 'nonce'),
-        peers.OutcomeForward: _FORWARD,
+        peers.OutcomeForward: (*_FORWARD, ('attempt', 'attempt')),
         peers.StatementForward: (
             *_FORWARD,
-            ('fresh_session', 'freshSession'),
-            ('attempt', 'attempt'),
+            ('needed_term', 'neededTerm'),
+            ('needed_position', 'neededPosition'),
+            *_same('strict', 'attempt'),
         ),
         peers.ForwardAnswer: _same(
             'number', 'attempt', 'answer', 'failure', 'reason'
--- a/jacinthhaven/adapters/peer_schema.capnp
+++ b/jacinthhaven/adapters/peer_schema.capnp
@@ -30,8 +30,10 @@
   database @1 :Text;
   body @2 :Data;
   remainingMs @3 :Int32;
-  freshSession @4 :Bool;
+  strict @4 :Bool;
   attempt @5 :UInt16;
+  neededTerm @6 :UInt64;
+  neededPosition @7 :UInt64;
 }
 
 struct OutcomeForward {
@@ -39,6 +41,7 @@
   database @1 :Text;
   body @2 :Data;
   remainingMs @3 :Int32;
+  attempt @4 :UInt16;
 }
 
 struct ForwardAnswer {
