Add failure suspicion and promotion of a database's replica

A group needs a new primary within 2 s when its primary fails, without the store and without trusting a single slow link. A leaving primary is handed over after new writes were held.

--- /dev/null
+++ b/jacinthhaven/decide/attempt.py
@@ -0,0 +1,210 @@
+"""Attempts to raise the term on a majority and promote one instance.
+
+Safety depends only on the term checks of the instances. This machine keeps
+two rules: every fence uses a number that it has not used before, and a
+number is used to promote one instance only.
+"""
+
+import random
+import typing
+
+from jacinthhaven.decide import ballot, messages, promotion_rules, views
+from jacinthhaven.kernel import failures
+from jacinthhaven.records import backend
+
+# Two deciders that split the votes wait different times before they retry.
+BACKOFF_MS = 40
+BACKOFF_LIMIT_MS = 320
+# A promote order whose reply was lost is repeated while its term stands.
+PROMOTE_REPEAT_MS = 100
+
+_Phase = promotion_rules.Phase
+
+
+class Attempt:
+    """Fence and promote orders of one database.
+
+    Attributes:
+      database: Name of the database.
+      phase: `FENCING`, `WAITING` (backoff) or `PROMOTING` while it runs;
+        `FOLLOWING` after success and `IDLE` if it was given up.
+      since_ms: When the phase was entered.
+      due_ms: When the next retry or repetition is due.
+      tries: Number of fences since `start`.
+      ballot: Count of the replies to the newest fence.
+      chosen: Instance that the newest majority chose.
+      situation: What the owner knew at the last tick.
+    """
+
+    def __init__(self, database: str, seed: int) -> None:
+        """Start without an attempt; the seed decides the backoff times."""
+        self.database = database
+        self.phase = _Phase.IDLE
+        self.since_ms = 0
+        self.due_ms = 0
+        self.tries = 0
+        self.ballot = ballot.Ballot(0, ballot.Cause(), set())
+        self.chosen = ''
+        self.situation: promotion_rules.Situation | None = None
+        self._random = random.Random(seed)  # noqa: S311
+
+    def start(
+        self,
+        situation: promotion_rules.Situation,
+        cause: ballot.Cause,
+        now_ms: int,
+    ) -> list[typing.Any]:
+        """Send the first fence.
+
+        Args:
+          situation: What the owner knows.
+          cause: Why the primary is replaced.
+          now_ms: Current time.
+
+        Returns:
+          `InstanceOrder` and `DecisionLine` messages.
+        """
+        self.situation = situation
+        self.tries = 0
+        return self._fence(cause, now_ms)
+
+    def tick(
+        self,
+        situation: promotion_rules.Situation,
+        now_ms: int,
+    ) -> list[typing.Any]:
+        """Act on the time and on what the owner knows now."""
+        self.situation = situation
+        newest = views.newest_term(situation.instances, self.database)
+        if newest > self.ballot.term:
+            return self._give_up('another decider has a higher term', now_ms)
+        if self.phase == _Phase.FENCING:
+            elapsed_ms = now_ms - self.since_ms
+            final = elapsed_ms >= situation.preset.suspect_ms
+            return self._count(now_ms, final=final)
+        if self.phase == _Phase.WAITING:
+            return self._tick_waiting(now_ms)
+        return self._tick_promoting(now_ms)
+
+    def on_reply(
+        self,
+        order: messages.InstanceOrder,
+        reply: backend.Reply | failures.Failure | None,
+        now_ms: int,
+    ) -> list[typing.Any]:
+        """Act on the reply to a fence or promote order.
+
+        A failed promote order proves nothing: the order may have taken
+        effect before its reply was lost. The status decides.
+        """
+        request = order.request
+        if request.term != self.ballot.term:
+            return []
+        if isinstance(request, backend.FenceRequest):
+            if self.phase != _Phase.FENCING:
+                return []
+            self.ballot.record(order.instance, reply)
+            return self._count(now_ms, final=False)
+        failed = isinstance(reply, failures.Failure)
+        if failed or self.phase != _Phase.PROMOTING:
+            return []
+        return self._succeed('instance accepted the promotion', now_ms)
+
+    def _tick_waiting(self, now_ms: int) -> list[typing.Any]:
+        """Retry after the backoff unless the attempt took effect late."""
+        instances = self.situation.instances
+        primary = self.situation.primary(self.database)
+        if primary is not None and not primary.suspected:
+            if primary.copies[self.database].term < self.ballot.term:
+                return self._give_up('primary responds again', now_ms)
+            self.chosen = primary.name
+            return self._succeed('status shows the promotion', now_ms)
+        if now_ms < self.due_ms:
+            return []
+        alive = promotion_rules.responding(instances, self.database)
+        if len(alive) < views.majority(instances):
+            return self._give_up('no majority of instances responds', now_ms)
+        return self._fence(self.ballot.cause, now_ms)
+
+    def _tick_promoting(self, now_ms: int) -> list[typing.Any]:
+        view = self.situation.instances[self.chosen]
+        copy = view.copies.get(self.database)
+        if copy and copy.primary and copy.term == self.ballot.term:
+            return self._succeed('status shows the promotion', now_ms)
+        elapsed_ms = now_ms - self.since_ms
+        if view.suspected or elapsed_ms >= self.situation.preset.suspect_ms:
+            return self._back_off('chosen instance does not respond', now_ms)
+        if now_ms < self.due_ms:
+            return []
+        return [self._promote_order(now_ms)]
+
+    def _fence(self, cause: ballot.Cause, now_ms: int) -> list[typing.Any]:
+        """Ask the responding instances and the old primary for a number."""
+        instances = self.situation.instances
+        newest = views.newest_term(instances, self.database)
+        alive = promotion_rules.responding(instances, self.database)
+        asked = {view.name for view in alive}
+        if cause.old_primary:
+            asked.add(cause.old_primary)
+        term = max(newest, self.ballot.term) + 1
+        self.ballot = ballot.Ballot(term, cause, asked)
+        self.tries += 1
+        self._enter(_Phase.FENCING, now_ms)
+        names = sorted(asked)
+        request = backend.FenceRequest(self.database, term)
+        orders = [messages.InstanceOrder(name, request) for name in names]
+        return [self._line('fence', cause.reason, alternatives=names), *orders]
+
+    def _count(self, now_ms: int, *, final: bool) -> list[typing.Any]:
+        verdict = self.ballot.count(self.situation, final=final)
+        if verdict.failed:
+            return self._back_off('no majority accepted the term', now_ms)
+        if not verdict.chosen:
+            return []
+        self.chosen = verdict.chosen
+        self._enter(_Phase.PROMOTING, now_ms)
+        line = self._line(
+            'promote',
+            self.ballot.cause.reason,
+            chosen=self.chosen,
+            alternatives=sorted(set(self.ballot.accepted) - {self.chosen}),
+            position=self.ballot.accepted[self.chosen].position,
+        )
+        return [line, self._promote_order(now_ms)]
+
+    def _promote_order(self, now_ms: int) -> messages.InstanceOrder:
+        self.due_ms = now_ms + PROMOTE_REPEAT_MS
+        request = backend.PromoteRequest(self.database, self.ballot.term)
+        return messages.InstanceOrder(self.chosen, request)
+
+    def _back_off(self, reason: str, now_ms: int) -> list[typing.Any]:
+        self._enter(_Phase.WAITING, now_ms)
+        limit_ms = min(BACKOFF_LIMIT_MS, BACKOFF_MS * 2**self.tries)
+        self.due_ms = now_ms + self._random.randint(BACKOFF_MS, limit_ms)
+        return [self._line('promotion_retry', reason)]
+
+    def _succeed(self, reason: str, now_ms: int) -> list[typing.Any]:
+        self._enter(_Phase.FOLLOWING, now_ms)
+        return [self._line('promoted', reason, chosen=self.chosen)]
+
+    def _give_up(self, reason: str, now_ms: int) -> list[typing.Any]:
+        self._enter(_Phase.IDLE, now_ms)
+        return [self._line('promotion_abandoned', reason)]
+
+    def _enter(self, phase: promotion_rules.Phase, now_ms: int) -> None:
+        self.phase = phase
+        self.since_ms = now_ms
+
+    def _line(
+        self,
+        event: str,
+        reason: str,
+        **details: typing.Any,
+    ) -> messages.DecisionLine:
+        return promotion_rules.decision_line(
+            self.database,
+            event,
+            reason,
+            term=self.ballot.term,
+            **details,
+        )
--- /dev/null
+++ b/jacinthhaven/decide/builders.py
@@ -0,0 +1,157 @@
+"""Builders of test data for the decision code."""
+
+import dataclasses
+import typing
+
+from jacinthhaven.decide import messages, promotion_rules, views
+from jacinthhaven.kernel import failures
+from jacinthhaven.records import backend, peers, presets
+
+DATABASE = 'bids'
+INSTANCES = ('i1', 'i2', 'i3')
+ZONES = ('macon', 'milledgeville', 'dublin')
+
+
+def situation(
+    instances: views.Instances,
+    **changes: typing.Any,
+) -> promotion_rules.Situation:
+    """Return what a single owner in slot 0 knows about some instances."""
+    preset = changes.pop('preset', presets.Preset())
+    return promotion_rules.Situation(instances, preset, **changes)
+
+
+def silence(
+    received_ms: int,
+    **silent_ms: int,
+) -> promotion_rules.SilenceReport:
+    """Return a peer's report of silent instances."""
+    report = peers.InstanceSilence('exchange-db', silent_ms)
+    return promotion_rules.SilenceReport(report, received_ms)
+
+
+@dataclasses.dataclass
+class FakeInstance:
+    """Copy of one database that follows the rules of section 3.2.
+
+    The log holds the term of every entry, so positions are its indexes.
+    """
+
+    name: str
+    term: int = 1
+    primary: bool = False
+    log: list[int] = dataclasses.field(default_factory=list)
+    upstream: str = ''
+    heard_ms: int = 0
+    reachable: bool = True
+
+    def apply(self, order: messages.InstanceOrder) -> typing.Any:
+        """Execute an order and return the reply or a refusal."""
+        request = order.request
+        if isinstance(request, backend.FenceRequest):
+            return self._fence(request.term)
+        if isinstance(request, backend.PromoteRequest):
+            return self._promote(request.term)
+        if request.term < self.term:
+            return failures.STALE_TERM.because('follow')
+        self._adopt(request.term, request.primary)
+        return None
+
+    def end(self) -> tuple[int, int]:
+        """Return the term and position of the last log entry."""
+        last_term = self.log[-1] if self.log else 0
+        return last_term, len(self.log)
+
+    def status(self, now_ms: int) -> backend.DatabaseStatus:
+        """Return the status that the instance would report."""
+        log_term, position = self.end()
+        silent_ms = 0 if self.primary else now_ms - self.heard_ms
+        return backend.DatabaseStatus(
+            DATABASE,
+            self.primary,
+            self.term,
+            log_term,
+            position,
+            position,
+            upstream_silent_ms=silent_ms,
+        )
+
+    def follows(self, source: 'FakeInstance | None') -> bool:
+        """Return whether entries of a source reach this instance."""
+        if source is None or not source.primary or not source.reachable:
+            return False
+        return self.reachable and source.term == self.term
+
+    def _fence(self, term: int) -> backend.FenceReply | failures.Failure:
+        if term <= self.term:
+            return failures.STALE_TERM.because('fence')
+        self._adopt(term, '')
+        return backend.FenceReply(self.term, *self.end())
+
+    def _promote(self, term: int) -> failures.Failure | None:
+        if term != self.term or self.primary:
+            return failures.STALE_TERM.because('promote')
+        self.primary = True
+        self.log.append(self.term)
+        return None
+
+    def _adopt(self, term: int, upstream: str) -> None:
+        self.term = term
+        self.primary = False
+        self.upstream = upstream
+
+
+class FakeGroup:
+    """Three instances with i1 as primary of term 1 and equal logs."""
+
+    def __init__(self, entries: int = 3) -> None:
+        """Start with some entries that all instances have."""
+        self.copies = {
+            name: FakeInstance(name, log=[1 for _ in range(entries)])
+            for name in INSTANCES
+        }
+        self.copies['i1'].primary = True
+        for name in INSTANCES[1:]:
+            self.copies[name].upstream = 'i1'
+        self.primaries: dict[int, set[str]] = {1: {'i1'}}
+
+    def apply(self, order: messages.InstanceOrder) -> typing.Any:
+        """Deliver an order unless the instance is unreachable."""
+        copy = self.copies[order.instance]
+        if not copy.reachable:
+            return failures.CONNECTION_LOST.because('unreachable')
+        reply = copy.apply(order)
+        if copy.primary:
+            self.primaries.setdefault(copy.term, set()).add(copy.name)
+        return reply
+
+    def replicate(self, now_ms: int) -> None:
+        """Let every replica copy the log of the primary that it follows."""
+        for copy in self.copies.values():
+            source = self.copies.get(copy.upstream)
+            if copy.follows(source):
+                copy.log = list(source.log)
+                copy.heard_ms = now_ms
+
+    def views(
+        self,
+        now_ms: int,
+        seen: views.Instances | None = None,
+    ) -> views.Instances:
+        """Return an owner's views; unreachable instances keep old status.
+
+        Args:
+          now_ms: Current time.
+          seen: Views from before; instances count as heard at 0 without.
+        """
+        seen = {} if seen is None else seen
+        for copy, zone in zip(self.copies.values(), ZONES, strict=True):
+            view = seen.setdefault(
+                copy.name,
+                views.InstanceView(copy.name, zone, heard_ms=0),
+            )
+            if copy.reachable:
+                view.heard_ms = now_ms
+                view.copies = {DATABASE: copy.status(now_ms)}
+            view.suspected = view.silent_ms(now_ms) >= 500
+        return seen
--- /dev/null
+++ b/jacinthhaven/decide/promotion_rules.py
@@ -0,0 +1,261 @@
+"""Rules that decide when a promotion starts and which instance it chooses.
+
+The rules are pure functions over the owner's views, so that they can be
+checked apart from the order in which commands and replies arrive.
+"""
+
+import dataclasses
+import enum
+import typing
+
+from jacinthhaven.decide import messages, views
+from jacinthhaven.records import backend, peers, presets
+
+# Reports of silence are repeated while an instance is silent; an older
+# report may describe an instance that has answered since.
+REPORT_AGE_MS = 1000
+
+
+class Phase(enum.Enum):
+    """Step of a promotion or handover."""
+
+    IDLE = 'idle'
+    HOLDING = 'holding'
+    FENCING = 'fencing'
+    WAITING = 'waiting'
+    PROMOTING = 'promoting'
+    FOLLOWING = 'following'
+
+
+@dataclasses.dataclass(slots=True)
+class SilenceReport:
+    """Newest report of one peer.
+
+    Attributes:
+      report: Silence of the instances as the peer measured it.
+      received_ms: When the report arrived on this owner's clock.
+    """
+
+    report: peers.InstanceSilence
+    received_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class Situation:
+    """What an owner knows when it decides about a database.
+
+    Attributes:
+      instances: Views of all instances of the group.
+      preset: Parameters of the preset in force.
+      slot: Number of the owner's connection slot.
+      reports: Newest silence report of every other owner, by member.
+      live_owners: Number of live owners of the group, this one included.
+      primary_leaving: Whether the primary must be handed over.
+      writes_finished: Whether this owner's running statements at the
+        primary are finished and confirmed.
+    """
+
+    instances: views.Instances
+    preset: presets.Preset
+    slot: int = 0
+    reports: dict[str, SilenceReport] = dataclasses.field(default_factory=dict)
+    live_owners: int = 1
+    primary_leaving: bool = False
+    writes_finished: bool = False
+
+    def primary(self, database: str) -> views.InstanceView | None:
+        """Return the primary of the highest term shown by any copy.
+
+        A primary of a lower term does not count: a copy that was raised to
+        a higher term accepts nothing from it.
+        """
+        found = views.primary_of(self.instances, database)
+        if found is None:
+            return None
+        newest = views.newest_term(self.instances, database)
+        return found if found.copies[database].term == newest else None
+
+
+def decision_line(
+    database: str,
+    event: str,
+    reason: str,
+    **details: typing.Any,
+) -> messages.DecisionLine:
+    """Return the log line of one decision; absent details are empty."""
+    fields = {
+        'database': database,
+        'chosen': '',
+        'alternatives': [],
+        'reason': reason,
+        'term': 0,
+        'position': 0,
+    }
+    return messages.DecisionLine(event, fields | details)
+
+
+def responding(
+    instances: views.Instances,
+    database: str,
+) -> list[views.InstanceView]:
+    """Return the instances that respond and have a copy of the database."""
+    return [
+        view
+        for view in instances.values()
+        if database in view.copies and not view.suspected
+    ]
+
+
+def avoided(situation: Situation, name: str) -> bool:
+    """Return whether an instance is leaving or excluded by the preset."""
+    leaving = situation.instances[name].leaving
+    return leaving or name in situation.preset.excluded_instances
+
+
+def start_reason(
+    situation: Situation,
+    database: str,
+    since_ms: int,
+    now_ms: int,
+) -> str:
+    """Return why a promotion may start.
+
+    Args:
+      situation: What the owner knows.
+      database: Name of the database.
+      since_ms: Since when the database has had no responding primary of
+        its highest term.
+      now_ms: Current time.
+
+    Returns:
+      Reason for the log line; empty if a promotion may not start.
+    """
+    instances = situation.instances
+    if len(responding(instances, database)) < views.majority(instances):
+        return ''
+    primary = situation.primary(database)
+    if primary is None:
+        if now_ms - since_ms < situation.preset.suspect_ms:
+            return ''
+        # An instance that this owner cannot reach may be the primary.
+        silent = [
+            view
+            for view in instances.values()
+            if view.suspected or view.heard_ms == views.NEVER_MS
+        ]
+    elif primary.suspected:
+        silent = [primary]
+    else:
+        return ''
+    return _evidence(situation, database, silent, now_ms - since_ms, now_ms)
+
+
+def choose(
+    situation: Situation,
+    fenced: dict[str, backend.FenceReply],
+) -> str:
+    """Return the fenced instance to promote.
+
+    Args:
+      situation: What the owner knows.
+      fenced: Log ends of a majority of the instances, by name.
+
+    Returns:
+      Name of the instance with the highest log term and position; among
+      equals one that is neither leaving nor excluded, then the first name.
+    """
+    return min(
+        fenced,
+        key=lambda name: (
+            -fenced[name].log_term,
+            -fenced[name].position,
+            avoided(situation, name),
+            name,
+        ),
+    )
+
+
+def caught_up(
+    situation: Situation,
+    database: str,
+    primary: views.InstanceView,
+) -> list[str]:
+    """Return the replicas that may take over from a leaving primary.
+
+    Returns:
+      Names of responding replicas that are neither leaving nor excluded
+      and whose log ends exactly where the primary's log ends.
+    """
+    source = primary.copies[database]
+    end = (source.term, source.log_term, source.position)
+    names = []
+    for view in responding(situation.instances, database):
+        copy = view.copies[database]
+        same = (copy.term, copy.log_term, copy.position) == end
+        if same and not copy.primary and not avoided(situation, view.name):
+            names.append(view.name)
+    return names
+
+
+def _evidence(
+    situation: Situation,
+    database: str,
+    silent: list[views.InstanceView],
+    outage_ms: int,
+    now_ms: int,
+) -> str:
+    """Return the proof that no silent instance acts as primary, if any."""
+    if not silent:
+        return 'no instance is primary in the highest term'
+    if _replicas_agree(situation, database):
+        return 'replicas have no contact with the primary'
+    silences = {
+        view.name: outage_ms
+        if view.heard_ms == views.NEVER_MS
+        else view.silent_ms(now_ms)
+        for view in silent
+    }
+    if all(
+        _owners_agree(situation, name, silent_ms, now_ms)
+        for name, silent_ms in silences.items()
+    ):
+        return 'most owners have no contact with the primary'
+    return ''
+
+
+def _replicas_agree(situation: Situation, database: str) -> bool:
+    """Return whether no responding replica hears the primary.
+
+    Copies below the highest term do not follow its primary, so they can
+    neither confirm nor deny that it is alive.
+    """
+    term = views.newest_term(situation.instances, database)
+    silences = [
+        view.copies[database].upstream_silent_ms
+        for view in responding(situation.instances, database)
+        if view.copies[database].term == term
+    ]
+    return bool(silences) and min(silences) >= situation.preset.suspect_ms
+
+
+def _owners_agree(
+    situation: Situation,
+    name: str,
+    silent_ms: int,
+    now_ms: int,
+) -> bool:
+    """Return whether a majority of live owners finds an instance silent.
+
+    Args:
+      situation: What the owner knows.
+      name: Name of the instance.
+      silent_ms: Silence that this owner measured itself.
+      now_ms: Current time.
+    """
+    limit_ms = situation.preset.unreachable_ms
+    agreeing = int(silent_ms >= limit_ms)
+    for entry in situation.reports.values():
+        young = now_ms - entry.received_ms <= REPORT_AGE_MS
+        reported_ms = entry.report.silent_ms.get(name, 0)
+        agreeing += int(young and reported_ms >= limit_ms)
+    return agreeing > situation.live_owners // 2
--- /dev/null
+++ b/jacinthhaven/decide/promotion_test.py
@@ -0,0 +1,357 @@
+"""Tests of the promotion machine against three instances."""
+
+import itertools
+import random
+
+import pytest
+
+from jacinthhaven.decide import builders, messages, promotion, promotion_rules
+from jacinthhaven.kernel import failures
+from jacinthhaven.records import backend
+
+_Phase = promotion_rules.Phase
+LOST = failures.CONNECTION_LOST.because('reply lost')
+
+
+class Cluster:
+    """Deciders, instances and the orders on their way."""
+
+    def __init__(self, deciders=1, **situation):
+        self.now_ms = 0
+        self.group = builders.FakeGroup()
+        self.acknowledged = [1, 1, 1]
+        self.deciders = [
+            promotion.DatabasePromotion(builders.DATABASE, seed)
+            for seed in range(deciders)
+        ]
+        self.seen = {index: self.group.views(0) for index in range(deciders)}
+        self.situation = situation
+        self.paused = set()
+        self.flying = []
+        self.holds = []
+        self.events = []
+
+    def take(self, index, out):
+        for message in out:
+            if isinstance(message, messages.InstanceOrder):
+                self.flying.append((index, message))
+            elif isinstance(message, promotion.HoldWrites):
+                self.holds.append(message.held)
+            elif isinstance(message, messages.DecisionLine):
+                self.events.append(message.event)
+        return out
+
+    def tick(self, index, **situation):
+        views = self.group.views(self.now_ms, self.seen[index])
+        known = {'slot': index, **self.situation, **situation}
+        return self.take(
+            index,
+            self.deciders[index].tick(
+                self.now_ms,
+                builders.situation(views, **known),
+            ),
+        )
+
+    def deliver(self, entry, *, lose=False):
+        """Deliver one order and its reply, and check the invariants."""
+        self.flying.remove(entry)
+        index, order = entry
+        reply = self.group.apply(order)
+        self.check()
+        out = self.deciders[index].on_reply(
+            order,
+            LOST if lose else reply,
+            self.now_ms,
+        )
+        self.take(index, out)
+
+    def check(self):
+        assert all(len(names) == 1 for names in self.group.primaries.values())
+        copies = self.group.copies.values()
+        newest = max(copy.term for copy in copies)
+        for copy in copies:
+            if copy.primary and copy.term == newest:
+                kept = copy.log[: len(self.acknowledged)]
+                assert kept == self.acknowledged
+
+    def advance(self, until_ms, step_ms=20, **situation):
+        """Run with orders delivered at once and without losses."""
+        while self.now_ms < until_ms:
+            self.now_ms += step_ms
+            self.group.replicate(self.now_ms)
+            for index in self.seen:
+                if index not in self.paused:
+                    self.tick(index, **situation)
+            for entry in list(self.flying):
+                self.deliver(entry)
+
+    def set_reachable(self, name=None, reachable=True):
+        """Change one instance, or all of them without a name."""
+        for copy in self.group.copies.values():
+            if name in {None, copy.name}:
+                copy.reachable = reachable
+
+    def run_to_fence(self):
+        """Advance until every decider has sent its fences."""
+        self.situation['slot'] = 0
+        while len(self.flying) < 2 * len(self.deciders):
+            self.now_ms += 20
+            self.group.replicate(self.now_ms)
+            for index in self.seen:
+                self.tick(index)
+
+    def copy(self, name):
+        return self.group.copies[name]
+
+    def primary(self):
+        copies = self.group.copies.values()
+        return [copy.name for copy in copies if copy.primary and copy.reachable]
+
+    def assert_healthy(self):
+        """Require one primary that all reachable instances follow."""
+        assert len(self.primary()) == 1
+        primary = self.group.copies[self.primary()[0]]
+        self.group.replicate(self.now_ms)
+        for copy in self.group.copies.values():
+            if copy.reachable:
+                assert copy.term == primary.term
+                assert copy.log == primary.log
+
+    def promotes(self):
+        """Return the promote orders on their way."""
+        return [
+            entry
+            for entry in self.flying
+            if isinstance(entry[1].request, backend.PromoteRequest)
+        ]
+
+
+@pytest.fixture
+def failed():
+    """Return a function that builds clusters with an unreachable primary."""
+
+    def build(deciders=1):
+        cluster = Cluster(deciders)
+        cluster.set_reachable('i1', reachable=False)
+        return cluster
+
+    return build
+
+
+def test_dead_primary_is_replaced_within_a_second(failed):
+    """Guards against a failover gap above the exchange's 2 s goal."""
+    cluster = failed()
+    cluster.advance(1000)
+    cluster.assert_healthy()
+    assert cluster.deciders[0].phase == _Phase.IDLE
+    assert cluster.events == ['fence', 'promote', 'promoted']
+
+
+@pytest.mark.parametrize('late_promote', [False, True])
+def test_two_deciders_race(failed, late_promote):
+    """Guards against two primaries of a term in any order of fences."""
+    for order in itertools.permutations(range(6)):
+        cluster = failed(deciders=2)
+        cluster.run_to_fence()
+        cluster.set_reachable('i1', reachable=True)
+        fences = list(cluster.flying)
+        assert len(fences) == 6
+        for number in order:
+            cluster.deliver(fences[number])
+            prompt = [] if late_promote else cluster.promotes()
+            for promote in prompt:
+                cluster.deliver(promote)
+        cluster.advance(cluster.now_ms + 2000, step_ms=50)
+        cluster.assert_healthy()
+
+
+def test_lost_fence_answers(failed):
+    """Guards against counting a fence whose answer was lost."""
+    cluster = failed()
+    cluster.run_to_fence()
+    for entry in list(cluster.flying):
+        cluster.deliver(entry, lose=True)
+    assert cluster.deciders[0].phase == _Phase.WAITING
+    assert cluster.group.primaries == {1: {'i1'}}
+    cluster.advance(cluster.now_ms + 500)
+    cluster.assert_healthy()
+    assert cluster.copy('i2').term == 3
+
+
+def test_lost_promote_answer(failed):
+    """Guards against a second promotion after one whose answer was lost."""
+    cluster = failed()
+    cluster.run_to_fence()
+    for entry in list(cluster.flying):
+        cluster.deliver(entry)
+    cluster.deliver(cluster.promotes()[0], lose=True)
+    assert cluster.deciders[0].phase == _Phase.PROMOTING
+    cluster.advance(cluster.now_ms + 500)
+    cluster.assert_healthy()
+    assert cluster.events == ['fence', 'promote', 'promoted']
+
+
+def test_decider_paused_before_its_promote(failed):
+    """Guards against a late promote order that replaces a newer primary."""
+    cluster = failed(deciders=2)
+    cluster.paused = {1}
+    cluster.run_to_fence()
+    for entry in list(cluster.flying):
+        if entry[0] == 0:
+            cluster.deliver(entry)
+    late = cluster.promotes()[0]
+    cluster.flying.clear()
+    cluster.paused = {0}
+    cluster.advance(cluster.now_ms + 2000)
+    cluster.flying.append(late)
+    cluster.deliver(late)
+    cluster.paused = set()
+    cluster.advance(cluster.now_ms + 1000)
+    cluster.assert_healthy()
+    assert cluster.copy('i2').term == 3
+
+
+def test_slow_primary_is_kept():
+    """Guards against a promotion while replicas still hear the primary."""
+    cluster = Cluster(live_owners=3)
+    for now_ms in range(0, 5000, 20):
+        cluster.now_ms = now_ms
+        cluster.group.replicate(now_ms)
+        cluster.set_reachable('i1', reachable=False)
+        assert not cluster.tick(0)
+        cluster.set_reachable('i1', reachable=True)
+    cluster.tick(0)
+    assert cluster.deciders[0].false_starts == 1
+
+
+@pytest.mark.parametrize(
+    ('received_ms', 'silent_ms', 'promoted'),
+    [(1600, 1600, True), (1600, 1400, False), (400, 1600, False)],
+)
+def test_primary_unreachable_for_owners_only(received_ms, silent_ms, promoted):
+    """Guards against an outage that only owners see, and stale reports."""
+    cluster = Cluster(
+        live_owners=3,
+        reports={'n2': builders.silence(received_ms, i1=silent_ms)},
+    )
+    for now_ms in range(0, 1640, 20):
+        cluster.now_ms = now_ms
+        cluster.group.replicate(now_ms)
+        cluster.set_reachable('i1', reachable=False)
+        cluster.tick(0)
+        cluster.set_reachable('i1', reachable=True)
+    assert ('fence' in cluster.events) == promoted
+
+
+def test_no_promotion_without_majority():
+    """Guards against a promotion that cannot know all acknowledged writes."""
+    cluster = Cluster()
+    cluster.set_reachable('i1', reachable=False)
+    cluster.set_reachable('i3', reachable=False)
+    cluster.advance(8000)
+    assert not cluster.events
+    cluster.set_reachable('i3', reachable=True)
+    cluster.advance(8200)
+    cluster.assert_healthy()
+
+
+def test_longer_log_of_an_older_term_loses(failed):
+    """Guards against choosing by position without the log term."""
+    cluster = failed()
+    cluster.copy('i2').log = [1, 1, 1, 1, 1, 1]
+    cluster.copy('i3').log = [1, 1, 1, 2]
+    for copy in cluster.group.copies.values():
+        copy.term = 2
+        copy.upstream = ''
+    cluster.acknowledged = [1, 1, 1, 2]
+    cluster.advance(1500)
+    assert cluster.primary() == ['i3']
+
+
+def test_old_primary_that_returns_follows(failed):
+    """Guards against a returning primary that stays at its old term."""
+    cluster = failed()
+    cluster.advance(2000)
+    cluster.copy('i1').log.append(1)
+    cluster.set_reachable('i1', reachable=True)
+    cluster.advance(2100)
+    cluster.assert_healthy()
+
+
+def test_half_done_promotion_is_finished():
+    """Guards against a group without primary after its decider died."""
+    cluster = Cluster(slot=1)
+    request = backend.FenceRequest(builders.DATABASE, 5)
+    for name in ('i1', 'i2'):
+        cluster.group.apply(messages.InstanceOrder(name, request))
+    cluster.advance(700)
+    assert not cluster.events
+    cluster.advance(1000)
+    cluster.assert_healthy()
+
+
+def shake(cluster, rng):
+    """Take one random step: a failed instance, a tick or a delivery."""
+    cluster.now_ms += rng.randint(1, 40)
+    if rng.randrange(50) == 0:
+        cluster.set_reachable()
+        cluster.set_reachable(rng.choice(builders.INSTANCES), False)
+    cluster.group.replicate(cluster.now_ms)
+    cluster.tick(rng.randrange(2))
+    if cluster.flying and rng.randrange(10) < 8:
+        entry = rng.choice(cluster.flying)
+        cluster.deliver(entry, lose=rng.randrange(10) < 3)
+
+
+def test_random_losses_and_delays():
+    """Guards against orders of events that no other test has."""
+    for seed in range(150):
+        rng = random.Random(seed)
+        cluster = Cluster(deciders=2)
+        for _ in range(400):
+            shake(cluster, rng)
+        cluster.set_reachable()
+        cluster.advance(cluster.now_ms + 6000)
+        cluster.assert_healthy()
+
+
+def hand_over(cluster, **situation):
+    for _ in range(100):
+        leaving = cluster.primary() == ['i1']
+        cluster.advance(
+            cluster.now_ms + 20,
+            primary_leaving=leaving,
+            **situation,
+        )
+
+
+def test_leaving_primary_is_handed_over():
+    """Guards against writes that stay held after a planned handover."""
+    cluster = Cluster()
+    cluster.seen[0]['i1'].leaving = True
+    hand_over(cluster, writes_finished=True)
+    assert cluster.primary() == ['i2']
+    assert cluster.holds == [True, False]
+    cluster.assert_healthy()
+
+
+def test_handover_without_caught_up_replica():
+    """Guards against handing over to a replica that misses writes."""
+    cluster = Cluster()
+    cluster.seen[0]['i1'].leaving = True
+    cluster.copy('i1').log.append(1)
+    for name in ('i2', 'i3'):
+        cluster.copy(name).upstream = ''
+    hand_over(cluster, writes_finished=True)
+    assert cluster.holds == [True, False]
+    assert cluster.primary() == ['i1']
+    assert cluster.events == ['handover', 'handover_stopped']
+
+
+def test_unfinished_statement_does_not_block_the_handover():
+    """Guards against a transaction that delays a handover without end."""
+    cluster = Cluster()
+    cluster.seen[0]['i1'].leaving = True
+    hand_over(cluster, writes_finished=False)
+    assert cluster.primary() == ['i2']
+    assert cluster.holds == [True, False]
