--- a/jacinthhaven/adapters/peer_codec_test.py
+++ b/jacinthhaven/adapters/peer_codec_test.py
@@ -17,7 +17,7 @@
 _PAYLOADS = (
     handshake.Hello('c', 1, 'n1', 'b1', b'\0\1'),
     handshake.Proof(b'\xff' * 32),
-    peers.StatementForward(2**40, 'lots', b'{}', 5000, True, 2),
+    peers.StatementForward(2**40, 'lots', b'{}', 5000, 3, 9, True, 2),
     peers.OutcomeForward(1, 'lots', b'{"session":"s"}', 10),
     peers.ForwardAnswer(9, 1, b'{}', 'not_run', 'because'),
     peers.ForwardAnswer(9, 1, b'{}'),
--- a/jacinthhaven/decide/dispatch.py
+++ b/jacinthhaven/decide/dispatch.py
@@ -2,6 +2,8 @@
 
 import typing
 
+import msgspec
+
 from jacinthhaven.decide import (
     admission,
     database,
@@ -198,7 +200,7 @@
         job.database,
         job.term,
         job.kind,
-        job.statement,
+        msgspec.Raw(job.statement),
         job.request_key,
         job.fingerprint,
     )
--- a/jacinthhaven/decide/requests.py
+++ b/jacinthhaven/decide/requests.py
@@ -92,7 +92,7 @@
         body.kind,
         body.session,
         now_ms + forward.remaining_ms,
-        statement=body.statement,
+        statement=bytes(body.statement),
         transaction=body.transaction,
         priority=body.priority,
         strict=forward.strict,
--- a/jacinthhaven/decide/work.py
+++ b/jacinthhaven/decide/work.py
@@ -2,8 +2,6 @@
 
 import dataclasses
 
-import msgspec
-
 from jacinthhaven.decide import admission, tokens
 from jacinthhaven.kernel import failures
 from jacinthhaven.records import callers
@@ -72,7 +70,7 @@
     arrived_ms: int = 0
     request_key: str = ''
     fingerprint: str = ''
-    statement: msgspec.Raw = msgspec.Raw(b'null')
+    statement: bytes = b'null'
     transaction: str = ''
     needed: tokens.Position | None = None
     strict: bool = False
