--- a/jacinthhaven/standins/instance_faults.py
+++ b/jacinthhaven/standins/instance_faults.py
@@ -9,10 +9,12 @@
 
 import msgspec
 
+from jacinthhaven.standins import control
+
 Action = typing.Callable[[], None]
 
 
-class Faults(msgspec.Struct, forbid_unknown_fields=True):
+class Faults(control.Settings):
     """Settable faults of an instance; the defaults mean no fault.
 
     Attributes:
@@ -37,16 +39,6 @@
     cut: list[str] = msgspec.field(default_factory=list)
     leaving: bool = False
 
-    def changed(self, document: bytes) -> 'Faults':
-        """Return the faults after a JSON document changed some of them.
-
-        Raises:
-          msgspec.DecodeError: If the document is not a JSON object, names
-            an unknown fault or has a value of another type.
-        """
-        changes = msgspec.json.decode(document, type=dict[str, typing.Any])
-        return msgspec.convert({**msgspec.to_builtins(self), **changes}, Faults)
-
 
 class Gate:
     """Queue of actions that run at once while it is open."""
--- a/jacinthhaven/standins/store_model.py
+++ b/jacinthhaven/standins/store_model.py
@@ -65,7 +65,7 @@
           The reply, `store_unavailable` during an outage, or `too_large`
           for a value above the limit.
         """
-        self.counts[type(request).__name__] += 1
+        self.counts[kind(request)] += 1
         if self.outage:
             return failures.STORE_UNAVAILABLE.because('outage')
         self.advance(now_ms)
@@ -90,7 +90,7 @@
           None, or `store_unavailable` during an outage or if the history
           does not reach back to the first revision.
         """
-        self.counts[type(request).__name__] += 1
+        self.counts[kind(request)] += 1
         start = request.start_revision or self.space.revision + 1
         if self.outage:
             return failures.STORE_UNAVAILABLE.because('outage')
@@ -207,3 +207,8 @@
     def _end_lease(self, number: int) -> None:
         if self.leases.pop(number, None) is not None:
             self.space.change([], self.space.bound_to(number))
+
+
+def kind(request: store.Request) -> str:
+    """Return the kind of a call: read, swap, lease, keepalive and so on."""
+    return type(request).__name__.removesuffix('Request').lower()
