--- a/jacinthhaven/adapters/http_messages.py
+++ b/jacinthhaven/adapters/http_messages.py
@@ -19,6 +19,8 @@
     {status.value: status.phrase for status in http.HTTPStatus},
 )
 
+OnPart = typing.Callable[[int, bytes], None]
+
 
 @dataclasses.dataclass(slots=True)
 class Message:
@@ -59,6 +61,11 @@
     """Incremental parser that yields complete messages.
 
     `httptools` calls the `on_*` methods.
+
+    Attributes:
+      max_body: Largest accepted body in bytes.
+      on_part: Called with the status code and each part of a body as it
+        arrives; the body is then not collected and has no size limit.
     """
 
     def __init__(self, response: bool, max_body: int = MAX_BODY_BYTES) -> None:
@@ -69,6 +76,7 @@
           max_body: Largest accepted body in bytes.
         """
         self.max_body = max_body
+        self.on_part: OnPart | None = None
         self.messages: list[Message] = []
         self.current = Message()
         self.chunks: list[bytes] = []
@@ -123,7 +131,10 @@
         headers[name.decode('latin-1').lower()] = value.decode('latin-1')
 
     def on_body(self, body: bytes) -> None:
-        """Collect one part of the body."""
+        """Collect one part of the body, or pass it on."""
+        if self.on_part is not None:
+            self.on_part(self.parser.get_status_code(), body)
+            return
         self._grow(1, len(body), self.max_body)
         self.chunks.append(body)
 
