--- a/jacinthhaven/standins/driver.py
+++ b/jacinthhaven/standins/driver.py
@@ -36,9 +36,17 @@
         self.application.fire(events.generate_events(self.lock, 0), '*')
         self.application.flush()
 
-    def run_until(self, condition: typing.Callable[[], typing.Any]) -> None:
+    def run_until(
+        self,
+        condition: typing.Callable[[], typing.Any],
+        step_ms: int = 0,
+    ) -> None:
         """Handle sockets until a condition holds.
 
+        Args:
+          condition: Function that returns whether to stop.
+          step_ms: Milliseconds that the clock moves in each step.
+
         Raises:
           NeverHeldError: If it does not hold after many steps.
         """
@@ -47,7 +55,7 @@
             if steps == _MAX_STEPS:
                 raise NeverHeldError(steps)
             steps += 1
-            self.step()
+            self.advance(step_ms)
 
     def advance(self, step_ms: int) -> None:
         """Move the clock and run the timers that are due."""
