--- a/jacinthhaven/decide/builders.py
+++ b/jacinthhaven/decide/builders.py
@@ -30,6 +30,16 @@
     return promotion_rules.SilenceReport(report, received_ms)
 
 
+def instance_status(
+    instance: str,
+    boot: str,
+    *,
+    leaving: bool = False,
+) -> backend.InstanceStatus:
+    """Return a status response without databases."""
+    return backend.InstanceStatus(instance, boot, 1, leaving, 0, [])
+
+
 @dataclasses.dataclass
 class FakeInstance:
     """Copy of one database that follows the rules of section 3.2.
