--- a/jacinthhaven/decide/builders.py
+++ b/jacinthhaven/decide/builders.py
@@ -5,7 +5,7 @@
 
 from jacinthhaven.decide import messages, promotion_rules, views
 from jacinthhaven.kernel import failures
-from jacinthhaven.records import backend, peers, presets
+from jacinthhaven.records import backend, peers, presets, topology
 
 DATABASE = 'bids'
 INSTANCES = ('i1', 'i2', 'i3')
@@ -40,6 +40,21 @@
     return backend.InstanceStatus(instance, boot, 1, leaving, 0, [])
 
 
+def group(owners: int = 3) -> topology.Group:
+    """Return a database group with three instances."""
+    instances = tuple(
+        topology.Instance(name, '127.0.0.1', 1, zone)
+        for name, zone in zip(INSTANCES, ZONES, strict=True)
+    )
+    return topology.Group('exchange-db', instances, (DATABASE,), 20, owners)
+
+
+def member(name: str) -> topology.Member:
+    """Return a member; the digit in its name chooses its zone."""
+    zone = ZONES[int(name[1:]) % len(ZONES)]
+    return topology.Member(name, f'{name}-boot', '127.0.0.1', 1, zone)
+
+
 @dataclasses.dataclass
 class FakeInstance:
     """Copy of one database that follows the rules of section 3.2.
