--- a/jacinthhaven/adapters/config_file.py
+++ b/jacinthhaven/adapters/config_file.py
@@ -1,6 +1,6 @@
 """Loading of configuration documents from YAML or JSON files."""
 
-from jacinthhaven.adapters import yaml_file
+from jacinthhaven.adapters import text_file, yaml_file
 from jacinthhaven.records import configuration, presets
 
 
@@ -26,9 +26,9 @@
     """Read and validate a configuration document.
 
     Raises:
-      yaml_file.UnreadableFileError: If the file cannot be read.
+      text_file.UnreadableFileError: If the file cannot be read.
     """
-    return validate(yaml_file.parse(yaml_file.read_text(name)))
+    return validate(yaml_file.parse(text_file.read_text(name)))
 
 
 def is_configuration(document: yaml_file.Document) -> bool:
--- a/jacinthhaven/adapters/settings_file.py
+++ b/jacinthhaven/adapters/settings_file.py
@@ -5,12 +5,9 @@
 
 import pydantic
 
-from jacinthhaven.adapters import yaml_file
+from jacinthhaven.adapters import text_file, yaml_file
 from jacinthhaven.records import settings
 
-# Shorter keys can be guessed; 32 characters of hexadecimal are 128 bits.
-MIN_KEY_BYTES = 32
-
 _MESSAGES = types.MappingProxyType(
     {
         'extra_forbidden': 'unknown key',
@@ -20,22 +17,6 @@
 )
 
 
-def read_key(name: str) -> bytes:
-    """Return the key stored in a file, without surrounding white space.
-
-    Raises:
-      yaml_file.UnreadableFileError: If the file cannot be read or the key
-        is short.
-    """
-    key = yaml_file.read_text(name).strip().encode()
-    if len(key) < MIN_KEY_BYTES:
-        raise yaml_file.UnreadableFileError(
-            name,
-            f'key is shorter than {MIN_KEY_BYTES} characters',
-        )
-    return key
-
-
 def parse_settings(
     text: str,
     folder: str,
@@ -91,9 +72,9 @@
       The settings with absolute file names, or all errors by position.
 
     Raises:
-      yaml_file.UnreadableFileError: If the settings file cannot be read.
+      text_file.UnreadableFileError: If the settings file cannot be read.
     """
-    text = yaml_file.read_text(name)
+    text = text_file.read_text(name)
     folder = os.path.dirname(os.path.abspath(name))
     return parse_settings(text, folder, check_files)
 
@@ -109,10 +90,14 @@
     def __call__(self, kind: str, name: str) -> tuple[str, str]:
         """Return the absolute file name and what is wrong with the file."""
         full = os.path.join(self.folder, name)
-        read = read_key if kind == settings.KEY_FILE else yaml_file.read_text
+        read = (
+            text_file.read_key
+            if kind == settings.KEY_FILE
+            else text_file.read_text
+        )
         try:
             if self.enabled:
                 read(full)
-        except yaml_file.UnreadableFileError as error:
+        except text_file.UnreadableFileError as error:
             return full, str(error)
         return full, ''
--- a/jacinthhaven/adapters/settings_file_test.py
+++ b/jacinthhaven/adapters/settings_file_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from jacinthhaven.adapters import settings_file, yaml_file
+from jacinthhaven.adapters import settings_file, text_file
 from jacinthhaven.records import settings, topology
 
 GOOD = """
@@ -115,6 +115,6 @@
     binary = tmp_path / 'binary.yaml'
     binary.write_bytes(b'\xff\xfe\x00')
     for name in (str(tmp_path), str(tmp_path / 'none'), str(binary)):
-        with pytest.raises(yaml_file.UnreadableFileError) as caught:
+        with pytest.raises(text_file.UnreadableFileError) as caught:
             settings_file.load(name)
         assert caught.value.name == name
--- a/jacinthhaven/adapters/yaml_file.py
+++ b/jacinthhaven/adapters/yaml_file.py
@@ -13,21 +13,6 @@
 Position = tuple[int, int]
 
 
-class UnreadableFileError(Exception):
-    """A file cannot be read at all.
-
-    Attributes:
-      name: Name of the file.
-      reason: Explanation of the operating system or decoder.
-    """
-
-    def __init__(self, name: str, reason: str) -> None:
-        """Remember the file and the reason."""
-        super().__init__(f'{name}: {reason}')
-        self.name = name
-        self.reason = reason
-
-
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
 class FileError:
     """One error in a file.
@@ -86,20 +71,6 @@
     return text
 
 
-def read_text(name: str) -> str:
-    """Return the text of a file.
-
-    Raises:
-      UnreadableFileError: If the file cannot be read as UTF-8 text.
-    """
-    try:
-        with open(name, encoding='utf-8') as stream:
-            return stream.read()
-    except (OSError, UnicodeDecodeError) as error:
-        reason = getattr(error, 'strerror', None) or 'not UTF-8 text'
-        raise UnreadableFileError(name, reason) from error
-
-
 def parse(text: str) -> Document:
     """Parse YAML without constructing any object but plain data.
 
