--- /dev/null
+++ b/jacinthhaven/adapters/operators_page_test.py
@@ -0,0 +1,46 @@
+"""Tests that the operators' page names every setting and its default."""
+
+import pathlib
+import re
+import typing
+
+import msgspec
+import pydantic
+
+from jacinthhaven.records import presets, settings
+
+PAGE = pathlib.Path(__file__).parents[2] / 'docs' / 'operators.md'
+ROW = re.compile(r'^\| `([^`|]+)` \| [^|]+ \| ([^|]+) \| [^|]+ \|$', re.M)
+
+
+def _model_in(annotation):
+    found = [annotation, *typing.get_args(annotation)]
+    models = [
+        part
+        for part in found
+        if isinstance(part, type) and issubclass(part, pydantic.BaseModel)
+    ]
+    return models[0] if models else None
+
+
+def _leaves(model, prefix=''):
+    for name, field in model.model_fields.items():
+        inner = _model_in(field.annotation)
+        if inner is None:
+            default = 'required' if field.is_required() else field.default
+            yield f'{prefix}{name}', str(default).replace('None', 'none')
+            continue
+        many = typing.get_origin(field.annotation) is list
+        path = f'{prefix}{name}[].' if many else f'{prefix}{name}.'
+        yield from _leaves(inner, path)
+
+
+def test_every_setting_and_parameter_is_documented():
+    """Guards against settings without documentation or a wrong default."""
+    rows = ROW.findall(PAGE.read_text())
+    documented = dict(rows)
+    assert len(rows) == len(documented)
+    expected = dict(_leaves(settings.Settings))
+    for name, default in msgspec.to_builtins(presets.Preset()).items():
+        expected[name] = str(default)
+    assert documented == expected
