Report interrupts, malformed addresses and unusable keys by exit code

An interrupt after a change was sent ended with exit code 1, which claims that the change was refused. A port above 65535 and a key that does not fit into a header ended with a traceback.

--- a/jacinthhaven/adapters/decision_log.py
+++ b/jacinthhaven/adapters/decision_log.py
@@ -278,6 +278,11 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Add one record; errors are written at once."""
-        self.log.buffer.append(self.format(record).encode())
+        try:
+            line = self.format(record).encode()
+        except Exception:
+            self.handleError(record)
+            return
+        self.log.buffer.append(line)
         if record.levelno >= logging.ERROR:
             self.log.flush()
--- a/jacinthhaven/adapters/text_file.py
+++ b/jacinthhaven/adapters/text_file.py
@@ -37,13 +37,18 @@
     """Return the key stored in a file, without surrounding white space.
 
     Raises:
-      UnreadableFileError: If the file cannot be read or the key is
-        short.
+      UnreadableFileError: If the file cannot be read, or the key is short
+        or cannot be sent in an HTTP header.
     """
-    key = read_text(name).strip().encode()
+    key = read_text(name).strip()
     if len(key) < MIN_KEY_BYTES:
         raise UnreadableFileError(
             name,
             f'key is shorter than {MIN_KEY_BYTES} characters',
         )
-    return key
+    if not key.isascii() or not key.isprintable() or ' ' in key:
+        raise UnreadableFileError(
+            name,
+            'key has characters other than visible ASCII characters',
+        )
+    return key.encode('ascii')
--- a/jacinthhaven/cli/connection.py
+++ b/jacinthhaven/cli/connection.py
@@ -53,6 +53,8 @@
 
 Command = typing.Callable[..., None]
 
+_MAX_PORT = 65_535
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Connection:
@@ -109,7 +111,7 @@
 
 def _split_address(address: str) -> tuple[str, int]:
     host, _colon, port = address.rpartition(':')
-    if not host or not port.isdecimal():
+    if not host or not port.isdecimal() or int(port) > _MAX_PORT:
         raise exits.UnusableInputError(
             f'address {address!r} is not of the form HOST:PORT',
         )
--- a/jacinthhaven/cli/main_test.py
+++ b/jacinthhaven/cli/main_test.py
@@ -184,6 +184,16 @@
     assert endpoint.requests[0][1]['change_id'] in switched.stderr
 
 
+def test_interrupted_change_is_unknown(run, monkeypatch):
+    """Guards against an interrupt that is reported as a refusal."""
+
+    def interrupt(*_request):
+        raise KeyboardInterrupt
+
+    monkeypatch.setattr(operator_client, '_exchange', interrupt)
+    assert run('preset', 'switch', 'ordinary', '--expect=7').exit_code == 4
+
+
 def test_lost_answer_to_drain_is_unknown(run, endpoint):
     """Guards against a drain that is reported as not started."""
     endpoint.script = [LOSE, (200, {'draining': True})]
@@ -221,7 +231,7 @@
     [
         ('status',),
         ('status', '--address=127.0.0.1:1', '--key-file=/no/such/file'),
-        ('status', '--address=127.0.0.1', f'--key-file={__file__}'),
+        ('status', '--address=127.0.0.1:1', f'--key-file={__file__}'),
         ('config', 'apply', '/no/such/file'),
         ('check', '/no/such/file'),
         ('proxy', '--settings=/no/such/file'),
@@ -232,6 +242,14 @@
     assert _invoke(*arguments).exit_code == 2
 
 
+@pytest.mark.parametrize('port', ['', 'x', 70000])
+def test_malformed_address_is_wrong_usage(run, port):
+    """Guards against a traceback for a mistyped address."""
+    refused = run('status', port=port)
+    assert refused.exit_code == 2
+    assert 'not of the form HOST:PORT' in refused.stderr
+
+
 def test_check_reports_every_line(tmp_path):
     """Guards against a check that misses errors or file kinds."""
     examples = sorted(str(path) for path in EXAMPLES.iterdir())
--- a/jacinthhaven/cli/operator_client.py
+++ b/jacinthhaven/cli/operator_client.py
@@ -104,6 +104,18 @@
           exits.UnknownOutcomeError: If the change was sent and its id was
             not found in force.
         """
+        change_id = document['change_id']
+        try:
+            return self._change(path, document)
+        except KeyboardInterrupt as interrupt:
+            # The default exit code of an interrupt would claim that the
+            # change was refused.
+            raise exits.UnknownOutcomeError(
+                f'interrupted; change {change_id} may have been sent',
+                {'change_id': change_id},
+            ) from interrupt
+
+    def _change(self, path: str, document: Fields) -> Fields:
         try:
             return self._call('POST', path, document)
         except LostAnswerError as error:
@@ -163,7 +175,7 @@
             )
         try:
             connection.connect()
-        except OSError as error:
+        except (OSError, UnicodeError) as error:
             raise exits.UnreachableError(
                 f'cannot connect to {self.host} port {self.port}: {error}',
             ) from error
