Test promotions under writes, lost replies and stale status

The random histories now write, replicate and confirm entries and check that every new primary has them. Handover attempts of all owners repeat at the same period, because their waits differ by the stagger and would otherwise drift apart.

--- a/jacinthhaven/decide/builders.py
+++ b/jacinthhaven/decide/builders.py
@@ -150,14 +150,37 @@
             self.primaries.setdefault(copy.term, set()).add(copy.name)
         return reply
 
-    def replicate(self, now_ms: int) -> None:
-        """Let every replica copy the log of the primary that it follows."""
-        for copy in self.copies.values():
+    def replicate(
+        self,
+        now_ms: int,
+        names: typing.Iterable[str] = INSTANCES,
+    ) -> None:
+        """Let replicas copy the log of the primary that they follow."""
+        for name in names:
+            copy = self.copies[name]
             source = self.copies.get(copy.upstream)
             if copy.follows(source):
                 copy.log = list(source.log)
                 copy.heard_ms = now_ms
 
+    def write(self) -> None:
+        """Append an entry to the log of every copy that acts as primary."""
+        for copy in self.copies.values():
+            if copy.primary:
+                copy.log.append(copy.term)
+
+    def committed(self) -> set[tuple[int, int]]:
+        """Return term and position of the newest entries on a majority."""
+        ends = [copy.end() for copy in self.copies.values()]
+        found = set()
+        for copy in self.copies.values():
+            term, position = copy.end()
+            same = [end for end in ends if end[0] == term]
+            covering = [end for end in same if end[1] >= position]
+            if copy.primary and term == copy.term and len(covering) > 1:
+                found.add((term, position))
+        return found
+
     def views(
         self,
         now_ms: int,
--- a/jacinthhaven/decide/promotion.py
+++ b/jacinthhaven/decide/promotion.py
@@ -21,6 +21,8 @@
 
 # Writes wait in the queue during a handover; their usual deadline is 5 s.
 HANDOVER_WAIT_MS = 1500
+# Counts from start to start, so that the owners keep holding their writes
+# at about the same time although their waits differ by the stagger.
 HANDOVER_RETRY_MS = 5000
 # After this time an instance without confirmed order counts as absent; the
 # repairs of normal operation reach it when it responds again.
@@ -292,7 +294,6 @@
 
     def _stop_holding(self, reason: str, now_ms: int) -> list[typing.Any]:
         self._enter(_Phase.IDLE, now_ms)
-        self.handover_ms = now_ms + HANDOVER_RETRY_MS
         line = self._line('handover_stopped', reason)
         return [line, *self._release()]
 
--- a/jacinthhaven/decide/promotion_test.py
+++ b/jacinthhaven/decide/promotion_test.py
@@ -5,7 +5,13 @@
 
 import pytest
 
-from jacinthhaven.decide import builders, messages, promotion, promotion_rules
+from jacinthhaven.decide import (
+    ballot,
+    builders,
+    messages,
+    promotion,
+    promotion_rules,
+)
 from jacinthhaven.kernel import failures
 from jacinthhaven.records import backend
 
@@ -19,7 +25,7 @@
     def __init__(self, deciders=1, **situation):
         self.now_ms = 0
         self.group = builders.FakeGroup()
-        self.acknowledged = [1, 1, 1]
+        self.acknowledged = {(1, 3)}
         self.deciders = [
             promotion.DatabasePromotion(builders.DATABASE, seed)
             for seed in range(deciders)
@@ -71,8 +77,8 @@
         newest = max(copy.term for copy in copies)
         for copy in copies:
             if copy.primary and copy.term == newest:
-                kept = copy.log[: len(self.acknowledged)]
-                assert kept == self.acknowledged
+                kept = set(zip(copy.log, itertools.count(1)))
+                assert self.acknowledged <= kept
 
     def advance(self, until_ms, step_ms=20, **situation):
         """Run with orders delivered at once and without losses."""
@@ -191,6 +197,58 @@
     assert cluster.events == ['fence', 'promote', 'promoted']
 
 
+def test_chosen_instance_dies_after_its_promotion(failed):
+    """Guards against a second primary of the number that was promoted."""
+    cluster = failed()
+    cluster.run_to_fence()
+    cluster.set_reachable()
+    for entry in list(cluster.flying):
+        cluster.deliver(entry)
+    cluster.deliver(cluster.promotes()[0], lose=True)
+    cluster.set_reachable('i2', reachable=False)
+    cluster.advance(cluster.now_ms + 2000)
+    cluster.assert_healthy()
+    assert cluster.primary() == ['i1']
+
+
+def test_late_reply_to_an_older_promote(failed):
+    """Guards against taking an old reply for the newest promotion."""
+    cluster = failed()
+    cluster.run_to_fence()
+    for entry in list(cluster.flying):
+        cluster.deliver(entry)
+    late = cluster.promotes()[0]
+    cluster.flying.clear()
+    decider = cluster.deciders[0]
+    while cluster.events.count('fence') == 1:
+        cluster.now_ms += 20
+        cluster.tick(0)
+    for entry in list(cluster.flying):
+        if isinstance(entry[1].request, backend.FenceRequest):
+            cluster.deliver(entry)
+    assert decider.phase == _Phase.PROMOTING
+    decider.on_reply(late[1], None, cluster.now_ms)
+    assert decider.phase == _Phase.PROMOTING
+
+
+def test_retry_with_stale_status(failed):
+    """Guards against using a number again while the status is late."""
+    cluster = failed()
+    cluster.run_to_fence()
+    stale = cluster.seen[0]
+    for entry in list(cluster.flying):
+        cluster.deliver(entry, lose=True)
+    out = []
+    for now_ms in range(cluster.now_ms, cluster.now_ms + 400, 20):
+        out += cluster.deciders[0].tick(now_ms, builders.situation(stale))
+    orders = [
+        message.request.term
+        for message in out
+        if isinstance(message, messages.InstanceOrder)
+    ]
+    assert set(orders) == {3}
+
+
 def test_decider_paused_before_its_promote(failed):
     """Guards against a late promote order that replaces a newer primary."""
     cluster = failed(deciders=2)
@@ -209,11 +267,14 @@
     cluster.advance(cluster.now_ms + 1000)
     cluster.assert_healthy()
     assert cluster.copy('i2').term == 3
+    assert cluster.events[-1] == 'promotion_abandoned'
 
 
-def test_slow_primary_is_kept():
-    """Guards against a promotion while replicas still hear the primary."""
+@pytest.mark.parametrize('upstream', ['i1', ''])
+def test_slow_primary_is_kept(upstream):
+    """Guards against a promotion while a replica still hears the primary."""
     cluster = Cluster(live_owners=3)
+    cluster.copy('i3').upstream = upstream
     for now_ms in range(0, 5000, 20):
         cluster.now_ms = now_ms
         cluster.group.replicate(now_ms)
@@ -224,6 +285,18 @@
     assert cluster.deciders[0].false_starts == 1
 
 
+def test_new_primary_dies_as_the_old_one_returns(failed):
+    """Guards against a returning primary that hides the next failure."""
+    cluster = failed()
+    cluster.advance(1000)
+    cluster.situation['live_owners'] = 3
+    cluster.set_reachable()
+    cluster.set_reachable('i2', reachable=False)
+    cluster.seen[0]['i2'].heard_ms = 0
+    cluster.advance(2500)
+    cluster.assert_healthy()
+
+
 @pytest.mark.parametrize(
     ('received_ms', 'silent_ms', 'promoted'),
     [(1600, 1600, True), (1600, 1400, False), (400, 1600, False)],
@@ -263,7 +336,7 @@
     for copy in cluster.group.copies.values():
         copy.term = 2
         copy.upstream = ''
-    cluster.acknowledged = [1, 1, 1, 2]
+    cluster.acknowledged = {(2, 4)}
     cluster.advance(1500)
     assert cluster.primary() == ['i3']
 
@@ -296,7 +369,12 @@
     if rng.randrange(50) == 0:
         cluster.set_reachable()
         cluster.set_reachable(rng.choice(builders.INSTANCES), False)
-    cluster.group.replicate(cluster.now_ms)
+    if rng.randrange(3) == 0:
+        cluster.group.write()
+    names = rng.sample(builders.INSTANCES, rng.randrange(4))
+    cluster.group.replicate(cluster.now_ms, names)
+    cluster.acknowledged |= cluster.group.committed()
+    cluster.check()
     cluster.tick(rng.randrange(2))
     if cluster.flying and rng.randrange(10) < 8:
         entry = rng.choice(cluster.flying)
@@ -315,8 +393,21 @@
         cluster.assert_healthy()
 
 
-def hand_over(cluster, **situation):
-    for _ in range(100):
+def test_handover_counts_the_old_primary():
+    """Guards against choosing before the complete log is known."""
+    situation = builders.situation(builders.FakeGroup().views(0))
+    cause = ballot.Cause('', 'i1', planned=True)
+    votes = ballot.Ballot(2, cause, set(builders.INSTANCES))
+    votes.record('i2', backend.FenceReply(2, 1, 3))
+    votes.record('i3', backend.FenceReply(2, 1, 3))
+    assert votes.count(situation, final=False) == ballot.Verdict()
+    assert votes.count(situation, final=True).chosen == 'i2'
+    votes.record('i1', backend.FenceReply(2, 1, 4))
+    assert votes.count(situation, final=False).chosen == 'i1'
+
+
+def hand_over(cluster, rounds=100, **situation):
+    for _ in range(rounds):
         leaving = cluster.primary() == ['i1']
         cluster.advance(
             cluster.now_ms + 20,
@@ -329,7 +420,7 @@
     """Guards against writes that stay held after a planned handover."""
     cluster = Cluster()
     cluster.seen[0]['i1'].leaving = True
-    hand_over(cluster, writes_finished=True)
+    hand_over(cluster, rounds=10, writes_finished=True)
     assert cluster.primary() == ['i2']
     assert cluster.holds == [True, False]
     cluster.assert_healthy()
--- a/jacinthhaven/decide/slots_test.py
+++ b/jacinthhaven/decide/slots_test.py
@@ -100,6 +100,13 @@
             if keeper.held
         }
 
+    def lost(self, name):
+        return [
+            output.reason
+            for output in self.outputs[name]
+            if isinstance(output, slots.SlotLost)
+        ]
+
     def fail(self, name):
         """Remove a member and let its lease expire."""
         self.keepers.pop(name)
@@ -166,15 +173,52 @@
     """Guards against a created slot that nobody uses."""
     cluster = Cluster(['n1'])
     cluster.publish()
-    cluster.now_ms = 100
-    cluster.step(lose=True, publish=publish)
-    assert len(cluster.entries) == 1
-    cluster.run(5000)
+    for now_ms in range(0, 5000, 100):
+        cluster.now_ms = now_ms
+        cluster.step(lose=not cluster.calls, publish=publish)
     held = cluster.keepers['n1'].held[builders.group().name]
     assert held.epoch == 2
     assert cluster.calls == 2
 
 
+def test_directory_before_the_reply():
+    """Guards against releasing a held slot after a needless check."""
+    cluster = Cluster(['n1'])
+    cluster.publish()
+    keeper = cluster.keepers['n1']
+    call = keeper.tick(100)[0]
+    reply = cluster.serve(call.request)
+    cluster.publish()
+    keeper.on_reply(messages.StoreReply(call.number, reply), 100)
+    cluster.run(5000)
+    assert keeper.held[builders.group().name].epoch == reply.revision
+    assert not cluster.lost('n1')
+
+
+def test_lease_lost_while_creating():
+    """Guards against holding a slot that is bound to a former lease."""
+    cluster = Cluster(['n1'])
+    cluster.publish()
+    keeper = cluster.keepers['n1']
+    call = keeper.tick(100)[0]
+    reply = cluster.serve(call.request)
+    keeper.on_lease(9, 100)
+    assert not keeper.on_reply(messages.StoreReply(call.number, reply), 100)
+    assert not keeper.held
+
+
+def test_zones_without_holder_come_first():
+    """Guards against owners that fail together with one zone."""
+    members = [builders.member(f'n{number}') for number in range(12)]
+    zones = {found.name: found.zone for found in members}
+    for group in ('a', 'b', 'c', 'd'):
+        first = slot_ranking.candidates(group, [], members)
+        assert len({zones[name] for name in first[:3]}) == 3
+        order = slot_ranking.candidates(group, first[:2], members)
+        assert zones[order[0]] not in {zones[name] for name in first[:2]}
+        assert sorted([*order, *first[:2]]) == sorted(first)
+
+
 def test_lost_lease(cluster):
     """Guards against connections under the epoch of an expired lease."""
     name = cluster.holders()[0]
