Limit the ranking work of the slot keeper

After a zone failure hundreds of groups miss a slot, and ranking 2,000 members for all of them at every directory change would take seconds of processor time. Turns are kept while their inputs stand, and new ones are computed in small portions.

--- a/jacinthhaven/decide/slot_ranking.py
+++ b/jacinthhaven/decide/slot_ranking.py
@@ -66,6 +66,11 @@
     return msgspec.json.encode(record).decode()
 
 
+def place_of(slot: topology.Slot) -> Place:
+    """Return the place of a held slot."""
+    return Place(slot.group, slot.number)
+
+
 def slot_of(entry: store.KeyValue) -> topology.Slot | None:
     """Return the slot that a store key holds.
 
--- a/jacinthhaven/decide/slots.py
+++ b/jacinthhaven/decide/slots.py
@@ -17,6 +17,12 @@
 # that a member sees the key of a better ranked one before its own turn.
 STAGGER_MS = 1500
 
+# Ranking 2,000 members for one group takes some milliseconds, and hundreds
+# of groups miss a slot after a zone failure. Each node therefore computes
+# at most this many weights in each interval.
+PLAN_WEIGHTS = 2000
+PLAN_INTERVAL_MS = 100
+
 
 @dataclasses.dataclass(slots=True)
 class SlotAcquired:
@@ -38,6 +44,10 @@
     reason: str
 
 
+# Absent slots and holders of one group.
+_Inputs = tuple[list[slot_ranking.Place], list[str]]
+
+
 class SlotKeeper:
     """Keeper of this member's connection slots.
 
@@ -50,6 +60,8 @@
       members: Live members of the newest directory.
       held: Slots that this member holds, by group.
       turns: When absent slots may be created, by group.
+      unplanned: Groups with absent slots and without a computed turn, with
+        their absent slots and holders.
       absent_ms: When each absent slot was first seen absent.
       settled: Epochs of own keys that are not to be checked again.
       calls: Store calls in flight and due.
@@ -77,11 +89,14 @@
         self.members: tuple[topology.Member, ...] = ()
         self.held: dict[str, topology.Slot] = {}
         self.turns: dict[str, slot_ranking.Turn] = {}
+        self.unplanned: dict[str, _Inputs] = {}
         self.absent_ms: dict[slot_ranking.Place, int] = {}
         self.settled: set[int] = set()
         self.calls = slot_calls.SlotCalls(numbers)
         self.draining = False
         self._stagger_ms = stagger_ms
+        self._planned: dict[str, _Inputs] = {}
+        self._plan_ms = 0
 
     def on_groups(
         self,
@@ -142,11 +157,11 @@
         if revision < self.revision:
             return []
         self.revision = revision
-        self.members = tuple(members)
-        self.slots = {
-            slot_ranking.Place(slot.group, slot.number): slot
-            for slot in directory
-        }
+        live = tuple(members)
+        if live != self.members:
+            self.members = live
+            self._planned.clear()
+        self.slots = {slot_ranking.place_of(slot): slot for slot in directory}
         lost = [held for held in self.held.values() if self._gone(held)]
         for slot in lost:
             self.held.pop(slot.group)
@@ -185,6 +200,11 @@
     def tick(self, now_ms: int) -> list[messages.StoreCall]:
         """Return the store calls that are due, at most one for each group."""
         out = self.calls.due(now_ms)
+        if self.unplanned and now_ms >= self._plan_ms:
+            self._plan_ms = now_ms + PLAN_INTERVAL_MS
+            self._plan_turns()
+        if not self.turns:
+            return out
         busy = self.calls.busy() | self.held.keys()
         document = slot_ranking.document(self.member)
         for group, turn in self.turns.items():
@@ -209,55 +229,74 @@
 
     def _gone(self, slot: topology.Slot) -> bool:
         """Return whether the directory proves that a held key is gone."""
-        shown = self.slots.get(slot_ranking.Place(slot.group, slot.number))
+        shown = self.slots.get(slot_ranking.place_of(slot))
         if shown is None:
             return self.revision >= slot.epoch
         return shown.epoch > slot.epoch
 
     def _plan(self, now_ms: int) -> None:
-        """Compute which keys to check and which slots to create, and when."""
+        """Find the keys to check and the groups with absent slots."""
+        self._queue_checks(now_ms)
+        absent = {
+            name: self._absent(group) for name, group in self.groups.items()
+        }
+        self.absent_ms = {
+            place: self.absent_ms.get(place, now_ms)
+            for place in itertools.chain.from_iterable(absent.values())
+        }
+        holders = collections.defaultdict(list)
+        for slot in sorted(self.slots.values(), key=slot_ranking.place_of):
+            holders[slot.group].append(slot.holder)
+        inputs = {
+            name: (places, holders[name])
+            for name, places in absent.items()
+            if places and self.lease and not self.draining
+        }
+        kept = [
+            name
+            for name, planned in self._planned.items()
+            if inputs.get(name) == planned
+        ]
+        self._planned = {name: inputs.pop(name) for name in kept}
+        self.turns = {
+            name: self.turns[name] for name in kept if name in self.turns
+        }
+        self.unplanned = inputs
+
+    def _queue_checks(self, now_ms: int) -> None:
+        """Check keys of this member that it does not know about."""
         epochs = {slot.epoch for slot in self.slots.values()}
         self.settled = {
             epoch
             for epoch in self.settled
             if epoch in epochs or epoch > self.revision
         }
-        holders = collections.defaultdict(list)
         for place, slot in self.slots.items():
-            holders[place.group].append(slot.holder)
             mine = slot.holder == self.member.name
             if mine and slot.epoch not in self.settled:
                 self.calls.checks.setdefault(place, now_ms)
-        absent = {
-            name: self._absent(group) for name, group in self.groups.items()
-        }
-        self.absent_ms = {
-            missing: self.absent_ms.get(missing, now_ms)
-            for missing in itertools.chain.from_iterable(absent.values())
-        }
-        self.turns = {}
-        if self.draining or not self.lease:
-            return
-        for name, places in absent.items():
-            if places:
-                self._plan_group(name, places, holders[name])
-
-    def _plan_group(
-        self,
-        group: str,
-        absent: list[slot_ranking.Place],
-        holders: list[str],
-    ) -> None:
-        turn = slot_ranking.turn(
-            absent,
-            slot_ranking.candidates(group, holders, self.members),
-            self.member.name,
-            self._stagger_ms,
-        )
-        if turn is not None:
-            gap_ms = slot_ranking.spread_ms(turn.place, len(self.absent_ms))
-            delay_ms = turn.delay_ms + gap_ms
-            self.turns[group] = dataclasses.replace(turn, delay_ms=delay_ms)
+
+    def _plan_turns(self) -> None:
+        """Compute this member's turns in some of the unplanned groups."""
+        limit = max(1, PLAN_WEIGHTS // max(1, len(self.members)))
+        for group in list(self.unplanned)[:limit]:
+            absent, holders = self.unplanned.pop(group)
+            self._planned[group] = (absent, holders)
+            turn = slot_ranking.turn(
+                absent,
+                slot_ranking.candidates(group, holders, self.members),
+                self.member.name,
+                self._stagger_ms,
+            )
+            if turn is not None:
+                gap_ms = slot_ranking.spread_ms(
+                    turn.place,
+                    len(self.absent_ms),
+                )
+                self.turns[group] = dataclasses.replace(
+                    turn,
+                    delay_ms=turn.delay_ms + gap_ms,
+                )
 
     def _absent(self, group: topology.Group) -> list[slot_ranking.Place]:
         places = [
@@ -321,7 +360,6 @@
             self.held.pop(slot.group)
         # A slot key is written once, so its epoch is its revision.
         self.calls.releases |= {
-            slot_ranking.Place(known.group, known.number): known.epoch
-            for known in slots
+            slot_ranking.place_of(known): known.epoch for known in slots
         }
         return [SlotLost(known, reason) for known in slots]
