Add directory, leaving flags, liveness and gossip

Revisions, membership, slots and leaving flags travel between members as deltas after a known revision. Ages are counted from the question, so that they are never underestimated, and liveness also spreads indirectly since a node hears from few of 2,000 members itself.

--- a/jacinthhaven/adapters/peer_fields.py
+++ b/jacinthhaven/adapters/peer_fields.py
@@ -40,6 +40,8 @@
             ('acked_hash', 'ackedHash'),
             ('acked_revision', 'ackedRevision'),
             *_same('acked', 'ages'),
+            ('wants_ages', 'wantsAges'),
+            ('live_hash', 'liveHash'),
         ),
     },
 )
--- a/jacinthhaven/adapters/peer_schema.capnp
+++ b/jacinthhaven/adapters/peer_schema.capnp
@@ -74,6 +74,8 @@
   acked @11 :Data;
   ages @12 :Data;
   entries @13 :List(Entry);
+  liveHash @14 :UInt32;
+  wantsAges @15 :Bool;
 }
 
 struct Entry {
--- /dev/null
+++ b/jacinthhaven/decide/directory_test.py
@@ -0,0 +1,170 @@
+"""Tests of the directory's merging and of the leaving flags."""
+
+import itertools
+import random
+
+import pytest
+
+from jacinthhaven.decide import directory, gossip_builders, leaving
+from jacinthhaven.records import gossip, store
+
+
+def _live(known):
+    return {
+        key: entry.revision
+        for key, entry in known.entries.items()
+        if not entry.deleted
+    }
+
+
+class Store:
+    """Model of the store with a few keys that come and go."""
+
+    def __init__(self, rng):
+        """Start empty."""
+        self.rng = rng
+        self.revision = 1
+        self.keys = {}
+
+    def change(self):
+        """Write or delete a random key."""
+        number = self.rng.randrange(6)
+        name = f'slots/g/{number}'
+        self.revision += 1
+        if self.keys.pop(name, None) is None or self.rng.randrange(2):
+            self.keys[name] = gossip_builders.key_value(
+                name,
+                'n',
+                self.revision,
+            )
+
+    def read(self):
+        """Build the reply to a read of everything."""
+        return store.ReadReply(self.revision, tuple(self.keys.values()))
+
+
+def _mix(rng, source, nodes, now_ms):
+    node, other = rng.sample(nodes, 2)
+    node.expire(now_ms)
+    if not rng.randrange(3):
+        node.apply_read(source.read(), now_ms)
+        return
+    base = rng.choice([node.complete, 0, source.revision - 1])
+    exchange = other.delta(base)
+    node.merge(exchange, now_ms)
+    once = dict(node.entries)
+    node.merge(exchange, now_ms)
+    assert node.entries == once
+
+
+@pytest.mark.parametrize('seed', range(60))
+def test_random_merges_converge(seed):
+    """Guards against lost, revived or reverted keys in any merge order."""
+    rng = random.Random(seed)
+    source = Store(rng)
+    nodes = [directory.Directory() for _ in range(4)]
+    for step in range(100):
+        source.change()
+        before = [_live(node) for node in nodes]
+        _mix(rng, source, nodes, step * 30_000)
+        for node, old in zip(nodes, before):
+            for key in old.keys() & node.entries.keys():
+                assert node.entries[key].revision >= old[key]
+    _assert_repaired(source, nodes, 3_000_000)
+
+
+def _assert_repaired(source, nodes, now_ms):
+    nodes[0].apply_read(source.read(), now_ms)
+    truth = {name: found.mod_revision for name, found in source.keys.items()}
+    assert _live(nodes[0]) == truth
+    for node in nodes[1:]:
+        node.merge(nodes[0].delta(node.complete), now_ms)
+        # A key that came and went between two reads is found by its hash.
+        assert (_live(node) == truth) == (node.live_hash == nodes[0].live_hash)
+        nodes[0].merge(node.delta(0), now_ms)
+        node.merge(nodes[0].delta(0), now_ms)
+        assert _live(node) == _live(nodes[0]) == truth
+
+
+def test_merge_order_does_not_matter():
+    """Guards against a result that depends on the order of arrival."""
+    steps = [
+        gossip.Exchange(
+            complete=revision,
+            entries=(gossip.Entry('config', str(revision), revision),),
+        )
+        for revision in (3, 5)
+    ]
+    steps.append(
+        gossip.Exchange(
+            complete=4,
+            entries=(gossip.Entry('config', '', 4, deleted=True),),
+        ),
+    )
+    for order in itertools.permutations(steps):
+        known = directory.Directory()
+        for step in order:
+            known.merge(step, 0)
+        assert known.entries['config'].value == '5'
+        assert known.complete == 0
+
+
+def test_partial_entries_do_not_complete():
+    """Guards against a revision that claims changes which are missing."""
+    known = directory.Directory()
+    known.apply_read(store.ReadReply(10, ()), 0)
+    late = gossip.Entry('slots/g/1', 'n2', 14, 14)
+    known.merge(gossip.Exchange(complete=14, base=12, entries=(late,)), 0)
+    assert known.complete == 10
+    assert known.slots['g', 1].holder == 'n2'
+    known.merge(gossip.Exchange(complete=14, base=10, entries=(late,)), 0)
+    assert known.complete == 14
+
+
+def test_ambiguous_events_are_refused():
+    """Guards against guessing whether a key was deleted before or after."""
+    known = directory.Directory()
+    known.apply_read(store.ReadReply(10, ()), 0)
+    key = gossip_builders.key_value('config', 'a', 11)
+    assert not known.apply_events(store.WatchEvents(12, (key,), ('config',)), 0)
+    assert known.apply_events(store.WatchEvents(13, (key,), ('preset',)), 0)
+    assert known.complete == 13
+
+
+def test_proof_waits_for_the_changes():
+    """Guards against a proof of freshness for changes not yet known."""
+    known = directory.Directory()
+    known.apply_read(store.ReadReply(10, ()), 0)
+    known.prove(11, 500)
+    assert known.proof_age_ms(600) == gossip.NO_PROOF
+    known.apply_events(store.WatchEvents(11, (), ()), 0)
+    assert known.proof_age_ms(600) == 100
+    known.prove(10, 300)
+    assert known.proof_age_ms(600) == 100
+
+
+def test_invalid_member_is_ignored():
+    """Guards against a crash on a document that is not a member."""
+    known = directory.Directory()
+    wrong = gossip_builders.key_value('members/n1', '{"name": 1}')
+    other = gossip_builders.key_value('members/n2', wrong.value)
+    known.apply_read(store.ReadReply(10, (wrong, other)), 0)
+    assert not known.members
+
+
+def test_leaving_flag_ends_with_a_new_start():
+    """Guards against a flag that outlives the restart, or is lost."""
+    first, second = leaving.LeavingFlags(), leaving.LeavingFlags()
+    first.raise_flag('i1', '', 0)
+    second.merge(first.entries.values(), 0)
+    assert second.is_leaving('i1', 'b1')
+    second.report_start('i1', 'b1', 0)
+    assert second.is_leaving('i1', 'b1')
+    second.report_start('i1', 'b2', 0)
+    # The late flag of the old start does not concern the new one.
+    first.raise_flag('i1', 'b1', 0)
+    first.merge(second.entries.values(), 0)
+    second.merge(first.entries.values(), 0)
+    assert not second.is_leaving('i1', 'b2')
+    assert first.entries == second.entries
+    assert first.digest == second.digest
--- /dev/null
+++ b/jacinthhaven/decide/liveness.py
@@ -0,0 +1,163 @@
+"""Which members are live and which have confirmed the policy in force.
+
+A node hears directly from few members. It therefore also adopts what
+others report: ages of their evidence, and bitmaps of confirmations. Both
+refer to the sorted member names, and are exchanged only between members
+with the same list.
+"""
+
+import zlib
+
+from jacinthhaven.decide import directory as directories
+from jacinthhaven.records import gossip
+
+_UNKNOWN_AGE = 255
+
+
+class Liveness:
+    """Evidence about members on this node's own clock.
+
+    Attributes:
+      heard: When each member must have been in direct contact at the
+        latest, by name.
+      evidence: The same including contact through other members, which
+        also would have passed on a newer revision.
+      acked_revision: Newest policy revision that any member has confirmed.
+      acked: Names of the members known to have confirmed it.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        directory: directories.Directory,
+        freshness_ms: int = 5000,
+    ) -> None:
+        """Start without evidence.
+
+        Args:
+          me: Name of this member.
+          directory: Source of the member names.
+          freshness_ms: Age from which evidence is worthless.
+        """
+        self.me = me
+        self.directory = directory
+        self.freshness_ms = freshness_ms
+        self.heard: dict[str, int] = {}
+        self.evidence: dict[str, int] = {}
+        self.acked_revision = 0
+        self.acked: set[str] = set()
+        self.bitmap = b''
+        self.bitmap_state = (0, 0, 0)
+
+    def hear(self, member: str, at_ms: int) -> None:
+        """Note that a member answered a message sent at `at_ms`."""
+        self.heard[member] = max(at_ms, self.heard.get(member, at_ms))
+        self.evidence[member] = max(at_ms, self.evidence.get(member, at_ms))
+
+    def live(self, now_ms: int) -> int:
+        """Return how many members were in contact within `freshness_ms`.
+
+        This member counts if it is in the directory.
+        """
+        return self._count(now_ms, self.freshness_ms)
+
+    def has_majority(self, now_ms: int) -> bool:
+        """Return whether the live members are a majority of all members."""
+        return self.live(now_ms) * 2 > len(self.directory.names)
+
+    def is_settled(self, now_ms: int) -> bool:
+        """Return whether a majority stays in contact for some time.
+
+        That is, whether two thirds of the evidence is younger than three
+        fifths of `freshness_ms`. At 2,000 members the ages take 1 KB, so
+        they are only asked for until then.
+        """
+        return self._count(now_ms, self.freshness_ms * 3 // 5) * 3 > (
+            len(self.directory.names) * 2
+        )
+
+    def ages(self, now_ms: int) -> bytes:
+        """Return the age of the evidence of each sorted member."""
+        self.evidence[self.me] = now_ms
+        limit_ms = now_ms - self.freshness_ms
+        found = self.evidence
+        return bytes(
+            [
+                (found[name] - now_ms) // gossip.AGE_UNIT_MS * -1
+                if found.get(name, limit_ms) > limit_ms
+                else _UNKNOWN_AGE
+                for name in self.directory.names
+            ],
+        )
+
+    def merge_ages(self, ages: bytes, at_ms: int) -> None:
+        """Adopt younger evidence of a member that answered.
+
+        Args:
+          ages: Ages in the order of the sorted member names.
+          at_ms: When the message that was answered had been sent.
+        """
+        evidence = self.evidence
+        for name, age in zip(self.directory.names, ages):
+            if age != _UNKNOWN_AGE:
+                seen_ms = at_ms - age * gossip.AGE_UNIT_MS
+                if seen_ms > evidence.get(name, seen_ms - 1):
+                    evidence[name] = seen_ms
+
+    def confirm(self, member: str, revision: int) -> None:
+        """Note that a member has this policy revision in force."""
+        if revision > self.acked_revision:
+            self.acked_revision = revision
+            self.acked = set()
+        if revision == self.acked_revision:
+            self.acked.add(member)
+
+    def unconfirmed(self, revision: int) -> list[str]:
+        """Return the members not known to have confirmed a revision."""
+        if self.acked_revision < revision:
+            return list(self.directory.names)
+        return [name for name in self.directory.names if name not in self.acked]
+
+    def acked_bitmap(self) -> bytes:
+        """Return one bit for each sorted member that has confirmed."""
+        state = (
+            self.acked_revision,
+            len(self.acked),
+            self.directory.members_hash,
+        )
+        if state != self.bitmap_state:
+            bits = 0
+            for index, name in enumerate(self.directory.names):
+                if name in self.acked:
+                    bits |= 1 << index
+            size = len(self.directory.names) // 8 + 1
+            self.bitmap = bits.to_bytes(size, 'little')
+            self.bitmap_state = state
+        return self.bitmap
+
+    def acked_hash(self) -> int:
+        """Return the hash of the revision and the bitmap."""
+        return zlib.crc32(
+            self.acked_bitmap() + str(self.acked_revision).encode()
+        )
+
+    def merge_acked(self, revision: int, bitmap: bytes) -> None:
+        """Adopt the confirmations that another member knows."""
+        if revision < self.acked_revision:
+            return
+        fresh = int.from_bytes(bitmap, 'little')
+        if revision == self.acked_revision:
+            fresh &= ~int.from_bytes(self.acked_bitmap(), 'little')
+        names = self.directory.names
+        while fresh:
+            index = fresh.bit_length() - 1
+            fresh ^= 1 << index
+            if index < len(names):
+                self.confirm(names[index], revision)
+
+    def _count(self, now_ms: int, age_ms: int) -> int:
+        evidence = self.evidence
+        evidence[self.me] = now_ms
+        never_ms = now_ms - age_ms - 1
+        seen = [evidence.get(name, never_ms) for name in self.directory.names]
+        return sum(seen_ms > never_ms for seen_ms in seen)
--- a/jacinthhaven/records/gossip.py
+++ b/jacinthhaven/records/gossip.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+# Ages are rounded up on every hop, so coarse units make them expire early.
+AGE_UNIT_MS = 250
 NO_PROOF = -1
 NO_BASE = -1
 
@@ -51,7 +53,11 @@
       acked: Bitmap over the sorted member names: which members have
         confirmed at least `acked_revision`; empty if not included.
       ages: Time since each sorted member was heard, one byte per member in
-        units of `AGE_UNIT_MS`, rounded up; empty if not included.
+        units of `AGE_UNIT_MS`, rounded up, 255 for longer times; empty if
+        not included.
+      wants_ages: Whether the sender needs `ages` in the answer.
+      live_hash: Hash of all keys that exist; equal between members with
+        the same `complete`.
       entries: Changed keys.
     """
 
@@ -68,4 +74,6 @@
     acked_revision: int = 0
     acked: bytes = b''
     ages: bytes = b''
+    wants_ages: bool = False
+    live_hash: int = 0
     entries: tuple[Entry, ...] = ()
