--- a/jacinthhaven/adapters/peer_codec_test.py
+++ b/jacinthhaven/adapters/peer_codec_test.py
@@ -25,7 +25,7 @@
     peers.InstanceSilence('g', {'i1': 0, 'i2': 70_000}),
     gossip.Exchange(),
     gossip.Exchange(
-        1, 2, 3, 4, 5, True, 6, 7, 8, 9, 10, b'\1', b'\2', True, 11, (_ENTRY,)
+        1, 2, 3, 4, 5, True, 6, 7, 8, 9, 10, b'\1', b'\2', 12, 11, (_ENTRY,)
     ),
     gossip.Exchange(entries=(_ENTRY,) * 500),
 )
--- a/jacinthhaven/adapters/peer_fields.py
+++ b/jacinthhaven/adapters/peer_fields.py
@@ -40,7 +40,7 @@
             ('acked_hash', 'ackedHash'),
             ('acked_revision', 'ackedRevision'),
             *_same('acked', 'ages'),
-            ('wants_ages', 'wantsAges'),
+            ('wants_ages_ms', 'wantsAgesMs'),
             ('live_hash', 'liveHash'),
         ),
     },
--- a/jacinthhaven/adapters/peer_schema.capnp
+++ b/jacinthhaven/adapters/peer_schema.capnp
@@ -75,7 +75,7 @@
   ages @12 :Data;
   entries @13 :List(Entry);
   liveHash @14 :UInt32;
-  wantsAges @15 :Bool;
+  wantsAgesMs @15 :UInt16;
 }
 
 struct Entry {
--- a/jacinthhaven/adapters/peers.py
+++ b/jacinthhaven/adapters/peers.py
@@ -18,12 +18,10 @@
     tls,
 )
 from jacinthhaven.decide import messages
-from jacinthhaven.kernel import failures
+from jacinthhaven.kernel import backoff, failures
 from jacinthhaven.ports import peers
 from jacinthhaven.records import handshake, topology
 
-_BACKOFF_MIN_MS = 100
-_BACKOFF_MAX_MS = 5000
 # Covers connecting, TLS and the handshake between distant regions.
 _HANDSHAKE_TIMEOUT_MS = 2000
 # Connections of random gossip partners must not accumulate.
@@ -38,24 +36,6 @@
 REPLACED = failures.Kind('peer_replaced', failures.Outcome.NOT_RUN, 0)
 
 
-class Backoff:
-    """Bounded exponential delay with jitter before the next attempt."""
-
-    __slots__ = ('rng', 'limit_ms', 'retry_ms')
-
-    def __init__(self, rng: random.Random) -> None:
-        """Allow the first attempt at once."""
-        self.rng = rng
-        self.limit_ms = _BACKOFF_MIN_MS
-        self.retry_ms = 0
-
-    def fail(self, now_ms: int) -> None:
-        """Delay the next attempt after a failed one."""
-        delay_ms = self.rng.randint(self.limit_ms // 2, self.limit_ms)
-        self.retry_ms = now_ms + delay_ms
-        self.limit_ms = min(self.limit_ms * 2, _BACKOFF_MAX_MS)
-
-
 class Peers(peers.PeerTransport):
     """Peer transport over TCP, optionally with TLS."""
 
@@ -84,7 +64,7 @@
         self.deliver: peers.Deliver = _ignore
         self.on_failure: peers.OnFailure = _ignore
         self.addresses: dict[str, tuple[str, int]] = {}
-        self.backoffs: dict[str, Backoff] = {}
+        self.backoffs: dict[str, backoff.Backoff] = {}
         # Link that carries the payloads for a member, open or connecting.
         self.current: dict[str, peer_link.Link] = {}
         self.links: set[peer_link.Link] = set()
@@ -145,11 +125,11 @@
 
     def _connect(self, member: str) -> peer_link.Link | None:
         address = self.addresses.get(member)
-        backoff = self.backoffs.get(member)
+        delay = self.backoffs.get(member)
         now_ms = self.poller.clock.now_ms()
         if address is None or self.stopped:
             return None
-        if backoff is not None and now_ms < backoff.retry_ms:
+        if delay is not None and now_ms < delay.retry_ms:
             return None
         stream = streams.connect(
             self.poller,
@@ -212,8 +192,11 @@
         if not link.opened:
             if not link.member:
                 return
-            backoff = self.backoffs.setdefault(link.member, Backoff(self.rng))
-            backoff.fail(self.poller.clock.now_ms())
+            delay = self.backoffs.setdefault(
+                link.member,
+                backoff.Backoff(self.rng),
+            )
+            delay.fail(self.poller.clock.now_ms())
         self._replace(link)
         self._deliver_lost(link.member)
 
--- a/jacinthhaven/decide/gossip.py
+++ b/jacinthhaven/decide/gossip.py
@@ -21,6 +21,10 @@
 _INLINE_BYTES = 1000
 # A closing message is worth its bytes if the proof is younger by this.
 _PROOF_GAIN_MS = 250
+# Time in which evidence about 2,000 members is collected on request, and
+# the part of it that every hop of the request takes.
+_GATHER_MS = 6000
+_GATHER_STEP_MS = 300
 # Answers that arrive later prove nothing that is still of use.
 _ASKED_LIMIT = 64
 # Exchanges at the same revision but with other keys until a full list is
@@ -73,6 +77,8 @@
         self.phase_ms = rng.randrange(self.settings.gossip_ms)
         self.round_ms: int | None = None
         self.push_ms = 0
+        self.gather_ms = 0
+        self.joining = False
         self.mismatches = 0
         self.policy_revision = 0
 
@@ -91,7 +97,7 @@
         if not isinstance(message.payload, gossip.Exchange):
             return []
         sent = self._on_exchange(message.member, message.payload, now_ms)
-        return sent + self.push(now_ms)
+        return sent + self._push(now_ms)
 
     def tick(self, now_ms: int) -> list[typing.Any]:
         """Start a round when it is due and push what is new.
@@ -105,20 +111,38 @@
         if now_ms >= self.round_ms:
             self.round_ms = now_ms + self._interval_ms(now_ms)
             self.directory.expire(now_ms)
-            self._refresh(now_ms)
+            self.partners.refresh(self.directory, now_ms)
             sent = self._ask(now_ms)
-        return sent + self.push(now_ms)
+        return sent + self._push(now_ms)
 
-    def push(self, now_ms: int) -> list[typing.Any]:
-        """Send new entries to some partners, unless that was just done."""
+    def probe(self, member: str, now_ms: int) -> list[typing.Any]:
+        """Ask a certain member, for example about its confirmation."""
+        return [self._send(member, gossip.Exchange(), now_ms)]
+
+    def gather(self, now_ms: int) -> None:
+        """Collect evidence about all members for a short time.
+
+        The partners join in, since nobody can ask all members itself.
+        """
+        self._gather_until(now_ms + _GATHER_MS, now_ms)
+
+    def confirm(self, revision: int) -> None:
+        """Announce the policy revision that is in force on this node."""
+        self.policy_revision = revision
+        self.live.confirm(self.live.me, revision)
+
+    def _push(self, now_ms: int) -> list[typing.Any]:
         base = self.directory.news_base
         flags = self.directory.flags
-        if now_ms < self.push_ms or (base is None and not flags.changed):
+        if base is None and not (flags.changed or self.joining):
+            return []
+        if now_ms < self.push_ms:
             return []
         self.push_ms = now_ms + _PUSH_INTERVAL_MS
         self.directory.news_base = None
         flags.changed = False
-        self._refresh(now_ms)
+        self.joining = False
+        self.partners.refresh(self.directory, now_ms)
         question = gossip.Exchange()
         if base:
             question = self.directory.delta(base)
@@ -132,19 +156,6 @@
             for partner in self.partners.sample(self.settings.fanout)
         ]
 
-    def probe(self, member: str, now_ms: int) -> list[typing.Any]:
-        """Ask a certain member, for example about its confirmation."""
-        return [self._send(member, gossip.Exchange(), now_ms)]
-
-    def confirm(self, revision: int) -> None:
-        """Announce the policy revision that is in force on this node."""
-        self.policy_revision = revision
-        self.live.confirm(self.live.me, revision)
-
-    def _refresh(self, now_ms: int) -> None:
-        known = self.directory
-        self.partners.refresh(known.members, known.members_hash, now_ms)
-
     def _ask(self, now_ms: int) -> list[typing.Any]:
         partner = self.partners.following()
         if partner is None:
@@ -164,10 +175,12 @@
         now_ms: int,
     ) -> list[typing.Any]:
         asked = self.asked.pop(exchange.echo, None)
+        # Without the deduction two members would keep each other asking.
+        gather_ms = now_ms + exchange.wants_ages_ms - _GATHER_STEP_MS
+        self._gather_until(gather_ms, now_ms)
         self.directory.merge(exchange, now_ms)
         self.live.confirm(member, exchange.policy_revision)
-        if exchange.acked and self._same_members(exchange):
-            self.live.merge_acked(exchange.acked_revision, exchange.acked)
+        self.live.merge_acked(exchange)
         if asked is not None and asked[0] == member:
             self._on_answer(member, exchange, asked[1])
         if not exchange.number:
@@ -183,8 +196,7 @@
         at_ms: int,
     ) -> None:
         self.live.hear(member, at_ms)
-        if exchange.ages and self._same_members(exchange):
-            self.live.merge_ages(exchange.ages, at_ms)
+        self.live.merge_ages(exchange, at_ms)
         if exchange.proof_age_ms != gossip.NO_PROOF:
             proof_ms = at_ms - exchange.proof_age_ms
             self.directory.prove(exchange.complete, proof_ms)
@@ -194,16 +206,13 @@
             else:
                 self.mismatches += 1
 
-    def _same_members(self, exchange: gossip.Exchange) -> bool:
-        return exchange.members_hash == self.directory.members_hash
-
     def _is_useful(self, exchange: gossip.Exchange, now_ms: int) -> bool:
         known = self.directory
-        if known.complete > exchange.complete or exchange.wants_ages:
+        if known.complete > exchange.complete or exchange.wants_ages_ms:
             return True
         if known.flags.digest != exchange.flags_hash:
             return True
-        if self._same_members(exchange):
+        if known.members_hash == exchange.members_hash:
             if self.live.acked_hash() != exchange.acked_hash:
                 return True
         age_ms = known.proof_age_ms(now_ms)
@@ -225,22 +234,36 @@
             answer.entries += tuple(known.flags.entries.values())
         if self.live.acked_hash() != exchange.acked_hash:
             answer.acked = self.live.acked_bitmap()
-        if exchange.wants_ages:
+        if exchange.wants_ages_ms:
             answer.ages = self.live.ages(now_ms)
         answer.echo = exchange.number
         return self._send(member, answer, now_ms, closing=exchange.echo > 0)
 
-    def _is_doubtful(self, now_ms: int) -> bool:
+    def _interval_ms(self, now_ms: int) -> int:
+        interval_ms = self.settings.gossip_ms
+        if not self._wants_ages_ms(now_ms):
+            return interval_ms
+        if self.live.has_majority(now_ms):
+            # Ages make the messages large. This rate keeps them young.
+            return interval_ms * 3 // 2
+        return interval_ms // 2
+
+    def _gather_until(self, until_ms: int, now_ms: int) -> None:
+        if until_ms > now_ms and self.gather_ms <= now_ms:
+            # Partners must join in at once to leave time for the evidence.
+            self.joining = True
+        self.gather_ms = max(self.gather_ms, until_ms)
+
+    def _wants_ages_ms(self, now_ms: int) -> int:
+        wanted_ms = max(0, self.gather_ms - now_ms)
         # Evidence takes some rounds to spread, so it starts to travel
         # before the proof has expired.
         age_ms = self.directory.proof_age_ms(now_ms)
-        return age_ms < 0 or age_ms * 2 > self.settings.freshness_ms
-
-    def _interval_ms(self, now_ms: int) -> int:
-        interval_ms = self.settings.gossip_ms
-        if self._is_doubtful(now_ms) and not self.live.has_majority(now_ms):
-            return interval_ms // 2
-        return interval_ms
+        if age_ms < 0 or age_ms * 2 > self.settings.freshness_ms:
+            wanted_ms = max(wanted_ms, _GATHER_STEP_MS)
+        if wanted_ms and self.live.is_settled(now_ms):
+            return 0
+        return wanted_ms
 
     def _send(
         self,
@@ -260,9 +283,7 @@
         exchange.flags_hash = known.flags.digest
         exchange.members_hash = known.members_hash
         exchange.live_hash = known.live_hash
-        exchange.wants_ages = self._is_doubtful(now_ms)
-        if exchange.wants_ages and self.live.is_settled(now_ms):
-            exchange.wants_ages = False
+        exchange.wants_ages_ms = self._wants_ages_ms(now_ms)
         exchange.policy_revision = self.policy_revision
         exchange.acked_hash = self.live.acked_hash()
         exchange.acked_revision = self.live.acked_revision
--- a/jacinthhaven/decide/liveness.py
+++ b/jacinthhaven/decide/liveness.py
@@ -90,15 +90,17 @@
             ],
         )
 
-    def merge_ages(self, ages: bytes, at_ms: int) -> None:
+    def merge_ages(self, exchange: gossip.Exchange, at_ms: int) -> None:
         """Adopt younger evidence of a member that answered.
 
         Args:
-          ages: Ages in the order of the sorted member names.
+          exchange: Received message.
           at_ms: When the message that was answered had been sent.
         """
+        if exchange.members_hash != self.directory.members_hash:
+            return
         evidence = self.evidence
-        for name, age in zip(self.directory.names, ages):
+        for name, age in zip(self.directory.names, exchange.ages):
             if age != _UNKNOWN_AGE:
                 seen_ms = at_ms - age * gossip.AGE_UNIT_MS
                 if seen_ms > evidence.get(name, seen_ms - 1):
@@ -141,11 +143,14 @@
             self.acked_bitmap() + str(self.acked_revision).encode()
         )
 
-    def merge_acked(self, revision: int, bitmap: bytes) -> None:
+    def merge_acked(self, exchange: gossip.Exchange) -> None:
         """Adopt the confirmations that another member knows."""
+        revision = exchange.acked_revision
         if revision < self.acked_revision:
             return
-        fresh = int.from_bytes(bitmap, 'little')
+        if exchange.members_hash != self.directory.members_hash:
+            return
+        fresh = int.from_bytes(exchange.acked, 'little')
         if revision == self.acked_revision:
             fresh &= ~int.from_bytes(self.acked_bitmap(), 'little')
         names = self.directory.names
--- a/jacinthhaven/decide/partners.py
+++ b/jacinthhaven/decide/partners.py
@@ -8,6 +8,7 @@
 import random
 import typing
 
+from jacinthhaven.decide import directory
 from jacinthhaven.records import topology
 
 _SAME_ZONE = 8
@@ -52,23 +53,13 @@
         self.replace_ms = 0
         self.rounds = 0
 
-    def refresh(
-        self,
-        members: dict[str, topology.Member],
-        members_hash: int,
-        now_ms: int,
-    ) -> None:
-        """Replace partners that are gone, and one from time to time.
-
-        Args:
-          members: Live members by name.
-          members_hash: Hash of their names.
-          now_ms: Current time.
-        """
+    def refresh(self, known: directory.Directory, now_ms: int) -> None:
+        """Replace partners that are gone, and one from time to time."""
         due = now_ms >= self.replace_ms
-        if members_hash == self.known_hash and not due:
+        if known.members_hash == self.known_hash and not due:
             return
-        self.known_hash = members_hash
+        self.known_hash = known.members_hash
+        members = known.members
         others = [name for name in members if name != self.me]
         kept = [name for name in self.chosen if name in members]
         if due:
--- a/jacinthhaven/records/gossip.py
+++ b/jacinthhaven/records/gossip.py
@@ -55,7 +55,8 @@
       ages: Time since each sorted member was heard, one byte per member in
         units of `AGE_UNIT_MS`, rounded up, 255 for longer times; empty if
         not included.
-      wants_ages: Whether the sender needs `ages` in the answer.
+      wants_ages_ms: How long the sender needs `ages` in answers; 0 if it
+        does not. A receiver wants them too for a shorter time.
       live_hash: Hash of all keys that exist; equal between members with
         the same `complete`.
       entries: Changed keys.
@@ -74,6 +75,6 @@
     acked_revision: int = 0
     acked: bytes = b''
     ages: bytes = b''
-    wants_ages: bool = False
+    wants_ages_ms: int = 0
     live_hash: int = 0
     entries: tuple[Entry, ...] = ()
