Add configuration, its freshness rule and operators' changes

A node adopts only complete pairs of documents with a higher revision. A change needs a majority in contact, is written on the revision that the operator saw and is in force once no node can decide under an older one.

--- /dev/null
+++ b/jacinthhaven/decide/configuration.py
@@ -0,0 +1,162 @@
+"""The policy in force on this node and whether the node may use it.
+
+Only higher revisions are adopted, so an accepted change is never reverted.
+A node that cannot know whether its policy is current refuses new work.
+"""
+
+import enum
+import typing
+
+from jacinthhaven.decide import directory as directories
+from jacinthhaven.decide import gossip, liveness, messages, policy_rules
+from jacinthhaven.records import operators, presets, topology
+
+
+class Freshness(enum.Enum):
+    """Whether the policy of this node may still be in force elsewhere."""
+
+    FRESH = 'fresh'
+    OUTAGE = 'outage'
+    ISOLATED = 'isolated'
+
+
+class Configuration:
+    """Policy of this node.
+
+    Attributes:
+      policy: Policy in force; None before the first one.
+      started: Whether this node has learned a revision that was current
+        when the node started or later.
+    """
+
+    def __init__(
+        self,
+        directory: directories.Directory,
+        live: liveness.Liveness,
+        spreader: gossip.Gossip,
+        seeds: tuple[topology.Member, ...] = (),
+    ) -> None:
+        """Start without a policy.
+
+        Args:
+          directory: Source of the documents.
+          live: Evidence about the other members.
+          spreader: Announces the revision that is in force here.
+          seeds: Members named in the settings.
+        """
+        self.directory = directory
+        self.live = live
+        self.gossip = spreader
+        self.seeds = seeds
+        self.policy: presets.Policy | None = None
+        self.started = False
+        self.state = Freshness.ISOLATED
+        # Revisions of the documents that were examined last.
+        self.seen = (0, 0)
+
+    def handle(
+        self,
+        _message: typing.Any,
+        now_ms: int,
+    ) -> list[typing.Any]:
+        """Adopt documents that the directory learned from any message.
+
+        Returns:
+          Messages of type `DecisionLine` and `Count`.
+        """
+        return self.tick(now_ms)
+
+    def tick(self, now_ms: int) -> list[typing.Any]:
+        """Adopt newer documents and note a change of the freshness.
+
+        Returns:
+          Messages of type `DecisionLine` and `Count`.
+        """
+        sent = self._adopt()
+        state = self.freshness(now_ms)
+        if state is not self.state:
+            self.state = state
+            line = {'state': state.value, 'revision': self.revision}
+            sent.append(messages.DecisionLine('freshness', line))
+            sent.append(messages.Count(f'freshness_{state.value}'))
+        return sent
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the policy in force, or 0."""
+        return self.policy.revision if self.policy else 0
+
+    def freshness(self, now_ms: int) -> Freshness:
+        """Return whether this node may use its policy for new work."""
+        if self.policy is None:
+            return Freshness.ISOLATED
+        age_ms = self.directory.proof_age_ms(now_ms)
+        if 0 <= age_ms <= self.live.freshness_ms:
+            self.started = True
+            return Freshness.FRESH
+        if not self.started and not self._heard_seeds():
+            return Freshness.ISOLATED
+        self.started = True
+        # If any of a majority had a fresher proof, this node would have
+        # it too, so the store is down for all of them.
+        if self.live.has_majority(now_ms):
+            return Freshness.OUTAGE
+        return Freshness.ISOLATED
+
+    def _heard_seeds(self) -> bool:
+        # This node does not count: it knows nothing that it could confirm.
+        heard = [seed for seed in self.seeds if seed.name in self.live.heard]
+        return len(heard) * 2 > len(self.seeds)
+
+    def _adopt(self) -> list[typing.Any]:
+        entries = self.directory.entries
+        config = entries.get(directories.CONFIG)
+        choice = entries.get(directories.PRESET)
+        if config is None or choice is None:
+            return []
+        seen = (config.revision, choice.revision)
+        # Two documents belong together only if no change is missing.
+        if seen == self.seen or max(seen) > self.directory.complete:
+            return []
+        self.seen = seen
+        found = build_policy(config.value, choice.value, max(seen))
+        if isinstance(found, operators.Problem):
+            line = {
+                'revision': max(seen),
+                'place': found.place,
+                'reason': found.reason,
+            }
+            return [
+                messages.DecisionLine('policy_invalid', line),
+                messages.Count('policy_invalid'),
+            ]
+        if found.revision <= self.revision:
+            return []
+        self.policy = found
+        self.gossip.confirm(found.revision)
+        line = {'revision': found.revision, 'preset': found.name}
+        return [messages.DecisionLine('policy', line)]
+
+
+def build_policy(
+    config: str,
+    choice: str,
+    revision: int,
+) -> presets.Policy | operators.Problem:
+    """Return the policy of two stored documents, or why there is none.
+
+    Args:
+      config: Document of type `presets.Configuration`; empty if deleted.
+      choice: Document of type `presets.PresetChoice`; empty if deleted.
+      revision: Revision of the newer document.
+    """
+    configuration = policy_rules.decode(config, presets.Configuration)
+    if isinstance(configuration, operators.Problem):
+        return configuration
+    chosen = policy_rules.decode(choice, presets.PresetChoice)
+    if isinstance(chosen, operators.Problem):
+        return chosen
+    preset = configuration.presets.get(chosen.name)
+    if preset is None:
+        return operators.Problem('name', f'unknown preset {chosen.name}')
+    return presets.Policy(revision=revision, name=chosen.name, preset=preset)
--- /dev/null
+++ b/jacinthhaven/decide/operator_changes.py
@@ -0,0 +1,180 @@
+"""Requests of operators and the progress of each change."""
+
+import dataclasses
+import typing
+
+import msgspec
+
+from jacinthhaven.decide import directory as directories
+from jacinthhaven.decide import policy_rules, store_calls
+from jacinthhaven.kernel import backoff, failures
+from jacinthhaven.records import operators, presets, store
+
+
+@dataclasses.dataclass(slots=True)
+class ChangeRequest:
+    """Operator endpoint to decision code: change a document.
+
+    Attributes:
+      number: Number of the request.
+      body: Parsed request; its change id is not empty.
+    """
+
+    number: int
+    body: operators.PresetSwitch | operators.ConfigApply
+
+
+@dataclasses.dataclass(slots=True)
+class ChangeAnswer:
+    """Decision code to operator endpoint: final answer to a request."""
+
+    number: int
+    result: operators.ChangeResult
+    failure: failures.Failure | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Documents:
+    """The two documents as the store holds them.
+
+    Attributes:
+      revisions: Revision of each key; 0 if it does not exist.
+      texts: Text of each key; empty if it does not exist.
+    """
+
+    revisions: dict[str, int] = dataclasses.field(default_factory=dict)
+    texts: dict[str, str] = dataclasses.field(default_factory=dict)
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the newer document."""
+        return max(self.revisions.values(), default=0)
+
+
+class Change:
+    """Progress of one change.
+
+    Attributes:
+      key: Store key that the change writes.
+      found: Documents read so far; both are needed before the write.
+      sent: Whether a write was sent.
+      lost: Whether the answer to a write was lost.
+      accepted_ms: When the write was known to have taken effect.
+      revision: Revision that the write created.
+      probed: When each silent member was asked after the last proof must
+        have expired.
+    """
+
+    __slots__ = (
+        'request',
+        'key',
+        'started_ms',
+        'pending',
+        'backoff',
+        'found',
+        'sent',
+        'lost',
+        'accepted_ms',
+        'revision',
+        'probe_ms',
+        'probed',
+    )
+
+    def __init__(
+        self,
+        request: ChangeRequest,
+        numbers: typing.Iterator[int],
+        delay: backoff.Backoff,
+        now_ms: int,
+    ) -> None:
+        """Start a change.
+
+        Args:
+          request: Request of the operator.
+          numbers: Source of call numbers, shared within the process.
+          delay: Delay between calls after failures.
+          now_ms: Current time.
+        """
+        self.request = request
+        self.key = directories.CONFIG
+        if isinstance(request.body, operators.PresetSwitch):
+            self.key = directories.PRESET
+        self.started_ms = now_ms
+        self.pending = store_calls.PendingCall(numbers)
+        self.backoff = delay
+        self.found = Documents()
+        self.sent = False
+        self.lost = False
+        self.accepted_ms: int | None = None
+        self.revision = 0
+        self.probe_ms = 0
+        self.probed: dict[str, int] = {}
+
+    def answer(
+        self,
+        failure: failures.Failure,
+        problems: policy_rules.Problems | None = None,
+    ) -> ChangeAnswer:
+        """Return an answer that reports a failure."""
+        found = operators.ChangeResult(
+            outcome=failure.outcome.value,
+            change_id=self.request.body.change_id,
+            revision=self.found.revision,
+            error=failure.kind.code,
+            detail=failure.reason,
+            problems=tuple(problems or ()),
+        )
+        return ChangeAnswer(self.request.number, found, failure)
+
+    def next_read(self) -> store.ReadRequest | None:
+        """Return the read of a document that was not yet read."""
+        for key in (directories.CONFIG, directories.PRESET):
+            if key not in self.found.revisions:
+                return store.ReadRequest(key)
+        return None
+
+    def note(self, key: str, reply: store.ReadReply) -> None:
+        """Keep a document that was read."""
+        self.found.revisions[key] = 0
+        self.found.texts[key] = ''
+        for found in reply.entries:
+            if found.key == key:
+                self.found.revisions[key] = found.mod_revision
+                self.found.texts[key] = found.value
+
+    def written(self) -> dict[str, str]:
+        """Return both documents as they are after the change."""
+        body = self.request.body
+        texts = dict(self.found.texts)
+        document: presets.Configuration | presets.PresetChoice
+        if isinstance(body, operators.PresetSwitch):
+            document = presets.PresetChoice(
+                change_id=body.change_id,
+                name=body.name,
+            )
+        else:
+            document = presets.Configuration(
+                change_id=body.change_id,
+                presets=body.presets,
+            )
+        texts[self.key] = msgspec.json.encode(document).decode()
+        return texts
+
+    def swap(self, texts: dict[str, str]) -> store.SwapRequest:
+        """Return the write, on condition that neither document changed."""
+        compares = [
+            store.Compare(key, revision)
+            for key, revision in self.found.revisions.items()
+        ]
+        put = store.Put(self.key, texts[self.key])
+        return store.SwapRequest(tuple(compares), (put,))
+
+    def is_written(self) -> bool:
+        """Return whether the document read last is that of this change."""
+        record = presets.Configuration
+        if self.key == directories.PRESET:
+            record = presets.PresetChoice
+        found = policy_rules.decode(self.found.texts[self.key], record)
+        if isinstance(found, operators.Problem):
+            return False
+        return found.change_id == self.request.body.change_id
--- /dev/null
+++ b/jacinthhaven/decide/operator_test.py
@@ -0,0 +1,250 @@
+"""Tests of changes that operators request."""
+
+import itertools
+import random
+
+import pytest
+
+from jacinthhaven.decide import (
+    configuration,
+    gossip_builders,
+    operator,
+    operator_changes,
+    store_builders,
+)
+from jacinthhaven.records import operators, presets, store
+
+_NAMES = ('n0', 'n1', 'n2', 'n3', 'n4')
+# Revision of the policy at the start of each test.
+_POLICY = 8
+_CONFIG = '{"presets":{"day":{},"peak":{}}}'
+
+
+class Setup:
+    """Cluster whose members n0 and n1 accept changes.
+
+    Member n0 reads the store.
+    """
+
+    def __init__(self):
+        """Start with the preset `day` in force everywhere."""
+        self.store = store_builders.FakeStore()
+        for member in map(gossip_builders.member_key, _NAMES):
+            self.store.put(member.key, member.value)
+        self.store.put('config', _CONFIG)
+        self.store.put('preset', '{"name":"day"}')
+        self.cluster = gossip_builders.Cluster(_NAMES)
+        self.configurations = {
+            name: configuration.Configuration(
+                node.directory,
+                node.live,
+                node.gossip,
+            )
+            for name, node in self.cluster.nodes.items()
+        }
+        numbers = itertools.count(1)
+        self.operators = [
+            operator.Operator(self.configurations[name], numbers, rng)
+            for name, rng in (
+                ('n0', random.Random(1)),
+                ('n1', random.Random(2)),
+            )
+        ]
+        self.answers = []
+        self.run(6000)
+
+    @property
+    def now_ms(self):
+        """Return the current time."""
+        return self.cluster.now_ms
+
+    def run(self, duration_ms):
+        """Let time pass for all components."""
+        for _ in range(duration_ms // gossip_builders.STEP_MS):
+            self.read()
+            self.cluster.run(gossip_builders.STEP_MS)
+            for target in self.configurations.values():
+                target.tick(self.now_ms)
+            for index, changer in enumerate(self.operators):
+                self.collect(index, changer.tick(self.now_ms))
+
+    def read(self):
+        """Let n0 learn the state of the store."""
+        if not self.store.down:
+            found = tuple(self.store.keys.values())
+            known = self.cluster.nodes['n0'].directory
+            reply = store.ReadReply(self.store.revision, found)
+            known.apply_read(reply, self.now_ms)
+            known.prove(reply.revision, self.now_ms)
+
+    def collect(self, index, sent):
+        """Answer store calls and keep the answers to operators."""
+        changer = self.operators[index]
+        others = self.store.serve(changer, sent, self.now_ms)
+        self.cluster.post(f'n{index}', others)
+        self.answers += [
+            message.result
+            for message in others
+            if isinstance(message, operator_changes.ChangeAnswer)
+        ]
+
+    def request(self, body, index=0):
+        """Request a change from one of the two operators."""
+        request = operator_changes.ChangeRequest(1, body)
+        self.collect(index, self.operators[index].handle(request, self.now_ms))
+
+    def switch(self, name='peak', change_id='c1', index=0):
+        """Request a preset on the revision that is in force."""
+        body = operators.PresetSwitch(
+            name=name,
+            expected_revision=_POLICY,
+            change_id=change_id,
+        )
+        self.request(body, index)
+
+
+@pytest.fixture(name='setup')
+def _setup():
+    return Setup()
+
+
+def test_switch_is_in_force_everywhere(setup):
+    """Guards against an early answer while a node uses the old preset."""
+    setup.switch()
+    setup.run(5900)
+    assert not setup.answers
+    names = {found.policy.name for found in setup.configurations.values()}
+    assert names == {'peak'}
+    setup.run(400)
+    result = setup.answers[0]
+    assert (result.outcome, result.revision) == ('done', _POLICY + 1)
+    assert result.in_force
+    assert not result.unconfirmed
+
+
+def test_racing_operators(setup):
+    """Guards against a change that silently replaces another one."""
+    setup.switch(change_id='c1', index=0)
+    setup.switch(name='day', change_id='c2', index=1)
+    setup.run(200)
+    loser = setup.answers[0]
+    assert (loser.change_id, loser.error) == ('c2', 'conflict')
+    assert loser.revision == _POLICY + 1
+    setup.run(7000)
+    assert setup.answers[1].change_id == 'c1'
+
+
+def test_lost_answer_is_read_back(setup):
+    """Guards against a conflict with itself or a second write."""
+    setup.store.calls.clear()
+    for _ in range(100):
+        setup.store.lossy = len(setup.store.calls) in range(2, 5)
+        if not setup.operators[0].changes and not setup.store.calls:
+            setup.switch()
+        setup.run(50)
+    setup.run(4000)
+    assert [result.outcome for result in setup.answers] == ['done']
+    assert setup.store.keys['preset'].mod_revision == _POLICY + 1
+
+
+def test_lost_answer_and_a_later_change(setup):
+    """Guards against claiming an outcome that nobody can know."""
+    setup.switch()
+    change = setup.operators[0].changes[0]
+    change.accepted_ms = None
+    change.sent = True
+    change.lost = True
+    change.found = operator_changes.Documents()
+    setup.store.put('preset', '{"name":"day","change_id":"c9"}')
+    setup.run(100)
+    assert setup.answers[0].outcome == 'unknown'
+    assert setup.answers[0].revision == _POLICY + 2
+
+
+def test_minority_is_refused(setup):
+    """Guards against a change that the majority would not learn of."""
+    setup.cluster.cut = {'n2', 'n3', 'n4'}
+    setup.run(6000)
+    setup.switch()
+    setup.run(11_000)
+    assert setup.answers[0].error == 'isolated'
+    assert setup.store.keys['preset'].mod_revision == _POLICY
+
+
+def test_store_outage(setup):
+    """Guards against an endless wait for a store that is down."""
+    setup.store.down = True
+    setup.switch()
+    setup.run(11_000)
+    assert setup.answers[0].error == 'store_unavailable'
+
+
+def test_silent_member_delays_but_does_not_block(setup):
+    """Guards against an operator who waits for a dead member for ever."""
+    setup.run(1000)
+    setup.cluster.cut = {'n4'}
+    setup.switch()
+    setup.run(6500)
+    assert not setup.answers
+    setup.run(2000)
+    assert setup.answers[0].in_force
+    assert setup.answers[0].unconfirmed == 1
+
+
+def test_lost_majority_is_not_in_force(setup):
+    """Guards against `in force` while a majority uses the old preset."""
+    setup.switch()
+    setup.cluster.cut = {'n2', 'n3', 'n4'}
+    setup.cluster.flying.clear()
+    setup.run(60_000)
+    assert not setup.answers
+    setup.run(40_000)
+    assert setup.answers[0].outcome == 'done'
+    assert not setup.answers[0].in_force
+
+
+def test_all_problems_are_returned(setup):
+    """Guards against an operator who learns one problem at a time."""
+    wrong = presets.Preset(queue_limit=0, retry_ratio=float('nan'))
+    body = operators.ConfigApply(
+        presets={'day': wrong, '': presets.Preset()},
+        expected_revision=_POLICY,
+        change_id='c1',
+    )
+    setup.request(body)
+    result = setup.answers[0]
+    assert result.error == 'bad_request'
+    assert [problem.place for problem in result.problems] == [
+        'presets.day.queue_limit',
+        'presets.day.retry_ratio',
+        'presets.',
+    ]
+
+
+def test_preset_in_force_cannot_be_removed(setup):
+    """Guards against a configuration without the preset in force."""
+    setup.request(
+        operators.ConfigApply(
+            presets={'peak': presets.Preset()},
+            expected_revision=_POLICY,
+            change_id='c1',
+        ),
+    )
+    setup.switch(name='night')
+    errors = [result.error for result in setup.answers]
+    assert errors == ['bad_request', 'bad_request']
+    assert setup.store.revision == _POLICY
+
+
+def test_first_configuration():
+    """Guards against a new cluster that accepts no configuration."""
+    setup = Setup()
+    setup.store.keys.pop('config')
+    setup.store.keys.pop('preset')
+    first = operators.ConfigApply(
+        presets={'day': presets.Preset()},
+        expected_revision=0,
+        change_id='c1',
+    )
+    setup.request(first)
+    assert setup.store.keys['config'].mod_revision == _POLICY + 1
