--- a/jacinthhaven/adapters/peer_fields.py
+++ b/jacinthhaven/adapters/peer_fields.py
@@ -41,6 +41,8 @@
             ('acked_hash', 'ackedHash'),
             ('acked_revision', 'ackedRevision'),
             *_same('acked', 'ages'),
+            ('wants_ages_ms', 'wantsAgesMs'),
+            ('live_hash', 'liveHash'),
         ),
     },
 )
--- a/jacinthhaven/adapters/peer_schema.capnp
+++ b/jacinthhaven/adapters/peer_schema.capnp
@@ -77,6 +77,8 @@
   acked @11 :Data;
   ages @12 :Data;
   entries @13 :List(Entry);
+  liveHash @14 :UInt32;
+  wantsAgesMs @15 :UInt16;
 }
 
 struct Entry {
--- a/jacinthhaven/decide/leaving.py
+++ b/jacinthhaven/decide/leaving.py
@@ -1,124 +1,114 @@
-"""Backend servers that are leaving and must not get new work.
+"""Flags of backend servers that are leaving.
 
-A mark names one start (boot) of an instance and stays until the instance
-shows another boot. The VM list lags behind, so neither its absence nor an
-entry that it drops clears a mark, and an entry that it keeps after a
-restart does not mark the new boot.
+A flag names one start of an instance, so it does not affect the instance
+after a restart. Flags are not in the store: each counts its own changes,
+and the higher count wins when flags of several nodes are merged.
 """
 
+import collections
 import typing
+import zlib
 
-import msgspec
+from jacinthhaven.records import gossip
 
-from jacinthhaven.records import backend, presets
+PREFIX = 'leaving/'
+# Lowered flags are kept for members that were out of contact this long.
+_LOWERED_MS = 600_000
 
-# Late gossip may name an earlier boot; this many are remembered for each
-# instance to recognise it.
-KNOWN_BOOTS = 8
 
-UNKNOWN_BOOT = ''
-
-
-class LeavingMark(msgspec.Struct, frozen=True):
-    """Notice between peers that one start of an instance is leaving."""
-
-    instance: str
-    boot: str
-
-
-class LeavingServers:
-    """Leaving marks of the instances of all groups.
+class LeavingFlags:
+    """Flags by instance.
 
     Attributes:
-      boots: Boots known for each instance; the last one was shown last.
-      marks: Boots that are leaving, by instance; the unknown boot stands
-        for the next one that the instance shows.
-      listed: Instances that the VM list names as leaving.
-      fresh: Marks that were not returned by `take_fresh` yet.
+      entries: Newest entry by key; a deleted entry is a lowered flag.
+      digest: Hash of the raised flags.
+      changed: Whether a change was not yet passed on.
     """
 
     def __init__(self) -> None:
-        """Start without marks."""
-        self.boots: dict[str, list[str]] = {}
-        self.marks: dict[str, set[str]] = {}
-        self.listed: frozenset[str] = frozenset()
-        self.fresh: list[LeavingMark] = []
+        """Start without flags."""
+        self.entries: dict[str, gossip.Entry] = {}
+        self.digest = 0
+        self.changed = False
+        self.lowered: collections.deque = collections.deque()
 
-    def on_vm_list(self, leaving: typing.AbstractSet[str] | None) -> None:
-        """Apply a VM list.
+    def raise_flag(self, instance: str, boot: str, now_ms: int) -> None:
+        """Note that this start of an instance is leaving.
 
         Args:
-          leaving: Instances listed as leaving; None if the list could not
-            be read, which changes nothing.
+          instance: Name of the instance.
+          boot: Its current start; empty if unknown, which means the next
+            start that is reported.
+          now_ms: Current time.
         """
-        if leaving is None:
-            return
-        for instance in sorted(leaving - self.listed):
-            self._mark(instance, self._boot(instance))
-        self.listed = frozenset(leaving)
+        if not self.is_leaving(instance, boot):
+            self._change(instance, boot, lowered=False, now_ms=now_ms)
 
-    def on_status(self, status: backend.InstanceStatus) -> None:
-        """Apply the boot and the leaving flag of a status response.
+    def report_start(self, instance: str, boot: str, now_ms: int) -> None:
+        """Note the start that an instance reports.
 
-        A mark of another boot ends here. That boot counts as an earlier one
-        from now on, so that peers that still repeat it are ignored.
+        This lowers a flag of another start, and binds a flag without a
+        start to this one.
         """
-        instance = status.instance
-        boot = status.boot
-        marked = self.marks.pop(instance, set())
-        known = self.boots.get(instance, [])
-        earlier = [old for old in known if old != boot]
-        earlier += sorted(marked - {boot, UNKNOWN_BOOT} - set(known))
-        self.boots[instance] = [*earlier, boot][-KNOWN_BOOTS:]
-        if boot in marked:
-            self.marks[instance] = {boot}
-        elif status.leaving or UNKNOWN_BOOT in marked:
-            self._mark(instance, boot)
-
-    def on_peer_mark(self, mark: LeavingMark) -> None:
-        """Apply a mark from a peer.
-
-        A boot that this node does not know is marked too, since the peer
-        may have seen a restart first; the next status response decides.
-        """
-        earlier = self.boots.get(mark.instance, [])[:-1]
-        if mark.boot != UNKNOWN_BOOT and mark.boot not in earlier:
-            self._mark(mark.instance, mark.boot)
-
-    def leaving(self) -> frozenset[str]:
-        """Return the instances that are leaving."""
-        return frozenset(self.marks)
-
-    def without_new_work(self, preset: presets.Preset) -> frozenset[str]:
-        """Return the leaving instances and those the preset excludes."""
-        return self.leaving().union(preset.excluded_instances)
-
-    def take_fresh(self) -> list[LeavingMark]:
-        """Return the marks to send to peers since the last call.
-
-        A mark of an unknown boot is returned once its boot is known, since
-        a peer could not tell when such a mark ends.
-        """
-        fresh = self.fresh
-        self.fresh = []
-        return fresh
-
-    def known_marks(self) -> list[LeavingMark]:
-        """Return all marks with a known boot, for anti-entropy exchanges."""
-        return [
-            LeavingMark(instance, boot)
-            for instance, boots in sorted(self.marks.items())
-            for boot in sorted(boots - {UNKNOWN_BOOT})
+        flag = self.entries.get(PREFIX + instance)
+        if flag is None or flag.deleted or flag.value == boot:
+            return
+        self._change(instance, boot, lowered=bool(flag.value), now_ms=now_ms)
+
+    def is_leaving(self, instance: str, boot: str) -> bool:
+        """Return whether this start of an instance is leaving."""
+        flag = self.entries.get(PREFIX + instance)
+        if flag is None or flag.deleted:
+            return False
+        return flag.value in {boot, ''}
+
+    def merge(
+        self,
+        entries: typing.Iterable[gossip.Entry],
+        now_ms: int,
+    ) -> None:
+        """Adopt the flags of a member that are newer."""
+        newer = [entry for entry in entries if self._is_newer(entry)]
+        for entry in newer:
+            self.entries[entry.key] = entry
+            if entry.deleted:
+                self.lowered.append((now_ms, entry))
+        if newer:
+            self.changed = True
+            self.digest = self._hash_raised()
+
+    def expire(self, now_ms: int) -> None:
+        """Forget flags that were lowered long ago."""
+        while self.lowered and self.lowered[0][0] < now_ms - _LOWERED_MS:
+            _, flag = self.lowered.popleft()
+            if self.entries.get(flag.key) == flag:
+                self.entries.pop(flag.key)
+
+    def _change(
+        self,
+        instance: str,
+        boot: str,
+        lowered: bool,
+        now_ms: int,
+    ) -> None:
+        key = PREFIX + instance
+        old = self.entries.get(key)
+        count = old.revision + 1 if old else 1
+        self.merge([gossip.Entry(key, boot, count, 0, lowered)], now_ms)
+
+    def _hash_raised(self) -> int:
+        raised = [
+            f'{flag.key}\0{flag.value}'
+            for flag in self.entries.values()
+            if not flag.deleted
         ]
+        return zlib.crc32('\0'.join(sorted(raised)).encode())
 
-    def _boot(self, instance: str) -> str:
-        known = self.boots.get(instance)
-        return known[-1] if known else UNKNOWN_BOOT
+    def _is_newer(self, entry: gossip.Entry) -> bool:
+        old = self.entries.get(entry.key)
+        return old is None or _rank(entry) > _rank(old)
 
-    def _mark(self, instance: str, boot: str) -> None:
-        marked = self.marks.setdefault(instance, set())
-        if boot in marked:
-            return
-        marked.add(boot)
-        if boot != UNKNOWN_BOOT:
-            self.fresh.append(LeavingMark(instance, boot))
+
+def _rank(entry: gossip.Entry) -> tuple[int, bool, str]:
+    # Two nodes may change a flag at the same time; the raised flag wins.
+    return entry.revision, not entry.deleted, entry.value
