Wire the cluster services, the operator endpoint and the planned stop

Membership, gossip, slots, configuration and the leaving flags now run in the node. The proxy process gets the operator endpoint, the VM list and a planned stop that serves requests until the balancer has noticed it.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -77,6 +77,10 @@
         """Return the caller port of a proxy, counted from 1."""
         return self.base_port + 10 + 3 * number
 
+    def zone(self, number: int) -> str:
+        """Return the availability zone of a proxy."""
+        return self.shape.zones[number % len(self.shape.zones)]
+
     def start_platform(self) -> None:
         """Start the platform stand-in."""
         self._start(
@@ -174,17 +178,20 @@
     def _settings(self, number: int, proxies: int) -> dict[str, typing.Any]:
         port = self.caller_port(number)
         seeds = [
-            _address(self.caller_port(other) + 1)
+            {
+                **_address(self.caller_port(other) + 1),
+                'name': f'proxy-{other}',
+                'zone': self.zone(other),
+            }
             for other in range(1, proxies + 1)
             if other != number
         ]
-        zones = self.shape.zones
         return {
             'cluster': self.shape.cluster,
             'cluster_key_file': str(self.key_file),
             'node': f'proxy-{number}',
             'region': self.shape.region,
-            'zone': zones[number % len(zones)],
+            'zone': self.zone(number),
             'listeners': {
                 'caller': _address(port),
                 'peer': _address(port + 1),
--- a/jacinthhaven/adapters/callers.py
+++ b/jacinthhaven/adapters/callers.py
@@ -77,10 +77,14 @@
         exchange.respond(status, self.encode(message.answer))
 
     def drain(self) -> None:
-        """Stop accepting; close connections once they are idle."""
-        self.server.stop_accepting()
+        """Close each connection after its next answer."""
         self.server.drain()
 
+    def close(self) -> None:
+        """Stop accepting and close the idle connections."""
+        self.server.stop_accepting()
+        self.server.close_idle()
+
     def _on_exchange(self, exchange: http_server.Exchange) -> None:
         message = exchange.message
         if message.path.startswith(_PREFIX):
--- a/jacinthhaven/adapters/http_server.py
+++ b/jacinthhaven/adapters/http_server.py
@@ -202,10 +202,14 @@
             self.listener.close()
 
     def drain(self) -> None:
-        """Close idle connections now and busy ones after their answers."""
+        """Close each connection after its next answer."""
         self.draining = True
-        for connection in tuple(self.connections):
+        for connection in self.connections:
             connection.draining = True
+
+    def close_idle(self) -> None:
+        """Close the connections without a request."""
+        for connection in tuple(self.connections):
             connection.finish_when_idle()
 
     def _on_stream(self, stream: streams.Stream) -> None:
--- a/jacinthhaven/adapters/settings_file_test.py
+++ b/jacinthhaven/adapters/settings_file_test.py
@@ -20,7 +20,7 @@
     - {host: 10.0.9.1, port: 2379}
 vm_list: {host: 10.0.9.2, port: 8090}
 seeds:
-  - {host: 10.0.0.2, port: 8081}
+  - {name: n2, host: 10.0.0.2, port: 8081, zone: macon}
 groups:
   - name: exchange-db
     connection_limit: 20
--- /dev/null
+++ b/jacinthhaven/adapters/vm_list.py
@@ -0,0 +1,89 @@
+"""Platform's VM list over HTTP: `GET /vms` returns a JSON list."""
+
+import http
+import typing
+
+import msgspec
+
+from jacinthhaven.adapters import http_client, http_messages, poller
+from jacinthhaven.decide import messages
+from jacinthhaven.ports import vms
+from jacinthhaven.records import topology
+
+_LEAVING = 'leaving'
+
+
+class Vm(msgspec.Struct):
+    """One entry of the list.
+
+    Attributes:
+      name: Name of the VM.
+      address: IP address of the VM.
+      zone: Availability zone.
+      state: `live` or `leaving`.
+    """
+
+    name: str
+    address: str = ''
+    zone: str = ''
+    state: str = 'live'
+
+
+class HttpVmList(vms.VmList):
+    """Reads the list with one connection for each read."""
+
+    def __init__(
+        self,
+        loop: poller.Poller,
+        address: tuple[str, int],
+        instances: typing.Iterable[topology.Instance],
+        deliver: typing.Callable[[messages.VmsListed], None],
+    ) -> None:
+        """Create a reader.
+
+        Args:
+          loop: Poller that watches the socket.
+          address: IP address and port of the list.
+          instances: Backend servers, found in the list by name or address.
+          deliver: Called with each list.
+        """
+        super().__init__(deliver)
+        self.poller = loop
+        self.address = address
+        self.instances = tuple(instances)
+        self.client: http_client.Client | None = None
+        self.decode = msgspec.json.Decoder(list[Vm]).decode
+
+    def read(self) -> None:
+        """Start to read; a read that still waits is given up."""
+        if self.client is not None:
+            self.client.close()
+        self.client = http_client.Client(self.poller, self.address)
+        self.client.on_open = self._on_open
+        self.client.on_reply = self._on_reply
+
+    def _on_open(self) -> None:
+        self.client.get('/vms')
+
+    def _on_reply(self, message: http_messages.Message) -> None:
+        self.client.close()
+        if message.status != http.HTTPStatus.OK:
+            return
+        try:
+            listed = self.decode(message.body)
+        except msgspec.MsgspecError:
+            return
+        leaving = [vm for vm in listed if vm.state == _LEAVING]
+        self.deliver(
+            messages.VmsListed(
+                frozenset(
+                    instance.name
+                    for instance in self.instances
+                    if any(_runs_on(instance, vm) for vm in leaving)
+                ),
+            ),
+        )
+
+
+def _runs_on(instance: topology.Instance, vm: Vm) -> bool:
+    return instance.name == vm.name or instance.host == vm.address
--- a/jacinthhaven/decide/database.py
+++ b/jacinthhaven/decide/database.py
@@ -57,6 +57,16 @@
         self.held = False
         self.refused = (0, views.NEVER_MS)
 
+    @property
+    def idle(self) -> bool:
+        """Return whether nothing waits in this database's queues."""
+        return not (
+            self.admission.size
+            or self.parked
+            or self.strict
+            or self.confirmations
+        )
+
     def refresh(self) -> bool:
         """Derive the primary and the proofs from the instance views.
 
--- a/jacinthhaven/decide/directory.py
+++ b/jacinthhaven/decide/directory.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from jacinthhaven.decide import leaving
+from jacinthhaven.decide import leaving, slot_ranking
 from jacinthhaven.records import gossip, store, topology
 
 CONFIG = 'config'
@@ -193,11 +193,13 @@
         place = (group, int(number))
         self.slots.pop(place, None)
         if not entry.deleted:
-            self.slots[place] = topology.Slot(
-                *place,
-                holder=entry.value,
-                epoch=entry.created,
-            )
+            holder = slot_ranking.holder_of(entry.value)
+            if holder:
+                self.slots[place] = topology.Slot(
+                    *place,
+                    holder=holder,
+                    epoch=entry.created,
+                )
 
     def _delete_missing(
         self,
--- a/jacinthhaven/decide/directory_test.py
+++ b/jacinthhaven/decide/directory_test.py
@@ -9,6 +9,9 @@
 from jacinthhaven.records import gossip, store
 
 
+SLOT_OF_N2 = '{"holder":"n2","boot":"b"}'
+
+
 def _live(known):
     return {
         key: entry.revision
@@ -113,7 +116,7 @@
     """Guards against a revision that claims changes which are missing."""
     known = directory.Directory()
     known.apply_read(store.ReadReply(10, ()), 0)
-    late = gossip.Entry('slots/g/1', 'n2', 14, 14)
+    late = gossip.Entry('slots/g/1', SLOT_OF_N2, 14, 14)
     known.merge(gossip.Exchange(complete=14, base=12, entries=(late,)), 0)
     assert known.complete == 10
     assert known.slots['g', 1].holder == 'n2'
--- a/jacinthhaven/decide/entry.py
+++ b/jacinthhaven/decide/entry.py
@@ -109,6 +109,10 @@
         self.signer = signer
         self.finder = finder
         self.policy = presets.Policy()
+        # Why new work is refused; steps of open transactions go on.
+        self.refusal: failures.Failure | None = failures.ISOLATED.because(
+            'no configuration is known yet',
+        )
         self.pending: dict[int, Pending] = {}
         self.waiting: dict[int, Pending] = {}
         self.deadlines: list[tuple[int, int]] = []
@@ -133,6 +137,8 @@
         if wrong:
             failure = failures.BAD_REQUEST.because(wrong)
             return self._refuse_now(message.number, body, failure)
+        if self.refusal is not None and body.kind not in work.STEPS:
+            return self._refuse_now(message.number, body, self.refusal)
         token = self._session_token(body)
         if isinstance(token, failures.Failure):
             return self._refuse_now(message.number, body, token)
--- a/jacinthhaven/decide/executor.py
+++ b/jacinthhaven/decide/executor.py
@@ -33,6 +33,15 @@
         self.deadlines: list[tuple[int, int, work.Work]] = []
         self.sequence = itertools.count()
 
+    @property
+    def idle(self) -> bool:
+        """Return whether no request or transaction is in progress."""
+        return (
+            not self.state.transactions.by_name
+            and all(base.idle for base in self.state.databases.values())
+            and not self.state.calls.by_number
+        )
+
     def submit(self, job: work.Work, now_ms: int) -> None:
         """Accept a request; its answer follows in the outbox."""
         base = self.state.databases[job.database]
--- a/jacinthhaven/decide/messages.py
+++ b/jacinthhaven/decide/messages.py
@@ -9,7 +9,7 @@
 import typing
 
 from jacinthhaven.kernel import failures
-from jacinthhaven.records import backend, callers, store
+from jacinthhaven.records import backend, callers, store, topology
 
 
 @dataclasses.dataclass(slots=True)
@@ -192,6 +192,27 @@
     number: int
 
 
+@dataclasses.dataclass(slots=True)
+class VmsListed:
+    """VM list task to decision code: instances listed as leaving."""
+
+    leaving: frozenset[str]
+
+
+@dataclasses.dataclass(slots=True)
+class InstanceSeen:
+    """Owner to cluster services: status that an instance has shown."""
+
+    status: backend.InstanceStatus
+
+
+@dataclasses.dataclass(slots=True)
+class MembersKnown:
+    """Decision code to peer task: addresses of all members, by name."""
+
+    members: dict[str, topology.Member]
+
+
 @dataclasses.dataclass(slots=True)
 class InstanceOrder:
     """Promotion code to owner: send a command to an instance.
--- a/jacinthhaven/decide/node.py
+++ b/jacinthhaven/decide/node.py
@@ -13,9 +13,12 @@
 import msgspec
 
 from jacinthhaven.decide import (
+    cluster,
+    configuration,
     entry,
     group_state,
     messages,
+    operator_changes,
     owner,
     owner_table,
     requests,
@@ -23,7 +26,7 @@
     work,
 )
 from jacinthhaven.kernel import failures
-from jacinthhaven.records import peers, presets, topology
+from jacinthhaven.records import gossip, peers, presets, topology
 
 _NUMBER_BITS = 40
 _NUMBER_SHIFT = 20
@@ -39,6 +42,7 @@
       cluster_key: Secret shared by all members.
       status_wait_ms: Longest wait of a status request.
       rng: Source of ids; must be unpredictable in production.
+      cluster: Settings of the cluster services.
     """
 
     member: topology.Member
@@ -46,6 +50,9 @@
     cluster_key: bytes
     status_wait_ms: int
     rng: random.Random
+    cluster: cluster.ClusterSettings = dataclasses.field(
+        default_factory=cluster.ClusterSettings,
+    )
 
 
 class Node:
@@ -70,7 +77,14 @@
         self.owners = {
             group.name: self._new_owner(group) for group in identity.groups
         }
-        self.gate: failures.Failure | None = None
+        self.cluster = cluster.Cluster(
+            identity.member,
+            identity.groups,
+            self.numbers,
+            identity.rng,
+            identity.cluster,
+        )
+        self.draining = False
         self.steps: dict[type, typing.Callable] = {
             messages.CallerRequest: self._on_request,
             messages.CallerOutcome: self._on_outcome,
@@ -85,6 +99,15 @@
             peers.ForwardAnswer: self.entry.on_answer,
             peers.ForwardCancel: self._on_cancel,
             peers.InstanceSilence: self._on_silence,
+            gossip.Exchange: self._on_exchange,
+            messages.StoreReply: self._on_cluster,
+            messages.VmsListed: self._on_vms,
+            operator_changes.ChangeRequest: self._on_cluster,
+            cluster.TopologyChanged: self._on_topology,
+            cluster.PolicyChanged: self._on_policy,
+            cluster.FreshnessChanged: self._on_freshness,
+            cluster.LeavingChanged: self._on_leaving,
+            messages.InstanceSeen: self._on_instance,
         }
 
     def handle(self, message: typing.Any, now_ms: int) -> list[typing.Any]:
@@ -104,31 +127,36 @@
     def tick(self, now_ms: int) -> list[typing.Any]:
         """Advance the timers of all parts."""
         self.table.now_ms = now_ms
-        out = self.entry.tick(now_ms)
+        out = self.cluster.tick(now_ms)
+        out += self.entry.tick(now_ms)
         for group_owner in self.owners.values():
             out.extend(group_owner.tick(now_ms))
         return self._settle(out, now_ms)
 
-    def set_topology(
-        self,
-        members: typing.Iterable[topology.Member],
-        slots: typing.Iterable[topology.Slot],
-        now_ms: int,
-    ) -> list[typing.Any]:
-        """Adopt the current members and slot holders."""
-        self.table.update(members, slots)
-        out: list[typing.Any] = []
-        for name, group_owner in self.owners.items():
-            held = self.table.slots[name]
-            own = [slot for slot in held if slot.holder == self.name]
-            group_owner.set_owners(
-                slot.holder for slot in held if slot.holder != self.name
-            )
-            if own:
-                out.extend(group_owner.start(own[0], now_ms))
-            else:
-                out.extend(group_owner.stop('slot was lost'))
-        return self._settle(out, now_ms)
+    def drain(self, now_ms: int) -> list[typing.Any]:
+        """Announce that this node is leaving; requests are still served."""
+        self.draining = True
+        return self._settle(self.cluster.drain(now_ms), now_ms)
+
+    def release(self, now_ms: int) -> list[typing.Any]:
+        """Give up the slots; call it when the node is idle."""
+        return self._settle(self.cluster.release(now_ms), now_ms)
+
+    def leave(self, now_ms: int) -> list[typing.Any]:
+        """End the lease; the last call before the process stops."""
+        return self._settle(self.cluster.stop(now_ms), now_ms)
+
+    @property
+    def idle(self) -> bool:
+        """Return whether no request or transaction is in progress."""
+        return not self.entry.pending and all(
+            group_owner.executor.idle for group_owner in self.owners.values()
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Return whether callers should be sent to this node."""
+        return self.entry.refusal is None and not self.draining
 
     def adopt_policy(self, policy: presets.Policy) -> None:
         """Use a newer configuration for all later decisions."""
@@ -161,19 +189,112 @@
         while queue:
             following: list[typing.Any] = []
             for message in queue:
-                if isinstance(message, work.OwnerAnswer):
-                    message = _forward_answer(message)
-                if isinstance(message, messages.PeerSend) and (
-                    message.member == self.name
-                ):
-                    following.extend(
-                        self._on_payload(self.name, message.payload, now_ms),
-                    )
-                else:
+                inner = self._deliver_inside(message, now_ms)
+                if inner is None:
                     remaining.append(message)
+                else:
+                    following.extend(inner)
             queue = following
         return remaining
 
+    def _deliver_inside(
+        self,
+        message: typing.Any,
+        now_ms: int,
+    ) -> list[typing.Any] | None:
+        """Return what a message inside the node leads to; None if outside."""
+        kind = type(message)
+        if kind is work.OwnerAnswer:
+            return [_forward_answer(message)]
+        if kind is messages.PeerSend:
+            if message.member == self.name:
+                return self._on_payload(self.name, message.payload, now_ms)
+            return None
+        if kind in _INSIDE:
+            return self.steps[kind](message, now_ms)
+        return None
+
+    # Cluster.
+
+    def _on_cluster(
+        self,
+        message: typing.Any,
+        now_ms: int,
+    ) -> list[typing.Any]:
+        return self.cluster.handle(message, now_ms)
+
+    def _on_exchange(
+        self,
+        member: str,
+        exchange: gossip.Exchange,
+        now_ms: int,
+    ) -> list[typing.Any]:
+        received = messages.PeerReceived(member, exchange)
+        return self.cluster.handle(received, now_ms)
+
+    def _on_vms(
+        self,
+        message: messages.VmsListed,
+        now_ms: int,
+    ) -> list[typing.Any]:
+        return self.cluster.on_vm_list(message.leaving, now_ms)
+
+    def _on_instance(
+        self,
+        message: messages.InstanceSeen,
+        now_ms: int,
+    ) -> list[typing.Any]:
+        return self.cluster.on_status(message.status, now_ms)
+
+    def _on_topology(
+        self,
+        message: cluster.TopologyChanged,
+        now_ms: int,
+    ) -> list[typing.Any]:
+        self.table.update(message.members.values(), message.slots)
+        out: list[typing.Any] = [messages.MembersKnown(self.table.members)]
+        for name, group_owner in self.owners.items():
+            group_owner.set_owners(
+                slot.holder
+                for slot in self.table.slots[name]
+                if slot.holder != self.name
+            )
+            held = message.held.get(name)
+            if held is None:
+                out.extend(group_owner.stop('slot was lost'))
+            else:
+                out.extend(group_owner.start(held, now_ms))
+        return out
+
+    def _on_policy(
+        self,
+        message: cluster.PolicyChanged,
+        _now_ms: int,
+    ) -> list[typing.Any]:
+        self.adopt_policy(message.policy)
+        return []
+
+    def _on_freshness(
+        self,
+        message: cluster.FreshnessChanged,
+        _now_ms: int,
+    ) -> list[typing.Any]:
+        self.entry.refusal = None
+        if message.state is configuration.Freshness.ISOLATED:
+            self.entry.refusal = failures.ISOLATED.because(
+                'configuration may be out of date',
+            )
+        return []
+
+    def _on_leaving(
+        self,
+        message: cluster.LeavingChanged,
+        now_ms: int,
+    ) -> list[typing.Any]:
+        for group_owner in self.owners.values():
+            group_owner.set_leaving(message.instances, now_ms)
+        return []
+
     # Callers.
 
     def _on_request(
@@ -281,6 +402,18 @@
         return []
 
 
+# Messages between the parts of the node.
+_INSIDE = frozenset(
+    (
+        cluster.TopologyChanged,
+        cluster.PolicyChanged,
+        cluster.FreshnessChanged,
+        cluster.LeavingChanged,
+        messages.InstanceSeen,
+    ),
+)
+
+
 def _forward_answer(message: work.OwnerAnswer) -> messages.PeerSend:
     origin = message.origin
     payload = peers.ForwardAnswer(
--- a/jacinthhaven/decide/owner_table.py
+++ b/jacinthhaven/decide/owner_table.py
@@ -70,12 +70,17 @@
         return self.avoid_until_ms.get(member, 0) <= self.now_ms
 
     def holders(self, group: str) -> list[str]:
-        """Return the live owners of a group."""
-        return [
+        """Return the live owners of a group.
+
+        An owner that is leaving gets new work only if there is no other.
+        """
+        alive = [
             slot.holder
             for slot in self.slots.get(group, ())
             if self.alive(slot.holder)
         ]
+        staying = [name for name in alive if not self.members[name].leaving]
+        return staying or alive
 
     def owners(self, database: str) -> list[str] | None:
         """Return the live owners of a database, own zone only if possible.
--- a/jacinthhaven/decide/slot_ranking.py
+++ b/jacinthhaven/decide/slot_ranking.py
@@ -71,6 +71,14 @@
     return Place(slot.group, slot.number)
 
 
+def holder_of(value: str) -> str:
+    """Return the holder that a slot's document names; empty if malformed."""
+    try:
+        return msgspec.json.decode(value, type=SlotValue).holder
+    except msgspec.DecodeError:
+        return ''
+
+
 def slot_of(entry: store.KeyValue) -> topology.Slot | None:
     """Return the slot that a store key holds.
 
@@ -78,16 +86,13 @@
       The slot, or None if the key or its value is malformed.
     """
     group, _, number = entry.key.removeprefix(PREFIX).rpartition('/')
-    try:
-        found = msgspec.json.decode(entry.value, type=SlotValue)
-    except msgspec.DecodeError:
-        return None
-    if not group or not number.isdecimal():
+    holder = holder_of(entry.value)
+    if not group or not holder or not number.isdecimal():
         return None
     return topology.Slot(
         group,
         int(number),
-        found.holder,
+        holder,
         entry.create_revision,
     )
 
--- a/jacinthhaven/ports/callers.py
+++ b/jacinthhaven/ports/callers.py
@@ -26,7 +26,11 @@
 
     @abc.abstractmethod
     def drain(self) -> None:
-        """Stop accepting; close connections once they are idle."""
+        """Close each connection after its next answer."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Stop accepting and close the idle connections."""
 
     @property
     @abc.abstractmethod
--- a/jacinthhaven/process/application.py
+++ b/jacinthhaven/process/application.py
@@ -5,6 +5,7 @@
 life cycle: start, signals, drain and stop.
 """
 
+import logging
 import random
 import secrets
 import signal
@@ -16,18 +17,28 @@
     backends,
     callers,
     decision_log,
+    etcd,
     metrics,
+    operators,
     peers,
     poller,
     text_file,
+    vm_list,
 )
-from jacinthhaven.decide import messages, node
-from jacinthhaven.process import switch, ticker
+from jacinthhaven.decide import (
+    cluster,
+    gossip,
+    inspection,
+    messages,
+    node,
+    operator_changes,
+)
+from jacinthhaven.process import contexts, stopping, switch, ticker
 from jacinthhaven.records import handshake, topology
 from jacinthhaven.records import settings as settings_records
 
 _BOOT_BYTES = 8
-_DRAIN_CHECK_MS = 50
+_VM_LIST_MS = 2000
 
 
 class Application(circuits.Component):
@@ -51,21 +62,14 @@
             settings.log,
             self.poller,
         )
+        logging.getLogger().addHandler(self.log.handler)
         self.metrics = metrics.open_metrics(settings.statsd, self.poller)
+        self.cluster_key = text_file.read_key(settings.cluster_key_file)
         self.node = self._new_node()
         self.switch = switch.Switch(self.node, self.poller.clock)
-        self.callers = callers.HttpCallers(
-            self.poller,
-            self.node.numbers,
-            self.switch.deliver,
-        )
-        self.backends = backends.HttpBackends(
-            self.poller,
-            self._instances(),
-            self.switch.deliver,
-        )
-        self.peers = self._new_peers()
+        self._create_tasks()
         self._connect_tasks()
+        self.stopping = stopping.Stopping(self)
 
     def started(self, _component: typing.Any) -> None:
         """Listen and start the ticks."""
@@ -73,23 +77,38 @@
         self.peers.listen((listeners.peer.host, listeners.peer.port))
         self.callers.server.listen(
             (listeners.caller.host, listeners.caller.port),
+            contexts.server(listeners.caller.tls),
+        )
+        self.operators.server.listen(
+            (listeners.operator.host, listeners.operator.port),
+            contexts.server(listeners.operator.tls),
+        )
+        self.peers.know(self.node.identity.cluster.seeds)
+        ticker.Ticker(self.poller, self.switch.tick)
+        self._read_vms()
+        self.log.write(
+            messages.DecisionLine('started', {'boot': self.boot}),
         )
-        self.ticker = ticker.Ticker(self.poller, self.switch.tick)
-        self._use_static_topology()
 
     def signal(self, number: int, _stack: typing.Any) -> None:
-        """Stop on SIGTERM or SIGINT."""
+        """Start the planned stop on SIGTERM or SIGINT."""
         if number in {signal.SIGTERM, signal.SIGINT}:
-            self.log.close()
-
-    def _use_static_topology(self) -> None:
-        own = self.node.identity.member
-        slots = [
-            topology.Slot(group.name, 0, own.name, 1)
-            for group in self.node.identity.groups
-        ]
-        now_ms = self.poller.clock.now_ms()
-        self.switch.send(self.node.set_topology([own], slots, now_ms))
+            self.stopping.begin()
+
+    def finish(self) -> None:
+        """End the event loop after the last lines were written."""
+        self.log.write(messages.DecisionLine('stopped', {}))
+        self.peers.close()
+        self.metrics.close()
+        self.log.close()
+        self.stop()
+
+    def _read_vms(self) -> None:
+        # The readers of the store read the list for everybody, so the
+        # number of calls does not grow with the number of members.
+        if self.node.cluster.reader.active:
+            self.vms.read()
+        self.poller.call_later(_VM_LIST_MS, self._read_vms)
 
     def _new_node(self) -> node.Node:
         settings = self.settings
@@ -97,23 +116,60 @@
             node.Identity(
                 settings_records.member_record(settings, self.boot),
                 settings_records.group_records(settings),
-                text_file.read_key(settings.cluster_key_file),
+                self.cluster_key,
                 settings.status_wait_ms,
                 self.rng,
+                cluster.ClusterSettings(
+                    settings_records.seed_records(settings),
+                    gossip.Settings(
+                        settings.gossip_ms,
+                        settings.fanout,
+                        settings.freshness_ms,
+                    ),
+                ),
             ),
         )
 
-    def _new_peers(self) -> peers.Peers:
+    def _create_tasks(self) -> None:
         settings = self.settings
-        hello = handshake.Hello(
-            settings.cluster,
-            handshake.PROTOCOL_VERSION,
-            settings.node,
-            self.boot,
-            b'',
+        deliver = self.switch.deliver
+        instances = self._instances()
+        self.callers = callers.HttpCallers(
+            self.poller,
+            self.node.numbers,
+            deliver,
+        )
+        self.operators = operators.HttpOperators(
+            self.poller,
+            text_file.read_key(settings.listeners.operator.key_file),
+            deliver,
+        )
+        self.backends = backends.HttpBackends(self.poller, instances, deliver)
+        self.store = etcd.EtcdStore(
+            self.poller,
+            [(place.host, place.port) for place in settings.store.endpoints],
+            deliver,
+            settings.store.call_timeout_ms,
+        )
+        self.vms = vm_list.HttpVmList(
+            self.poller,
+            (settings.vm_list.host, settings.vm_list.port),
+            instances,
+            deliver,
+        )
+        self.peers = peers.Peers(
+            self.poller,
+            handshake.Hello(
+                settings.cluster,
+                handshake.PROTOCOL_VERSION,
+                settings.node,
+                self.boot,
+                b'',
+            ),
+            self.cluster_key,
+            self.rng,
+            contexts.peer(settings.listeners.peer.tls),
         )
-        key = text_file.read_key(settings.cluster_key_file)
-        return peers.Peers(self.poller, hello, key, self.rng)
 
     def _instances(self) -> list[topology.Instance]:
         return [
@@ -124,13 +180,47 @@
 
     def _connect_tasks(self) -> None:
         self.peers.deliver = self.switch.deliver
+        self.peers.on_failure = self._on_peer_failure
         self.callers.new_session = self.node.entry.signer.new_session
-        self.switch.connect(messages.CallerAnswer, self.callers.answer)
-        self.switch.connect(messages.PeerSend, self.peers.send)
-        self.switch.connect(messages.DecisionLine, self.log.write)
-        self.switch.connect(messages.Count, self.metrics.count)
+        self.callers.ready = self._is_ready
+        self.callers.count = self._count
+        self.operators.status = self._status
+        self.operators.presets = self._presets
+        self.operators.drain = self._drain
+        connect = self.switch.connect
+        connect(messages.CallerAnswer, self.callers.answer)
+        connect(operator_changes.ChangeAnswer, self.operators.answer)
+        connect(messages.PeerSend, self.peers.send)
+        connect(messages.MembersKnown, self._know_members)
+        connect(messages.StoreCall, self.store.call)
+        connect(messages.StoreCancel, self.store.cancel)
+        connect(messages.DecisionLine, self.log.write)
+        connect(messages.Count, self.metrics.count)
         switch.connect_backends(self.switch, self.backends)
 
+    def _know_members(self, message: messages.MembersKnown) -> None:
+        seeds = {seed.name: seed for seed in self.node.identity.cluster.seeds}
+        self.peers.know({**seeds, **message.members}.values())
+
+    def _on_peer_failure(self, failure: typing.Any) -> None:
+        code = failure.kind.code
+        self._count(f'peers.{code}')
+
+    def _count(self, name: str) -> None:
+        self.metrics.count(messages.Count(name))
+
+    def _is_ready(self) -> bool:
+        return self.node.ready
+
+    def _drain(self) -> None:
+        self.stopping.begin()
+
+    def _status(self) -> inspection.Document:
+        return inspection.status(self.node, self.poller.clock.now_ms())
+
+    def _presets(self) -> inspection.Document:
+        return inspection.preset_documents(self.node)
+
 
 def run(settings: settings_records.Settings) -> None:
     """Run a proxy until it is stopped.
--- a/jacinthhaven/records/settings.py
+++ b/jacinthhaven/records/settings.py
@@ -145,6 +145,18 @@
     port: Port
 
 
+class Seed(Address):
+    """Peer address of a member that may be asked before any is known.
+
+    Attributes:
+      name: Node name of the member, which its handshake must show.
+      zone: Availability zone of the member.
+    """
+
+    name: Name
+    zone: ZoneName
+
+
 class Tls(_Model):
     """TLS files of a listener in PEM format.
 
@@ -354,7 +366,7 @@
     return groups
 
 
-def _check_seeds(seeds: list[Address]) -> list[Address]:
+def _check_seeds(seeds: list[Seed]) -> list[Seed]:
     _raise_located(
         _duplicates(
             (
@@ -402,7 +414,7 @@
     store: Store
     vm_list: Address
     seeds: typing.Annotated[
-        list[Address],
+        list[Seed],
         pydantic.AfterValidator(_check_seeds),
     ] = pydantic.Field(default_factory=list)
     groups: typing.Annotated[
@@ -416,7 +428,7 @@
     gossip_ms: int = pydantic.Field(500, ge=50, le=10_000)
     fanout: int = pydantic.Field(3, ge=1, le=16)
     freshness_ms: int = pydantic.Field(5000, ge=1000, le=60_000)
-    status_wait_ms: int = pydantic.Field(200, ge=10, le=10_000)
+    status_wait_ms: int = pydantic.Field(50, ge=10, le=10_000)
     lease_ttl_floor_ms: int = pydantic.Field(10_000, ge=3000, le=600_000)
 
     @pydantic.model_validator(mode='after')
@@ -476,6 +488,14 @@
     )
 
 
+def seed_records(settings: Settings) -> tuple[topology.Member, ...]:
+    """Return the seeds as members whose start is not known."""
+    return tuple(
+        topology.Member(seed.name, '', seed.host, seed.port, seed.zone)
+        for seed in settings.seeds
+    )
+
+
 def member_record(settings: Settings, boot: str) -> topology.Member:
     """Return this node as other members see it.
 
