--- a/bench/processes.py
+++ b/bench/processes.py
@@ -58,6 +58,14 @@
         self.processes: dict[str, Process] = {}
         self.overrides: dict[str, typing.Any] = {}
 
+    def __enter__(self) -> 'Fleet':
+        """Return the fleet; leaving the block ends all processes."""
+        return self
+
+    def __exit__(self, *_error: object) -> None:
+        """End all processes."""
+        self.stop_all()
+
     @property
     def instances(self) -> list[str]:
         """Return the names of the database instances."""
@@ -123,8 +131,9 @@
             )
         self._start(
             f'proxy-{number}',
-            ['jacinthhaven.cli.main', 'proxy', '--settings', str(path)],
+            ['jacinthhaven', 'proxy', '--settings', str(path)],
             [],
+            wait=False,
         )
 
     def kill(self, name: str) -> None:
@@ -155,6 +164,8 @@
         name: str,
         module: list[str],
         arguments: list[str],
+        *,
+        wait: bool = True,
     ) -> None:
         with (self.folder / f'{name}.err').open('ab') as errors:
             child = subprocess.Popen(
@@ -163,6 +174,8 @@
                 stderr=errors,
             )
         self.processes[name] = Process(name, child, 0)
+        if not wait:
+            return
         line = child.stdout.readline()
         if not line.startswith(b'ready'):
             raise ProcessFailedError(name, self.folder)
--- a/bench/report.py
+++ b/bench/report.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from bench import load as load_tool
+from bench import load_tool
 
 _PERCENT = 100
 _TAIL_PERCENT = 99
--- /dev/null
+++ b/jacinthhaven/__main__.py
@@ -0,0 +1,5 @@
+"""Entry point of `python -m jacinthhaven`."""
+
+from jacinthhaven.cli import main
+
+main.app()
--- a/jacinthhaven/adapters/poller.py
+++ b/jacinthhaven/adapters/poller.py
@@ -83,10 +83,12 @@
         self._run_timers()
 
     def _run_soon(self) -> None:
-        ready = tuple(self.soon)
-        self.soon.clear()
-        for callback in ready:
-            callback()
+        # Callbacks that are added meanwhile run in the next round. Each one
+        # is removed before it runs, so that an error loses no other.
+        remaining = len(self.soon)
+        while remaining:
+            remaining -= 1
+            self.soon.popleft()()
 
     def _timeout_s(self, time_left_s: float) -> float:
         if self.soon or time_left_s == 0:
--- a/jacinthhaven/decide/cluster.py
+++ b/jacinthhaven/decide/cluster.py
@@ -31,11 +31,11 @@
 
     Attributes:
       seeds: Members named in the settings.
-      gossip: Parameters of the gossip.
+      exchange: Parameters of the gossip.
     """
 
     seeds: tuple[topology.Member, ...] = ()
-    gossip: gossip.Settings = dataclasses.field(
+    exchange: gossip.Settings = dataclasses.field(
         default_factory=gossip.Settings,
     )
 
@@ -101,14 +101,14 @@
         self.live = liveness.Liveness(
             member.name,
             self.directory,
-            settings.gossip.freshness_ms,
+            settings.exchange.freshness_ms,
         )
         self.gossip = gossip.Gossip(
             self.directory,
             self.live,
             partners.Partners(member.name, member.zone, rng, settings.seeds),
             rng,
-            settings.gossip,
+            settings.exchange,
         )
         self.membership = membership.Membership(
             member,
@@ -156,7 +156,9 @@
         out += self.gossip.handle(message, now_ms)
         out += self.operator.handle(message, now_ms)
         if isinstance(message, messages.StoreReply):
-            out += self.slots.on_reply(message, now_ms)
+            out += self._without_slot_news(
+                self.slots.on_reply(message, now_ms),
+            )
         return out + self._look(now_ms)
 
     def tick(self, now_ms: int) -> list[typing.Any]:
@@ -212,6 +214,12 @@
 
     # What has changed for the node.
 
+    def _without_slot_news(self, out: list[typing.Any]) -> list[typing.Any]:
+        # `_look` compares the held slots, which covers every way in which
+        # they change.
+        news = (slots.SlotAcquired, slots.SlotLost)
+        return [message for message in out if not isinstance(message, news)]
+
     def _look(self, now_ms: int) -> list[typing.Any]:
         out = self.configuration.tick(now_ms)
         self.slots.on_lease(self.membership.lease or 0, now_ms)
--- a/jacinthhaven/decide/node.py
+++ b/jacinthhaven/decide/node.py
@@ -42,7 +42,7 @@
       cluster_key: Secret shared by all members.
       status_wait_ms: Longest wait of a status request.
       rng: Source of ids; must be unpredictable in production.
-      cluster: Settings of the cluster services.
+      services: Settings of the cluster services.
     """
 
     member: topology.Member
@@ -50,7 +50,7 @@
     cluster_key: bytes
     status_wait_ms: int
     rng: random.Random
-    cluster: cluster.ClusterSettings = dataclasses.field(
+    services: cluster.ClusterSettings = dataclasses.field(
         default_factory=cluster.ClusterSettings,
     )
 
@@ -82,7 +82,7 @@
             identity.groups,
             self.numbers,
             identity.rng,
-            identity.cluster,
+            identity.services,
         )
         self.draining = False
         self.steps: dict[type, typing.Callable] = {
--- a/jacinthhaven/decide/operator.py
+++ b/jacinthhaven/decide/operator.py
@@ -217,7 +217,9 @@
         names = self.live.unconfirmed(change.revision)
         members = len(self.configuration.directory.names)
         expired_ms = accepted_ms + self.live.freshness_ms + _PROOF_MARGIN_MS
-        if now_ms - accepted_ms > _SPREAD_LIMIT_MS:
+        # Without a chosen preset there is no policy to confirm.
+        late = now_ms - accepted_ms > _SPREAD_LIMIT_MS
+        if late or not change.has_policy:
             return self._done(change, in_force=False, unconfirmed=len(names))
         if now_ms >= expired_ms:
             # A silent member has no contact to the majority that confirmed,
@@ -228,10 +230,27 @@
         if now_ms < change.probe_ms or now_ms < expired_ms - _PROBE_MS:
             return []
         change.probe_ms = now_ms + _PROBE_MS
+        return self._probe(change, names, now_ms >= expired_ms, now_ms)
+
+    def _probe(
+        self,
+        change: _Change,
+        names: list[str],
+        expired: bool,
+        now_ms: int,
+    ) -> _Messages:
+        """Ask some members that have not confirmed.
+
+        Args:
+          change: The change.
+          names: Members that have not confirmed.
+          expired: Whether silence proves something from now on.
+          now_ms: Current time.
+        """
         sent: _Messages = []
         unasked = [name for name in names if name not in change.probed]
         for name in (unasked or names)[:_PROBES]:
-            if now_ms >= expired_ms:
+            if expired:
                 change.probed.setdefault(name, now_ms)
             sent += self.gossip.probe(name, now_ms)
         return sent
--- a/jacinthhaven/decide/operator_changes.py
+++ b/jacinthhaven/decide/operator_changes.py
@@ -110,6 +110,12 @@
         self.probe_ms = 0
         self.probed: dict[str, int] = {}
 
+    @property
+    def has_policy(self) -> bool:
+        """Return whether a preset is chosen, which members can confirm."""
+        chosen = self.found.texts.get(directories.PRESET)
+        return bool(chosen) or self.key == directories.PRESET
+
     def answer(
         self,
         failure: failures.Failure,
--- a/jacinthhaven/process/application.py
+++ b/jacinthhaven/process/application.py
@@ -83,7 +83,7 @@
             (listeners.operator.host, listeners.operator.port),
             contexts.server(listeners.operator.tls),
         )
-        self.peers.know(self.node.identity.cluster.seeds)
+        self.peers.know(self.node.identity.services.seeds)
         ticker.Ticker(self.poller, self.switch.tick)
         self._read_vms()
         self.log.write(
@@ -95,6 +95,17 @@
         if number in {signal.SIGTERM, signal.SIGINT}:
             self.stopping.begin()
 
+    def exception(
+        self,
+        _kind: type,
+        error: BaseException,
+        _traceback: typing.Any,
+        **_context: typing.Any,
+    ) -> None:
+        """Log an unexpected error; circuits goes on with the next event."""
+        self._count('errors')
+        logging.getLogger(__name__).error('unexpected error', exc_info=error)
+
     def finish(self) -> None:
         """End the event loop after the last lines were written."""
         self.log.write(messages.DecisionLine('stopped', {}))
@@ -199,7 +210,7 @@
         switch.connect_backends(self.switch, self.backends)
 
     def _know_members(self, message: messages.MembersKnown) -> None:
-        seeds = {seed.name: seed for seed in self.node.identity.cluster.seeds}
+        seeds = {seed.name: seed for seed in self.node.identity.services.seeds}
         self.peers.know({**seeds, **message.members}.values())
 
     def _on_peer_failure(self, failure: typing.Any) -> None:
