--- a/jacinthhaven/standins/instance_model_test.py
+++ b/jacinthhaven/standins/instance_model_test.py
@@ -3,7 +3,7 @@
 import pytest
 
 from jacinthhaven.records import backend
-from jacinthhaven.standins import builders
+from jacinthhaven.standins import builders, database_copy
 
 DATABASE = builders.DATABASE
 NEW_HOLDER = backend.ConnectRequest('g/0', 2)
@@ -277,3 +277,21 @@
     instance.open('c', backend.ConnectRequest('g/0', 1))
     copy = group.status('a')
     assert (copy.primary, copy.term, copy.position) == (False, 1, 2)
+
+
+@pytest.mark.parametrize(
+    'reply',
+    [
+        database_copy.PullReply('b', 1, 1, 1, []),
+        database_copy.PullReply('a', 1, 1, 2, []),
+        database_copy.PullReply('a', 1, 2, 1, []),
+    ],
+)
+def test_reply_that_does_not_continue_the_log(reply):
+    """Guards against entries of another primary, or with a gap before them."""
+    group = builders.Group()
+    group.pull('c')
+    contact_ms = group.status('c').upstream_silent_ms
+    group.now_ms = 10
+    assert not group.instances['c'].accept_pull(DATABASE, reply, 10)
+    assert group.status('c').upstream_silent_ms == contact_ms + 10
