Keep instance logs over a restart and refuse shared ports

It returns as a copy without a role and counts the silence of its primary from its start.

Listeners share their port with other processes, so two stand-ins on one port mixed the connections of two groups; a stand-in now refuses to start on a port that is in use.

--- a/jacinthhaven/standins/builders.py
+++ b/jacinthhaven/standins/builders.py
@@ -1,6 +1,7 @@
 """Test data for the stand-ins: instances, requests and replication."""
 
 import json
+import typing
 
 import msgspec
 
@@ -9,6 +10,8 @@
 
 DATABASE = 'lots'
 
+Prepare = typing.Callable[[instance_model.InstanceModel], object]
+
 
 def raw(document: object) -> msgspec.Raw:
     """Return a document as it appears in a request."""
@@ -51,14 +54,27 @@
 class Group:
     """Instances with direct replication and one open connection each."""
 
-    def __init__(self, names: str = 'abc', limit: int = 2) -> None:
-        """Start the instances; the first one is primary in term 1."""
+    def __init__(
+        self,
+        names: str = 'abc',
+        limit: int = 2,
+        prepare: Prepare | None = None,
+    ) -> None:
+        """Start the instances; the first one is primary in term 1.
+
+        Args:
+          names: Names of the instances, one letter each.
+          limit: Connection limit of each instance.
+          prepare: Called with each instance before it starts.
+        """
         self.now_ms = 0
         self.instances = {
             name: instance_model.InstanceModel(name, [DATABASE], limit)
             for name in names
         }
         for instance in self.instances.values():
+            if prepare is not None:
+                prepare(instance)
             instance.start_as({DATABASE: names[0]}, 0)
             instance.open('c', backend.ConnectRequest('g/0', 1))
 
--- a/jacinthhaven/standins/database_copy.py
+++ b/jacinthhaven/standins/database_copy.py
@@ -5,6 +5,8 @@
 the primary of the newest term that it knows.
 """
 
+import typing
+
 import msgspec
 
 from jacinthhaven.kernel import failures
@@ -72,7 +74,12 @@
 
 
 class DatabaseCopy:
-    """Term, role and log of one database on one instance."""
+    """Term, role and log of one database on one instance.
+
+    Attributes:
+      contact_ms: When the followed primary was heard last.
+      on_term: Called with each newly accepted term.
+    """
 
     def __init__(self, name: str) -> None:
         """Start with an empty log in term 0 and no primary to follow."""
@@ -83,6 +90,7 @@
         self.log = replicated_log.Log()
         self.contact_ms = 0
         self.role_changes = 0
+        self.on_term: typing.Callable[[int], None] = _ignore
 
     @property
     def changes(self) -> int:
@@ -279,6 +287,7 @@
         if reply.term > self.term:
             self.term = reply.term
             self.role_changes += 1
+            self.on_term(reply.term)
         self.contact_ms = now_ms
         self.log.receive(reply.prefix, reply.entries, now_ms + lag_ms)
         self.log.show_due(now_ms)
@@ -295,6 +304,11 @@
         self.upstream = ''
         self.log.drop_received()
         self.role_changes += 1
+        self.on_term(term)
 
     def _log_end(self) -> backend.FenceReply:
         return backend.FenceReply(self.term, self.log.term, self.log.position)
+
+
+def _ignore(_term: int) -> None:
+    """Do nothing; default of an unset callback."""
--- a/jacinthhaven/standins/instance_model.py
+++ b/jacinthhaven/standins/instance_model.py
@@ -71,9 +71,12 @@
           primaries: Names of the instances by database.
           now_ms: Time of the start.
         """
-        for database, primary in primaries.items():
-            copy = self.copies[database]
-            if copy.term:
+        for database, copy in self.copies.items():
+            # Silence counts from the start, since earlier contacts of a
+            # restarted instance are not known.
+            copy.contact_ms = now_ms
+            primary = primaries.get(database)
+            if copy.term or primary is None:
                 continue
             copy.fence(1)
             if primary == self.name:
--- a/jacinthhaven/standins/instance_server.py
+++ b/jacinthhaven/standins/instance_server.py
@@ -7,11 +7,10 @@
 import functools
 import http
 import os
-import sys
+import pathlib
 import types
 import typing
 
-import circuits
 import msgspec
 import typer
 
@@ -22,14 +21,15 @@
     database_copy,
     instance_faults,
     instance_model,
+    journal,
     long_polls,
+    process,
     replicator,
 )
 
 # A replica sees a silent primary after at least this long, so it must be
 # well below the proxies' suspicion timeout of 500 ms.
 _HEARTBEAT_MS = 100
-_HOST = '127.0.0.1'
 _BOOT_BYTES = 8
 # Limit of one instance of the exchange's group.
 _CONNECTION_LIMIT = 20
@@ -318,6 +318,10 @@
     ] = '',
     connection_limit: int = _CONNECTION_LIMIT,
     open_delay_ms: int = 0,
+    journal_file: typing.Annotated[
+        str,
+        typer.Option(help='File that keeps terms and logs over a restart.'),
+    ] = '',
 ) -> None:
     """Run one database instance until SIGTERM."""
     loop = poller.Poller()
@@ -327,6 +331,8 @@
         connection_limit,
         os.urandom(_BOOT_BYTES).hex(),
     )
+    if journal_file:
+        journal.attach(model, pathlib.Path(journal_file))
     model.start_as(_parse_pairs(initial_primary), loop.clock.now_ms())
     addresses = {
         peer: _parse_address(address)
@@ -338,12 +344,7 @@
         addresses,
         instance_faults.Faults(open_delay_ms=open_delay_ms),
     )
-    bound = task.server.listen((_HOST, port))
-    typer.echo(f'ready {bound}')
-    sys.stdout.flush()
-    application = circuits.Component()
-    loop.register(application)
-    application.run()
+    process.run(task.server, port)
 
 
 if __name__ == '__main__':
--- a/jacinthhaven/standins/platform_server.py
+++ b/jacinthhaven/standins/platform_server.py
@@ -7,10 +7,8 @@
 import collections
 import functools
 import http
-import sys
 import typing
 
-import circuits
 import msgspec
 import typer
 
@@ -21,10 +19,10 @@
     control,
     etcd_replies,
     etcd_requests,
+    process,
     store_model,
 )
 
-_HOST = '127.0.0.1'
 _EXPIRY_CHECK_MS = 50
 # A value of 1 MB grows by a third in base64, and a transaction may hold
 # several.
@@ -277,14 +275,8 @@
 @app.command()
 def main(port: int = 0) -> None:
     """Run the platform until SIGTERM; port 0 takes any free port."""
-    loop = poller.Poller()
-    task = PlatformServer(loop)
-    bound = task.server.listen((_HOST, port))
-    typer.echo(f'ready {bound}')
-    sys.stdout.flush()
-    application = circuits.Component()
-    loop.register(application)
-    application.run()
+    task = PlatformServer(poller.Poller())
+    process.run(task.server, port)
 
 
 if __name__ == '__main__':
--- a/jacinthhaven/standins/replicated_log.py
+++ b/jacinthhaven/standins/replicated_log.py
@@ -54,6 +54,8 @@
 
     Attributes:
       changes: Counter of all changes of the visible log.
+      on_entry: Called with each entry that becomes visible.
+      on_cut: Called with the new end when visible entries are dropped.
     """
 
     def __init__(self) -> None:
@@ -65,6 +67,8 @@
         self.rows: dict[str, typing.Any] = {}
         self.recorded: dict[str, Recorded] = {}
         self.changes = 0
+        self.on_entry: typing.Callable[[Entry], None] = _ignore
+        self.on_cut: typing.Callable[[int], None] = _ignore
 
     @property
     def term(self) -> int:
@@ -92,6 +96,7 @@
         self._append(entry)
         self.position += 1
         self.changes += 1
+        self.on_entry(entry)
         return outcome
 
     def entries_after(self, prefix: int) -> list[Entry]:
@@ -149,8 +154,10 @@
             end = self.delayed.popleft()[1]
             while self.position < end:
                 self.position += 1
-                self._apply(self.entries[self.position - 1], self.position)
+                entry = self.entries[self.position - 1]
+                self._apply(entry, self.position)
                 self.changes += 1
+                self.on_entry(entry)
 
     def drop_received(self) -> None:
         """Drop the entries that are not visible yet."""
@@ -173,6 +180,7 @@
         )
         if self.position > position:
             self._rebuild()
+            self.on_cut(position)
 
     def _rebuild(self) -> None:
         self.position = len(self.entries)
@@ -202,3 +210,7 @@
 ) -> dict[backend.TermStart, int]:
     ends = [start.position - 1 for start in starts[1:]]
     return dict(zip(starts, [*ends, position], strict=False))
+
+
+def _ignore(_change: typing.Any) -> None:
+    """Do nothing; default of an unset callback."""
