--- a/jacinthhaven/standins/instance_server.py
+++ b/jacinthhaven/standins/instance_server.py
@@ -110,10 +110,9 @@
         path = exchange.message.path
         if path == '/control':
             self._control(exchange)
-        elif path == '/replicate':
-            self.process_gate.run(functools.partial(self._serve, exchange))
         else:
-            self.proxy_gate.run(functools.partial(self._serve, exchange))
+            gate = self._gate(path)
+            gate.run(functools.partial(self._serve, exchange))
 
     def _on_disconnect(self, connection: http_server.ServerConnection) -> None:
         # The end of a connection follows its requests, so a request that
@@ -128,7 +127,7 @@
         try:
             request = msgspec.json.decode(exchange.message.body, type=record)
         except msgspec.DecodeError as error:
-            self._refuse(exchange, failures.BAD_REQUEST, str(error))
+            self._respond(exchange, _bad_request(error))
             return
         self._run(exchange, request)
 
@@ -232,7 +231,10 @@
             try:
                 self.faults = self.faults.changed(exchange.message.body)
             except msgspec.DecodeError as error:
-                self._refuse(exchange, failures.BAD_REQUEST, str(error))
+                exchange.respond_json(
+                    http.HTTPStatus.CONFLICT,
+                    _bad_request(error),
+                )
                 return
             self._apply_faults()
         table = self.model.table
@@ -269,21 +271,22 @@
             status = http.HTTPStatus.CONFLICT
         body = msgspec.json.encode(reply)
         delay_ms += self.faults.answer_delay_ms
+        send = functools.partial(exchange.respond, status, body)
         if delay_ms:
+            gate = self._gate(exchange.message.path)
             self.poller.call_later(
                 delay_ms,
-                functools.partial(exchange.respond, status, body),
+                functools.partial(gate.run, send),
             )
         else:
-            exchange.respond(status, body)
+            send()
 
-    def _refuse(
-        self,
-        exchange: http_server.Exchange,
-        kind: failures.Kind,
-        detail: str,
-    ) -> None:
-        self._respond(exchange, backend.ErrorReply(kind.code, detail))
+    def _gate(self, path: str) -> instance_faults.Gate:
+        return self.process_gate if path == '/replicate' else self.proxy_gate
+
+
+def _bad_request(error: msgspec.DecodeError) -> backend.ErrorReply:
+    return backend.ErrorReply(failures.BAD_REQUEST.code, str(error))
 
 
 def _close_connection(connection: http_server.ServerConnection) -> None:
--- a/jacinthhaven/standins/instance_server_test.py
+++ b/jacinthhaven/standins/instance_server_test.py
@@ -182,6 +182,20 @@
     assert not setup.models['a'].table.connections
 
 
+def test_frozen_instance_holds_delayed_answers():
+    """Guards against an answer that a frozen instance still sends."""
+    setup = Setup()
+    setup.control('a', {'answer_delay_ms': 50})
+    setup.callers['a'].send('/execute', builders.add())
+    setup.driver.run_until(lambda: setup.copy('a').log.position == 2)
+    setup.control('a', {'freeze': True})
+    setup.driver.advance(50)
+    setup.control('a', {})
+    assert not setup.callers['a'].answers
+    setup.control('a', {'freeze': False})
+    assert setup.callers['a'].next_answer()['position'] == 2
+
+
 def test_frozen_primary_is_silent():
     """Guards against a frozen instance that still feeds its replicas."""
     setup = Setup()
