--- a/jacinthhaven/standins/instance_server.py
+++ b/jacinthhaven/standins/instance_server.py
@@ -7,11 +7,10 @@
 import functools
 import http
 import os
-import sys
+import pathlib
 import types
 import typing
 
-import circuits
 import msgspec
 import typer
 
@@ -22,14 +21,15 @@
     database_copy,
     instance_faults,
     instance_model,
+    journal,
     long_polls,
+    process,
     replicator,
 )
 
 # A replica sees a silent primary after at least this long, so it must be
 # well below the proxies' suspicion timeout of 500 ms.
 _HEARTBEAT_MS = 100
-_HOST = '127.0.0.1'
 _BOOT_BYTES = 8
 # Limit of one instance of the exchange's group.
 _CONNECTION_LIMIT = 20
@@ -110,10 +110,9 @@
         path = exchange.message.path
         if path == '/control':
             self._control(exchange)
-        elif path == '/replicate':
-            self.process_gate.run(functools.partial(self._serve, exchange))
         else:
-            self.proxy_gate.run(functools.partial(self._serve, exchange))
+            gate = self._gate(path)
+            gate.run(functools.partial(self._serve, exchange))
 
     def _on_disconnect(self, connection: http_server.ServerConnection) -> None:
         # The end of a connection follows its requests, so a request that
@@ -128,7 +127,7 @@
         try:
             request = msgspec.json.decode(exchange.message.body, type=record)
         except msgspec.DecodeError as error:
-            self._refuse(exchange, failures.BAD_REQUEST, str(error))
+            self._respond(exchange, _bad_request(error))
             return
         self._run(exchange, request)
 
@@ -232,7 +231,10 @@
             try:
                 self.faults = self.faults.changed(exchange.message.body)
             except msgspec.DecodeError as error:
-                self._refuse(exchange, failures.BAD_REQUEST, str(error))
+                exchange.respond_json(
+                    http.HTTPStatus.CONFLICT,
+                    _bad_request(error),
+                )
                 return
             self._apply_faults()
         table = self.model.table
@@ -269,21 +271,22 @@
             status = http.HTTPStatus.CONFLICT
         body = msgspec.json.encode(reply)
         delay_ms += self.faults.answer_delay_ms
+        send = functools.partial(exchange.respond, status, body)
         if delay_ms:
+            gate = self._gate(exchange.message.path)
             self.poller.call_later(
                 delay_ms,
-                functools.partial(exchange.respond, status, body),
+                functools.partial(gate.run, send),
             )
         else:
-            exchange.respond(status, body)
+            send()
+
+    def _gate(self, path: str) -> instance_faults.Gate:
+        return self.process_gate if path == '/replicate' else self.proxy_gate
 
-    def _refuse(
-        self,
-        exchange: http_server.Exchange,
-        kind: failures.Kind,
-        detail: str,
-    ) -> None:
-        self._respond(exchange, backend.ErrorReply(kind.code, detail))
+
+def _bad_request(error: msgspec.DecodeError) -> backend.ErrorReply:
+    return backend.ErrorReply(failures.BAD_REQUEST.code, str(error))
 
 
 def _close_connection(connection: http_server.ServerConnection) -> None:
@@ -318,6 +321,10 @@
     ] = '',
     connection_limit: int = _CONNECTION_LIMIT,
     open_delay_ms: int = 0,
+    journal_file: typing.Annotated[
+        str,
+        typer.Option(help='File that keeps terms and logs over a restart.'),
+    ] = '',
 ) -> None:
     """Run one database instance until SIGTERM."""
     loop = poller.Poller()
@@ -327,6 +334,8 @@
         connection_limit,
         os.urandom(_BOOT_BYTES).hex(),
     )
+    if journal_file:
+        journal.attach(model, pathlib.Path(journal_file))
     model.start_as(_parse_pairs(initial_primary), loop.clock.now_ms())
     addresses = {
         peer: _parse_address(address)
@@ -338,12 +347,7 @@
         addresses,
         instance_faults.Faults(open_delay_ms=open_delay_ms),
     )
-    bound = task.server.listen((_HOST, port))
-    typer.echo(f'ready {bound}')
-    sys.stdout.flush()
-    application = circuits.Component()
-    loop.register(application)
-    application.run()
+    process.run(task.server, port)
 
 
 if __name__ == '__main__':
