Report unsendable payloads instead of raising

A caller's deadline or text can exceed a field of the schema, which must not stop the process. Idle peer connections now close after a minute.

--- a/jacinthhaven/adapters/peer_codec.py
+++ b/jacinthhaven/adapters/peer_codec.py
@@ -20,6 +20,13 @@
 _COMPRESS_BYTES = 1024
 _COMPRESS_LEVEL = 1
 _WORD_BYTES = 8
+_ENCODE_ERRORS = (
+    LookupError,
+    TypeError,
+    ValueError,
+    OverflowError,
+    capnp.KjException,
+)
 
 
 class BadPayloadError(Exception):
@@ -50,7 +57,7 @@
     message = _schema.Envelope.new_message()
     try:
         _fill(message, payload)
-    except (LookupError, TypeError, capnp.KjException) as error:
+    except _ENCODE_ERRORS as error:
         raise BadPayloadError(str(error)) from error
     raw = message.to_bytes_packed()
     if len(raw) < _COMPRESS_BYTES or not isinstance(payload, gossip.Exchange):
--- a/jacinthhaven/adapters/peer_schema.capnp
+++ b/jacinthhaven/adapters/peer_schema.capnp
@@ -29,7 +29,7 @@
   number @0 :UInt64;
   database @1 :Text;
   body @2 :Data;
-  remainingMs @3 :Int32;
+  remainingMs @3 :Int64;
   freshSession @4 :Bool;
   attempt @5 :UInt16;
 }
@@ -38,7 +38,7 @@
   number @0 :UInt64;
   database @1 :Text;
   body @2 :Data;
-  remainingMs @3 :Int32;
+  remainingMs @3 :Int64;
 }
 
 struct ForwardAnswer {
@@ -63,7 +63,7 @@
   number @0 :UInt32;
   echo @1 :UInt32;
   complete @2 :UInt64;
-  proofAgeMs @3 :Int32;
+  proofAgeMs @3 :Int64;
   base @4 :Int64;
   full @5 :Bool;
   flagsHash @6 :UInt32;
--- a/jacinthhaven/adapters/peers.py
+++ b/jacinthhaven/adapters/peers.py
@@ -25,11 +25,12 @@
 # Covers connecting, TLS and the handshake between distant regions.
 _HANDSHAKE_TIMEOUT_MS = 2000
 # Connections of random gossip partners must not accumulate.
-_IDLE_LIMIT_MS = 120_000
+_IDLE_LIMIT_MS = 60_000
 _IDLE_CHECK_MS = 10_000
 # Strangers can hold at most this many sockets for the handshake timeout.
 _MAX_STRANGERS = 256
 
+BAD_PAYLOAD = failures.Kind('peer_bad_payload', failures.Outcome.NOT_RUN, 0)
 TIMED_OUT = failures.Kind('peer_timed_out', failures.Outcome.NOT_RUN, 0)
 TOO_LARGE = failures.Kind('peer_too_large', failures.Outcome.NOT_RUN, 0)
 TOO_MANY = failures.Kind('peer_too_many', failures.Outcome.NOT_RUN, 0)
@@ -101,14 +102,11 @@
 
     def send(self, message: messages.PeerSend) -> None:
         """Send a payload; connect first if there is no connection."""
-        raw = peer_codec.encode(message.payload)
+        raw = self._encode(message)
         link = self.current.get(message.member)
-        if len(raw) > peer_codec.MAX_MESSAGE_BYTES:
-            self.on_failure(TOO_LARGE.because(message.member))
-            link = None
-        elif link is None:
+        if link is None and raw:
             link = self._connect(message.member)
-        if link is None:
+        if link is None or not raw:
             self._deliver_lost(message.member)
         else:
             link.send(raw)
@@ -123,6 +121,17 @@
         self.links.clear()
         self.current.clear()
 
+    def _encode(self, message: messages.PeerSend) -> bytes:
+        try:
+            raw = peer_codec.encode(message.payload)
+        except peer_codec.BadPayloadError as error:
+            self.on_failure(BAD_PAYLOAD.because(str(error)))
+            return b''
+        if len(raw) > peer_codec.MAX_MESSAGE_BYTES:
+            self.on_failure(TOO_LARGE.because(message.member))
+            return b''
+        return raw
+
     def _connect(self, member: str) -> peer_link.Link | None:
         address = self.addresses.get(member)
         delay = self.backoffs.get(member)
--- a/jacinthhaven/adapters/peers_test.py
+++ b/jacinthhaven/adapters/peers_test.py
@@ -175,6 +175,24 @@
     silent.close()
 
 
+@pytest.mark.parametrize(
+    ('payload', 'kind'),
+    [
+        (records.ForwardCancel(-1), peers.BAD_PAYLOAD),
+        (records.ForwardAnswer(1, 1, b'x' * 5_000_000), peers.TOO_LARGE),
+    ],
+)
+def test_unsendable_payload(loop, payload, kind):
+    """Guards against a request that waits for a payload never sent."""
+    left, right = Node(loop, 'left'), Node(loop, 'right')
+    left.send(right, payload)
+    assert not left.delivered
+    run(loop, lambda: left.delivered)
+    assert left.failed == [kind]
+    left.send(right)
+    run(loop, lambda: right.delivered)
+
+
 def test_restarted_member_replaces_its_connections(loop):
     """Guards against payloads sent to the earlier start of a member."""
     right, old = Node(loop, 'right'), Node(loop, 'left')
