--- a/jacinthhaven/decide/gossip.py
+++ b/jacinthhaven/decide/gossip.py
@@ -111,6 +111,7 @@
         if now_ms >= self.round_ms:
             self.round_ms = now_ms + self._interval_ms(now_ms)
             self.directory.expire(now_ms)
+            self.live.forget(now_ms)
             self.partners.refresh(self.directory, now_ms)
             sent = self._ask(now_ms)
         return sent + self._push(now_ms)
--- a/jacinthhaven/decide/liveness.py
+++ b/jacinthhaven/decide/liveness.py
@@ -59,6 +59,20 @@
         self.heard[member] = max(at_ms, self.heard.get(member, at_ms))
         self.evidence[member] = max(at_ms, self.evidence.get(member, at_ms))
 
+    def forget(self, now_ms: int) -> None:
+        """Drop what is known about members that are long gone."""
+        limit = 2 * len(self.directory.names) + _SHARE_ALL
+        if len(self.heard) > limit:
+            names = self.heard.keys() & self.directory.names
+            self.heard = {name: self.heard[name] for name in names}
+        if len(self.evidence) > limit:
+            limit_ms = now_ms - self.freshness_ms
+            self.evidence = {
+                name: seen_ms
+                for name, seen_ms in self.evidence.items()
+                if seen_ms >= limit_ms
+            }
+
     def live(self, now_ms: int) -> int:
         """Return how many members were in contact within `freshness_ms`.
 
--- a/jacinthhaven/decide/liveness_test.py
+++ b/jacinthhaven/decide/liveness_test.py
@@ -73,3 +73,15 @@
     second.live.merge_ages(_answer(first, 3000), 2999)
     assert 1200 < second.live.live(3000) < 1400
     assert second.live.has_majority(3000)
+
+
+def test_gone_members_are_forgotten():
+    """Guards against memory that grows with every replaced member."""
+    node = _node('a', ('a', 'b'))
+    for step in range(2000):
+        node.live.hear(f'gone{step}', step * 100)
+        node.live.hear('b', step * 100)
+        node.live.forget(step * 100)
+    assert len(node.live.heard) < 200
+    assert len(node.live.evidence) < 200
+    assert node.live.heard['b'] == 199_900
