--- a/scenarios/language.py
+++ b/scenarios/language.py
@@ -10,7 +10,7 @@
 
 import pydantic
 
-from jacinthhaven.adapters import yaml_file
+from jacinthhaven.adapters import text_file, yaml_file
 from jacinthhaven.records import presets
 from scenarios import checker, variants
 
@@ -234,7 +234,7 @@
     Raises:
       InvalidScenarioError: If the file has errors; names all of them.
     """
-    parsed = parse(yaml_file.read_text(str(path)))
+    parsed = parse(text_file.read_text(str(path)))
     if isinstance(parsed, Scenario):
         return parsed
     lines = '\n'.join(f'{path.name}:{error}' for error in parsed)
