Refuse forwards at a member without a slot instead of failing

Cause: Owner.submit called Executor.refuse, which does not exist, so a forward that arrives after a slot was lost raised AttributeError and its caller got no answer.

--- a/jacinthhaven/decide/owner.py
+++ b/jacinthhaven/decide/owner.py
@@ -116,7 +116,7 @@
         """Accept a request; the answer follows as `work.OwnerAnswer`."""
         if self.slot is None:
             failure = failures.NO_OWNER.because('this node holds no slot')
-            self.executor.refuse(job, failure)
+            self.state.refuse(job, failure)
         else:
             self.executor.submit(job, now_ms)
         return self.take()
