Answer a refused outcome question with an unknown outcome

Cause: an outcome question that was refused, for example because its deadline had passed, was answered with outcome not_run although the write was in the log.

--- a/jacinthhaven/decide/entry.py
+++ b/jacinthhaven/decide/entry.py
@@ -168,6 +168,9 @@
             body,
             token,
             now_ms + (body.deadline_ms or self.policy.preset.deadline_ms),
+            # The write may have run; that the question was refused does
+            # not say that it did not.
+            maybe_run=True,
         )
         return self._accept(pending, now_ms)
 
