Repeat strict reads whose primary was replaced before the proof

Cause: a read without a token waited for a proof of the current term but not of the term in which it was executed. A read that the old primary had answered was released by the proof of the next term and missed a write of its own session.

--- a/jacinthhaven/decide/replies.py
+++ b/jacinthhaven/decide/replies.py
@@ -217,7 +217,11 @@
 
     def _answer_read(self, job: work.Work, answer: callers.Answer) -> None:
         base = self.state.databases[job.database]
-        if job.strict and base.proved_ms < job.arrived_ms:
+        if job.strict and job.term < base.term:
+            # The proof would be about a later primary than the one that
+            # executed the read.
+            self.dispatcher.use_primary(base, job, 'replaced')
+        elif job.strict and base.proved_ms < job.arrived_ms:
             base.strict.append(job)
         else:
             self.state.answer(job, answer)
