Answer strict reads at a slot loss and forget expired work

Cause: an owner that lost its slot refused the queue and the unconfirmed writes but not the reads that wait for a proof of the term. They were never answered, because a stopped owner runs no timers, and the node never became idle, so a planned stop waited for drain_ms. Writes that expired while no majority was reachable stayed in the confirmation heap.

Ruled out: the entry's own deadline covers the caller but not the owner's memory. Before: no answer and a heap that grows for as long as an outage lasts. After: strict reads are refused as no_owner, and expired requests leave every table at the tick that expires them.

--- a/jacinthhaven/decide/builders.py
+++ b/jacinthhaven/decide/builders.py
@@ -1,9 +1,18 @@
 """Builders of test data for the decision code."""
 
 import dataclasses
+import itertools
+import random
 import typing
 
-from jacinthhaven.decide import messages, promotion_rules, views
+from jacinthhaven.decide import (
+    group_state,
+    messages,
+    owner,
+    promotion_rules,
+    views,
+    work,
+)
 from jacinthhaven.kernel import failures
 from jacinthhaven.records import backend, peers, presets, topology
 
@@ -203,3 +212,157 @@
                 view.copies = {DATABASE: copy.status(now_ms)}
             view.suspected = view.silent_ms(now_ms) >= 500
         return seen
+
+
+class OwnerDesk:
+    """Owner of one slot; the test answers its calls and moves its clock."""
+
+    def __init__(self) -> None:
+        """Start with connected control channels and no status."""
+        self.now_ms = 1000
+        self.numbers = itertools.count(1)
+        self.state = group_state.GroupState(
+            group(),
+            'm1',
+            itertools.count(1),
+            random.Random(1),  # noqa: S311
+        )
+        self.owner = owner.Owner(self.state, 50)
+        self.opening: list[messages.BackendOpen] = []
+        self.closed: list[int] = []
+        self.calls: dict[int, messages.BackendCall] = {}
+        self.answers: list[work.OwnerAnswer] = []
+        self.start()
+
+    @property
+    def base(self) -> typing.Any:
+        """Return the state of the database."""
+        return self.state.databases[DATABASE]
+
+    @property
+    def statements(self) -> list[messages.BackendCall]:
+        """Return the calls on data connections that wait for a reply."""
+        kinds = (backend.ExecuteRequest, backend.ResolveRequest)
+        return [
+            call
+            for call in self.calls.values()
+            if isinstance(call.request, kinds)
+        ]
+
+    def start(self, epoch: int = 7) -> None:
+        """Give the owner its slot and accept its connections."""
+        slot = topology.Slot('exchange-db', 0, 'm1', epoch)
+        self.keep(self.owner.start(slot, self.now_ms))
+        self.accept()
+
+    def keep(self, out: list[typing.Any]) -> None:
+        """Sort the messages of the owner."""
+        keepers = {
+            messages.BackendOpen: self.opening.append,
+            messages.BackendClose: self._close,
+            messages.BackendCall: self._call,
+            work.OwnerAnswer: self.answers.append,
+        }
+        for message in out:
+            keepers.get(type(message), id)(message)
+
+    def accept(self) -> None:
+        """Let all connections open that the owner has asked for."""
+        while self.opening:
+            opened = messages.BackendOpened(self.opening.pop(0).connection)
+            self.keep(self.owner.handle(opened, self.now_ms))
+
+    def submit(self, kind: str = work.WRITE, **fields: typing.Any) -> work.Work:
+        """Submit a request of session `s` and let connections open."""
+        fields.setdefault('deadline_ms', self.now_ms + 5000)
+        fields.setdefault('session', 's')
+        job = work.Work(
+            work.Origin('m2', next(self.numbers)),
+            DATABASE,
+            kind,
+            **fields,
+        )
+        if job.logged and not job.request_key:
+            number = job.origin.number
+            job.request_key = f's/{number}'
+        self.keep(self.owner.submit(job, self.now_ms))
+        self.accept()
+        return job
+
+    def reply(self, reply: typing.Any) -> None:
+        """Answer the oldest call on a data connection."""
+        call = self.statements[0]
+        self.calls.pop(call.connection)
+        replied = messages.BackendReply(call.connection, call.number, reply)
+        self.keep(self.owner.handle(replied, self.now_ms))
+
+    def done(self, position: int = 4, log_term: int = 1) -> None:
+        """Answer the oldest call on a data connection with a result."""
+        call = self.statements[0]
+        if isinstance(call.request, backend.ResolveRequest):
+            self.reply(backend.ResolveReply(True, log_term, position))
+        else:
+            self.reply(backend.ExecuteReply(log_term, position))
+
+    def lose(self) -> None:
+        """Lose the connection of the oldest call."""
+        connection = self.statements[0].connection
+        self.calls.pop(connection)
+        failure = failures.CONNECTION_LOST.because('test')
+        lost = messages.BackendLost(connection, failure)
+        self.keep(self.owner.handle(lost, self.now_ms))
+
+    def show(self, fake: FakeGroup) -> None:
+        """Answer the status requests of the reachable instances."""
+        for connection, call in tuple(self.calls.items()):
+            copy = fake.copies[self.owner.places[connection]]
+            waiting = isinstance(call.request, backend.StatusRequest)
+            if waiting and copy.reachable:
+                self.calls.pop(connection)
+                status = backend.InstanceStatus(
+                    copy.name,
+                    'b1',
+                    call.number,
+                    leaving=False,
+                    connections=1,
+                    databases=[copy.status(self.now_ms)],
+                )
+                replied = messages.BackendReply(
+                    connection,
+                    call.number,
+                    status,
+                )
+                self.keep(self.owner.handle(replied, self.now_ms))
+        self.accept()
+
+    def advance(self, step_ms: int) -> None:
+        """Move the clock and advance the owner's timers once."""
+        self.now_ms += step_ms
+        self.keep(self.owner.tick(self.now_ms))
+
+    def codes(self, job: work.Work) -> list[str]:
+        """Return the failure codes of a request's answers, or `done`."""
+        return [
+            answer.failure.kind.code if answer.failure else 'done'
+            for answer in self.answers
+            if answer.origin == job.origin
+        ]
+
+    def _close(self, message: messages.BackendClose) -> None:
+        self.closed.append(message.connection)
+        self.calls.pop(message.connection, None)
+
+    def _call(self, message: messages.BackendCall) -> None:
+        assert message.connection not in self.calls
+        self.calls[message.connection] = message
+
+
+def serving() -> tuple[OwnerDesk, FakeGroup]:
+    """Return an owner that has seen a healthy group twice."""
+    desk = OwnerDesk()
+    fake = FakeGroup()
+    desk.advance(10)
+    desk.show(fake)
+    desk.advance(10)
+    desk.show(fake)
+    return desk, fake
--- a/jacinthhaven/decide/confirmations.py
+++ b/jacinthhaven/decide/confirmations.py
@@ -48,6 +48,11 @@
         self.heap = []
         return waiting
 
+    def drop_finished(self) -> None:
+        """Forget the writes that were answered without confirmation."""
+        self.heap = [entry for entry in self.heap if not entry[2].finished]
+        heapq.heapify(self.heap)
+
     def confirmed(self, position: int) -> list[work.Work]:
         """Remove and return the writes up to a confirmed position."""
         found = []
--- a/jacinthhaven/decide/database.py
+++ b/jacinthhaven/decide/database.py
@@ -89,6 +89,17 @@
         self._refresh_ages()
         return self.term > previous
 
+    def drop_finished(self) -> None:
+        """Forget the waiting requests that were answered.
+
+        Without this, writes that wait for a lost majority would be kept
+        for as long as the primary accepts more of them.
+        """
+        self.admission.remove_if(_is_finished)
+        self.confirmations.drop_finished()
+        self.strict = [job for job in self.strict if not job.finished]
+        self.parked = [job for job in self.parked if not job.finished]
+
     def confirmed(self) -> list[work.Work]:
         """Remove and return the writes that a majority has."""
         if not self.confirmations:
@@ -161,6 +172,10 @@
                 )
 
 
+def _is_finished(job: work.Work) -> bool:
+    return job.finished
+
+
 def _leaving_block(view: views.InstanceView, now_ms: int) -> str:
     if view.leaving and now_ms - view.leaving_since_ms > LEAVING_GRACE_MS:
         return 'leaving'
--- a/jacinthhaven/decide/executor.py
+++ b/jacinthhaven/decide/executor.py
@@ -116,6 +116,9 @@
         """Refuse everything that waits, when the owner stops."""
         for base in self.state.databases.values():
             self.refuse_waiting(base, kind, reason)
+            for read in base.strict:
+                self.state.refuse(read, kind.because(reason))
+            base.strict = []
             for job in base.confirmations.clear():
                 job.lost = True
                 self.state.refuse(job, kind.because(reason))
@@ -149,12 +152,8 @@
                 self.recovery.expire(job)
         if expired:
             for base in self.state.databases.values():
-                base.admission.remove_if(_is_finished)
+                base.drop_finished()
 
 
 def _always(_job: work.Work) -> bool:
     return True
-
-
-def _is_finished(job: work.Work) -> bool:
-    return job.finished
--- /dev/null
+++ b/jacinthhaven/decide/owner_test.py
@@ -0,0 +1,52 @@
+"""Tests of an owner: stop and start with pending work."""
+
+from jacinthhaven.decide import builders, work
+
+
+def test_stop_answers_strict_reads():
+    """Guards against a read without answer and a drain that never ends."""
+    desk, _fake = builders.serving()
+    desk.now_ms += 5
+    read = desk.submit(work.READ, strict=True)
+    desk.done(position=3)
+    assert not desk.codes(read)
+    desk.keep(desk.owner.stop('test'))
+    assert desk.codes(read) == ['no_owner']
+    assert desk.owner.executor.idle
+
+
+def test_stop_answers_everything_once():
+    """Guards against work that is lost or answered twice at a slot loss."""
+    desk, _fake = builders.serving()
+    unconfirmed = desk.submit()
+    desk.done()
+    running = desk.submit()
+    begun = desk.submit(work.BEGIN)
+    queued = [desk.submit() for _ in range(9)]
+    desk.keep(desk.owner.stop('test'))
+    assert desk.codes(unconfirmed) == ['unconfirmed']
+    assert desk.codes(running) == ['unconfirmed']
+    assert desk.codes(begun) == ['no_owner']
+    assert desk.codes(queued[-1]) == ['no_owner']
+    assert len(desk.answers) == 12
+    assert desk.owner.executor.idle
+    desk.calls.clear()
+    desk.start(epoch=8)
+    desk.advance(10_000)
+    assert len(desk.answers) == 12
+
+
+def test_expired_work_is_forgotten():
+    """Guards against unconfirmed writes that fill the memory in an outage."""
+    desk, fake = builders.serving()
+    desk.submit()
+    desk.done(position=5)
+    desk.submit(work.READ, strict=True, deadline_ms=desk.now_ms + 5000)
+    desk.now_ms += 1
+    desk.done(position=5)
+    for copy in fake.copies.values():
+        copy.reachable = False
+    desk.advance(6000)
+    assert len(desk.answers) == 2
+    assert desk.owner.executor.idle
+    assert not len(desk.base.confirmations)
