Close connections that open or answer too late

Cause: a connection attempt without a result and a call without a reply both occupied a connection of the share for ever. The deadline answered the caller, but only a reply or a reset freed the connection, and a frozen instance or a path that drops packets sends neither. A transaction with such a step stayed busy and so escaped its idle timeout.

Ruled out: closing at the deadline itself, because a reply that is slightly late is normal and opening a connection costs 10 to 30 ms. Before: after one freeze an owner could not use the instance again. After: an attempt ends 3 s after it was started and a call 3 s after its request's deadline.

--- a/jacinthhaven/decide/calls.py
+++ b/jacinthhaven/decide/calls.py
@@ -9,6 +9,10 @@
 
 from jacinthhaven.decide import work
 
+# A reply that is this late will not come: the instance is frozen or the
+# network path is gone without notice.
+LATE_REPLY_MS = 3000
+
 
 @dataclasses.dataclass(slots=True)
 class Call:
@@ -20,6 +24,7 @@
       instance: Instance at the other end.
       job: Request that is executed; None once it was given up, so that the
         late reply only frees the connection.
+      give_up_ms: When the connection is closed if no reply has arrived.
       begins: Whether the call opens a transaction on the connection.
     """
 
@@ -27,6 +32,7 @@
     connection: int
     instance: str
     job: work.Work | None
+    give_up_ms: int
     begins: bool = False
 
 
@@ -52,6 +58,7 @@
             connection,
             instance,
             job,
+            job.deadline_ms + LATE_REPLY_MS,
             job.kind == work.BEGIN,
         )
         self.by_number[call.number] = call
@@ -70,6 +77,14 @@
         call = self.by_connection.get(connection)
         return None if call is None else self.finish(call.number)
 
+    def stalled(self, now_ms: int) -> list[Call]:
+        """Return the calls whose replies are not expected any more."""
+        return [
+            call
+            for call in self.by_number.values()
+            if now_ms >= call.give_up_ms
+        ]
+
     def older_than(self, database: str, term: int) -> list[Call]:
         """Return the calls of a database that need a primary of a lower term."""
         return [
--- a/jacinthhaven/decide/executor.py
+++ b/jacinthhaven/decide/executor.py
@@ -81,6 +81,7 @@
     def tick(self, now_ms: int) -> None:
         """Expire requests, parked reads and idle transactions."""
         self._expire(now_ms)
+        self.recovery.close_stalled(now_ms)
         limit_ms = now_ms - self.state.preset.transaction_idle_ms
         for transaction in self.state.transactions.idle_since(limit_ms):
             self.recovery.abort(transaction)
--- a/jacinthhaven/decide/pool.py
+++ b/jacinthhaven/decide/pool.py
@@ -14,6 +14,8 @@
 
 _FIRST_BACKOFF_MS = 50
 _LAST_BACKOFF_MS = 2000
+# An instance that answers at all opens a connection in 10 to 30 ms.
+OPEN_TIMEOUT_MS = 3000
 
 Opened = list[messages.BackendOpen]
 
@@ -55,7 +57,8 @@
         self.numbers = numbers
         self.idle: collections.deque[int] = collections.deque()
         self.busy: set[int] = set()
-        self.opening: set[int] = set()
+        # When each connection that is not open yet was asked for.
+        self.opening: dict[int, int] = {}
         self.backoff_ms = 0
         self.retry_at_ms = 0
         self.started_ms = 0
@@ -83,7 +86,7 @@
         room = min(wanted - self.usable, self.share - self.size)
         for _ in range(room):
             number = next(self.numbers)
-            self.opening.add(number)
+            self.opening[number] = now_ms
             opened.append(
                 messages.BackendOpen(number, self.instance, self.slot),
             )
@@ -110,7 +113,7 @@
     def on_opened(self, connection: int, now_ms: int) -> None:
         """Add a connection that accepts calls now."""
         if connection in self.opening:
-            self.opening.discard(connection)
+            self.opening.pop(connection)
             self.idle.append(connection)
             self.backoff_ms = 0
             self.started_ms = self.started_ms or now_ms
@@ -125,13 +128,28 @@
         was_opening = connection in self.opening
         self.forget(connection)
         if was_opening:
-            doubled = max(_FIRST_BACKOFF_MS, 2 * self.backoff_ms)
-            self.backoff_ms = min(doubled, _LAST_BACKOFF_MS)
-            self.retry_at_ms = now_ms + self.backoff_ms
+            self._back_off(now_ms)
+
+    def expire_opening(self, now_ms: int) -> list[messages.BackendClose]:
+        """Give up connections that were asked for too long ago.
+
+        A lost packet or a frozen instance leaves an attempt without any
+        result, and each one counts towards the share.
+        """
+        late = [
+            number
+            for number, asked_ms in self.opening.items()
+            if now_ms - asked_ms >= OPEN_TIMEOUT_MS
+        ]
+        for number in late:
+            self.opening.pop(number)
+        if late:
+            self._back_off(now_ms)
+        return [messages.BackendClose(closing) for closing in late]
 
     def forget(self, connection: int) -> None:
         """Remove a connection that is closed."""
-        self.opening.discard(connection)
+        self.opening.pop(connection, None)
         self.busy.discard(connection)
         if connection in self.idle:
             self.idle.remove(connection)
@@ -142,7 +160,7 @@
         self.idle.clear()
         self.busy.clear()
         self.opening.clear()
-        return [messages.BackendClose(number) for number in numbers]
+        return [messages.BackendClose(closing) for closing in numbers]
 
     def ramp_limit(self, slow_start_ms: int, now_ms: int) -> int:
         """Return how many connections may be busy during slow start.
@@ -157,3 +175,8 @@
         if elapsed_ms >= slow_start_ms:
             return self.share
         return max(1, self.share * elapsed_ms // slow_start_ms)
+
+    def _back_off(self, now_ms: int) -> None:
+        doubled = max(_FIRST_BACKOFF_MS, 2 * self.backoff_ms)
+        self.backoff_ms = min(doubled, _LAST_BACKOFF_MS)
+        self.retry_at_ms = now_ms + self.backoff_ms
--- /dev/null
+++ b/jacinthhaven/decide/pool_test.py
@@ -0,0 +1,79 @@
+"""Tests of the connections of one slot to one instance."""
+
+import random
+
+from jacinthhaven.decide import builders, messages, pool, work
+from jacinthhaven.kernel import failures
+from jacinthhaven.records import backend
+
+REFUSED = failures.CONNECTION_REFUSED.because('test')
+
+
+def new_pool(share=3):
+    """Return a pool without connections."""
+    slot = backend.ConnectRequest('exchange-db/0', 7)
+    return pool.Pool('i1', share, slot, iter(range(1, 100_000)))
+
+
+def held(connections):
+    """Return the numbers of all connections of a pool."""
+    return [*connections.idle, *connections.busy, *connections.opening]
+
+
+def test_share_is_never_exceeded():
+    """Guards against a connection that is counted twice or not at all."""
+    rng = random.Random(5)
+    connections = new_pool()
+    actions = (
+        lambda number, now_ms: connections.open_more(3, now_ms),
+        lambda number, now_ms: connections.open_more(5, now_ms),
+        connections.on_opened,
+        lambda number, now_ms: connections.on_lost(number, REFUSED, now_ms),
+        lambda number, now_ms: connections.idle and connections.take(),
+        lambda number, now_ms: connections.give_back(number),
+        lambda number, now_ms: connections.expire_opening(now_ms),
+    )
+    peak = 0
+    for now_ms in range(0, 100_000, 50):
+        number = rng.choice(held(connections) or [0])
+        rng.choice(actions)(number, now_ms)
+        assert len(set(held(connections))) == connections.size
+        assert len(held(connections)) == connections.size
+        peak = max(peak, connections.size)
+    assert peak == 3
+
+
+def test_attempt_without_result_ends():
+    """Guards against a share used up by connections that never open."""
+    connections = new_pool()
+    asked = connections.open_more(5, 100)
+    assert len(asked) == 3
+    assert not connections.expire_opening(pool.OPEN_TIMEOUT_MS)
+    closed = connections.expire_opening(100 + pool.OPEN_TIMEOUT_MS)
+    assert closed == [messages.BackendClose(number) for number in (1, 2, 3)]
+    assert not connections.open_more(5, 100 + pool.OPEN_TIMEOUT_MS)
+    connections.on_opened(1, 9000)
+    assert not connections.idle
+    assert len(connections.open_more(5, 9000)) == 3
+
+
+def test_unanswered_calls_free_the_share():
+    """Guards against a frozen instance that keeps the share for ever."""
+    desk, fake = builders.serving()
+    begun = desk.submit(work.BEGIN)
+    desk.done()
+    name = desk.answers[-1].answer.transaction
+    step = desk.submit(work.STATEMENT, transaction=name)
+    jobs = [desk.submit() for _ in range(8)]
+    assert desk.state.pools['i1'].size == desk.owner.share
+    desk.advance(5000)
+    assert desk.codes(step) == ['deadline']
+    assert {code for job in jobs for code in desk.codes(job)} == {
+        'unconfirmed',
+        'deadline',
+    }
+    desk.advance(3000)
+    assert desk.state.pools['i1'].size == 0
+    assert not desk.state.calls.by_number
+    assert not desk.state.transactions.by_name
+    assert desk.codes(begun) == ['done']
--- a/jacinthhaven/decide/recovery.py
+++ b/jacinthhaven/decide/recovery.py
@@ -108,6 +108,21 @@
         if job is not None:
             self.recover(job)
 
+    def close_stalled(self, now_ms: int) -> None:
+        """Close the connections whose calls will not be answered.
+
+        Their requests have expired, and a connection that waits for ever
+        would reduce the share for ever.
+        """
+        for call in self.state.calls.stalled(now_ms):
+            held = self.state.transactions.on_connection(call.connection)
+            if held is not None:
+                self.state.transactions.end(held.name)
+            self.state.count('stalled_calls')
+            self.state.close(call.instance, call.connection)
+        for connections in self.state.pools.values():
+            self.state.outbox.extend(connections.expire_opening(now_ms))
+
     def expire(self, job: work.Work) -> None:
         """Refuse a request whose deadline has passed."""
         call = self.state.calls.by_connection.get(job.connection)
