Look up the request key of a commit that cannot be executed

Cause: a commit whose transaction was not open any more, or whose first copy was still running, was refused as "not run". If the caller repeats a commit after a lost answer, the first copy may have run, so the caller would settle a second time. A commit answered as unconfirmed by an owner that lost its slot was not looked up by the entry either.

Ruled out: remembering ended transactions at the owner, because the repeat can arrive at another owner. Before: unknown_transaction or bad_request with outcome not_run, without proof. After: the commit becomes a look-up of its request key, which returns the recorded result or cancels the key. The look-up names no transaction, so it cannot end that of another session.

--- a/jacinthhaven/decide/builders.py
+++ b/jacinthhaven/decide/builders.py
@@ -5,16 +5,20 @@
 import random
 import typing
 
+import msgspec
+
 from jacinthhaven.decide import (
+    entry,
     group_state,
     messages,
     owner,
     promotion_rules,
+    tokens,
     views,
     work,
 )
 from jacinthhaven.kernel import failures
-from jacinthhaven.records import backend, peers, presets, topology
+from jacinthhaven.records import backend, callers, peers, presets, topology
 
 DATABASE = 'bids'
 INSTANCES = ('i1', 'i2', 'i3')
@@ -313,24 +317,15 @@
         self.keep(self.owner.handle(lost, self.now_ms))
 
     def show(self, fake: FakeGroup) -> None:
-        """Answer the status requests of the reachable instances."""
+        """Answer the control calls of the reachable instances."""
         for connection, call in tuple(self.calls.items()):
             copy = fake.copies[self.owner.places[connection]]
-            waiting = isinstance(call.request, backend.StatusRequest)
-            if waiting and copy.reachable:
+            if copy.reachable and call not in self.statements:
                 self.calls.pop(connection)
-                status = backend.InstanceStatus(
-                    copy.name,
-                    'b1',
-                    call.number,
-                    leaving=False,
-                    connections=1,
-                    databases=[copy.status(self.now_ms)],
-                )
                 replied = messages.BackendReply(
                     connection,
                     call.number,
-                    status,
+                    self._control_reply(fake, copy, call),
                 )
                 self.keep(self.owner.handle(replied, self.now_ms))
         self.accept()
@@ -348,6 +343,24 @@
             if answer.origin == job.origin
         ]
 
+    def _control_reply(
+        self,
+        fake: FakeGroup,
+        copy: FakeInstance,
+        call: messages.BackendCall,
+    ) -> typing.Any:
+        if not isinstance(call.request, backend.StatusRequest):
+            order = messages.InstanceOrder(copy.name, call.request)
+            return fake.apply(order) or backend.FenceReply(copy.term, 1, 1)
+        return backend.InstanceStatus(
+            copy.name,
+            'b1',
+            call.number,
+            leaving=False,
+            connections=1,
+            databases=[copy.status(self.now_ms)],
+        )
+
     def _close(self, message: messages.BackendClose) -> None:
         self.closed.append(message.connection)
         self.calls.pop(message.connection, None)
@@ -361,8 +374,92 @@
     """Return an owner that has seen a healthy group twice."""
     desk = OwnerDesk()
     fake = FakeGroup()
+    fake.replicate(desk.now_ms)
     desk.advance(10)
     desk.show(fake)
     desk.advance(10)
     desk.show(fake)
     return desk, fake
+
+
+class EntryDesk:
+    """Entry with two owners; the test answers its forwards."""
+
+    def __init__(self) -> None:
+        """Start with both owners reachable."""
+        self.now_ms = 1000
+        self.numbers = itertools.count(1)
+        self.members = ['m1', 'm2']
+        rng = random.Random(1)  # noqa: S311
+        self.signer = tokens.Signer(b'key', rng)
+        self.session = self.signer.new_session()
+        self.entry = entry.Entry('m9', self.signer, self)
+        self.entry.refusal = None
+        self.forwards: list[messages.PeerSend] = []
+        self.answers: dict[int, list[callers.Answer]] = {}
+
+    def owners(self, database: str) -> list[str] | None:
+        """Return the reachable owners."""
+        return self.members if database == DATABASE else None
+
+    def alive(self, member: str) -> bool:
+        """Return whether an owner is reachable."""
+        return member in self.members
+
+    def same_zone(self, member: str) -> bool:
+        """Return whether a member is in the zone of the entry."""
+        return member == 'm1'
+
+    def keep(self, out: list[typing.Any]) -> None:
+        """Sort the messages of the entry."""
+        for message in out:
+            if isinstance(message, messages.PeerSend):
+                self.forwards.append(message)
+            elif isinstance(message, messages.CallerAnswer):
+                found = self.answers.setdefault(message.number, [])
+                found.append(message.answer)
+
+    def request(self, kind: str = work.WRITE, **fields: typing.Any) -> int:
+        """Send a caller's request and return its number."""
+        number = next(self.numbers)
+        fields.setdefault('session', self.session)
+        body = callers.StatementRequest(kind, **fields)
+        request = messages.CallerRequest(number, DATABASE, body)
+        self.keep(self.entry.on_request(request, self.now_ms))
+        return number
+
+    def outcome(self, **fields: typing.Any) -> int:
+        """Ask for the outcome of a write and return the number."""
+        number = next(self.numbers)
+        fields.setdefault('session', self.session)
+        fields.setdefault('request_id', 'w1')
+        body = callers.OutcomeRequest(**fields)
+        request = messages.CallerOutcome(number, DATABASE, body)
+        self.keep(self.entry.on_outcome(request, self.now_ms))
+        return number
+
+    def reply(self, failure: failures.Failure | None = None) -> None:
+        """Answer the newest forward."""
+        sent = self.forwards[-1]
+        outcome = failures.Outcome.DONE if failure is None else failure.outcome
+        answer = peers.ForwardAnswer(
+            sent.payload.number,
+            sent.payload.attempt,
+            msgspec.json.encode(callers.Answer(outcome.value, position=9)),
+        )
+        if failure is not None:
+            answer.failure = failure.kind.code
+        self.keep(self.entry.on_answer(sent.member, answer, self.now_ms))
+
+    def lose(self, member: str) -> None:
+        """Lose the connection to an owner."""
+        self.keep(self.entry.on_peer_lost(member, self.now_ms))
+
+    def advance(self, step_ms: int) -> None:
+        """Move the clock and advance the entry's timers once."""
+        self.now_ms += step_ms
+        self.keep(self.entry.tick(self.now_ms))
+
+    def outcomes(self, number: int) -> list[str]:
+        """Return the outcomes of the answers to a request."""
+        return [answer.outcome for answer in self.answers.get(number, [])]
--- a/jacinthhaven/decide/entry.py
+++ b/jacinthhaven/decide/entry.py
@@ -297,7 +297,10 @@
         self.waiting.pop(pending.number, None)
         owner = self._choose(pending)
         if isinstance(owner, failures.Failure):
-            self._fail(pending, owner)
+            if pending.kind == work.COMMIT:
+                self._look_up_commit(pending, now_ms)
+            else:
+                self._fail(pending, owner)
         elif owner:
             self._send(pending, owner, now_ms)
         else:
@@ -389,9 +392,15 @@
         forwarded: peers.ForwardAnswer,
         now_ms: int,
     ) -> bool:
-        if pending.kind in work.STEPS or pending.attempt >= _MAX_ATTEMPTS:
+        if pending.attempt >= _MAX_ATTEMPTS:
             return False
-        if forwarded.failure == failures.UNCONFIRMED.code:
+        unconfirmed = forwarded.failure == failures.UNCONFIRMED.code
+        if pending.kind == work.COMMIT and unconfirmed:
+            # The transaction has ended; its request key tells how.
+            pending.kind = work.RESOLVE
+        if pending.kind in work.STEPS:
+            return False
+        if unconfirmed:
             # The request key makes the repeat of a write safe.
             pending.maybe_run = True
             return self._remaining_ms(pending, now_ms) > _ANSWER_MARGIN_MS
@@ -400,9 +409,7 @@
     def _recover_step(self, pending: Pending, now_ms: int) -> None:
         """Handle the loss of the owner that held a transaction."""
         if pending.kind == work.COMMIT:
-            # The commit may have run; its request key tells.
-            pending.kind = work.RESOLVE
-            self._dispatch(pending, now_ms)
+            self._look_up_commit(pending, now_ms)
         elif pending.kind == work.BEGIN:
             self._dispatch(pending, now_ms)
         else:
@@ -411,6 +418,16 @@
             )
             self._fail(pending, failure)
 
+    def _look_up_commit(self, pending: Pending, now_ms: int) -> None:
+        """Ask any owner what became of a commit.
+
+        The commit, or an earlier one with the same request key, may have
+        run before the owner of the transaction was lost.
+        """
+        pending.kind = work.RESOLVE
+        pending.maybe_run = True
+        self._dispatch(pending, now_ms)
+
     def _complete(
         self,
         pending: Pending,
--- a/jacinthhaven/decide/executor.py
+++ b/jacinthhaven/decide/executor.py
@@ -51,7 +51,7 @@
         base.budget.request(self.state.preset.retry_ratio)
         if job.kind in work.STEPS:
             self.replies.start_step(job, now_ms)
-        else:
+        if job.kind not in work.STEPS:
             self._enqueue(base, job)
             self.dispatcher.pump(base, now_ms)
 
--- a/jacinthhaven/decide/recovery.py
+++ b/jacinthhaven/decide/recovery.py
@@ -56,9 +56,26 @@
         job.position = 0
         if job.kind == work.COMMIT:
             job.kind = work.RESOLVE
+            job.transaction = ''
         self.state.count('repeats')
         self._requeue(job)
 
+    def look_up(
+        self,
+        job: work.Work,
+        refusal: failures.Failure | None,
+    ) -> None:
+        """Turn a commit into a look-up of its request key.
+
+        Args:
+          job: Commit that may have run under the same key before.
+          refusal: Failure to report if the key turns out to be unused.
+        """
+        job.kind = work.RESOLVE
+        job.transaction = ''
+        job.refusal = refusal
+        job.lost = True
+
     def refuse_surely(self, job: work.Work, failure: failures.Failure) -> None:
         """Refuse a request; cancel its key first if a copy was lost.
 
--- a/jacinthhaven/decide/replies.py
+++ b/jacinthhaven/decide/replies.py
@@ -63,7 +63,12 @@
                 self._answer_read(strict_job, strict_job.answer)
 
     def start_step(self, job: work.Work, now_ms: int) -> None:
-        """Send a step of a transaction on the connection that it holds."""
+        """Send a step of a transaction on the connection that it holds.
+
+        A commit that cannot be executed here may be the repeat of one that
+        was. It becomes a look-up of its request key, which waits in the
+        queue as any other request.
+        """
         transaction = self.state.transactions.find(
             job.transaction,
             job.session,
@@ -72,12 +77,12 @@
             failure = failures.UNKNOWN_TRANSACTION.because(
                 'no such open transaction in this session',
             )
-            self.state.refuse(job, failure)
+            if job.kind == work.COMMIT:
+                self.recovery.look_up(job, failure)
+            else:
+                self.state.refuse(job, failure)
         elif transaction.busy:
-            failure = failures.BAD_REQUEST.because(
-                'a step of the transaction is still running',
-            )
-            self.state.refuse(job, failure)
+            self._refuse_second_step(job, transaction)
         else:
             transaction.busy = True
             transaction.used_ms = now_ms
@@ -88,6 +93,22 @@
                 transaction.instance,
             )
 
+    def _refuse_second_step(
+        self,
+        job: work.Work,
+        transaction: transactions.Transaction,
+    ) -> None:
+        failure = failures.BAD_REQUEST.because(
+            'a step of the transaction is still running',
+        )
+        call = self.state.calls.by_connection.get(transaction.connection)
+        running = None if call is None else call.job
+        key = job.request_key
+        if key and running is not None and running.request_key == key:
+            self.recovery.look_up(job, None)
+        else:
+            self.state.refuse(job, failure)
+
     def _free_abandoned(self, call: calls.Call) -> None:
         """Free the connection of a call that nobody waits for."""
         self.state.count('late_replies')
