--- a/jacinthhaven/process/application.py
+++ b/jacinthhaven/process/application.py
@@ -33,7 +33,13 @@
     node,
     operator_changes,
 )
-from jacinthhaven.process import contexts, stopping, switch, ticker
+from jacinthhaven.process import (
+    contexts,
+    stopping,
+    switch,
+    telemetry,
+    ticker,
+)
 from jacinthhaven.records import handshake, topology
 from jacinthhaven.records import settings as settings_records
 
@@ -54,7 +60,6 @@
         """
         super().__init__()
         self.settings = settings
-        self.boot = secrets.token_hex(_BOOT_BYTES)
         self.rng = random.SystemRandom()
         self.poller = poller.Poller().register(self)
         self.log = decision_log.DecisionLog(
@@ -66,6 +71,7 @@
         self.metrics = metrics.open_metrics(settings.statsd, self.poller)
         self.cluster_key = text_file.read_key(settings.cluster_key_file)
         self.node = self._new_node()
+        self.telemetry = telemetry.Telemetry(self.metrics, self.node)
         self.switch = switch.Switch(self.node, self.poller.clock)
         self._create_tasks()
         self._connect_tasks()
@@ -84,11 +90,10 @@
             contexts.server(listeners.operator.tls),
         )
         self.peers.know(self.node.identity.services.seeds)
-        ticker.Ticker(self.poller, self.switch.tick)
+        ticker.Ticker(self.poller, self._tick)
         self._read_vms()
-        self.log.write(
-            messages.DecisionLine('started', {'boot': self.boot}),
-        )
+        boot = self.node.identity.member.boot
+        self.log.write(messages.DecisionLine('started', {'boot': boot}))
 
     def signal(self, number: int, _stack: typing.Any) -> None:
         """Start the planned stop on SIGTERM or SIGINT."""
@@ -125,7 +130,10 @@
         settings = self.settings
         return node.Node(
             node.Identity(
-                settings_records.member_record(settings, self.boot),
+                settings_records.member_record(
+                    settings,
+                    secrets.token_hex(_BOOT_BYTES),
+                ),
                 settings_records.group_records(settings),
                 self.cluster_key,
                 settings.status_wait_ms,
@@ -174,7 +182,7 @@
                 settings.cluster,
                 handshake.PROTOCOL_VERSION,
                 settings.node,
-                self.boot,
+                self.node.identity.member.boot,
                 b'',
             ),
             self.cluster_key,
@@ -199,16 +207,28 @@
         self.operators.presets = self._presets
         self.operators.drain = self._drain
         connect = self.switch.connect
-        connect(messages.CallerAnswer, self.callers.answer)
+        connect(messages.CallerAnswer, self._answer)
         connect(operator_changes.ChangeAnswer, self.operators.answer)
         connect(messages.PeerSend, self.peers.send)
         connect(messages.MembersKnown, self._know_members)
         connect(messages.StoreCall, self.store.call)
         connect(messages.StoreCancel, self.store.cancel)
-        connect(messages.DecisionLine, self.log.write)
+        connect(messages.DecisionLine, self._write_line)
         connect(messages.Count, self.metrics.count)
         switch.connect_backends(self.switch, self.backends)
 
+    def _tick(self) -> None:
+        self.switch.tick()
+        self.telemetry.on_tick(self.poller.clock.now_ms())
+
+    def _answer(self, message: messages.CallerAnswer) -> None:
+        self.telemetry.on_answer(message)
+        self.callers.answer(message)
+
+    def _write_line(self, line: messages.DecisionLine) -> None:
+        self.telemetry.on_line(line)
+        self.log.write(line)
+
     def _know_members(self, message: messages.MembersKnown) -> None:
         seeds = {seed.name: seed for seed in self.node.identity.services.seeds}
         self.peers.know({**seeds, **message.members}.values())
