--- a/jacinthhaven/decide/calls.py
+++ b/jacinthhaven/decide/calls.py
@@ -81,6 +81,16 @@
             and call.job.term < term
         ]
 
+    def reads_at(self, instance: str) -> list[Call]:
+        """Return the reads outside transactions that an instance runs."""
+        return [
+            call
+            for call in self.by_number.values()
+            if call.instance == instance
+            and call.job is not None
+            and call.job.kind == work.READ
+        ]
+
     def logged_in_flight(self, database: str) -> int:
         """Return how many calls may put an entry into a database's log."""
         return sum(
--- a/jacinthhaven/decide/owner.py
+++ b/jacinthhaven/decide/owner.py
@@ -310,7 +310,9 @@
             self.state.preset.suspect_ms,
             now_ms,
         )
-        if suspected and not view.suspected:
+        newly = suspected and not view.suspected
+        view.suspected = suspected
+        if newly:
             self.state.log(
                 'suspect',
                 {
@@ -318,7 +320,7 @@
                     'silent_ms': self.suspicions[name].silent_ms(now_ms),
                 },
             )
-        view.suspected = suspected
+            self.executor.recovery.on_suspected(name)
 
     # Promotion.
 
--- a/jacinthhaven/decide/recovery.py
+++ b/jacinthhaven/decide/recovery.py
@@ -94,6 +94,18 @@
         for stale in base.confirmations.start_term(base.term):
             self.repeat(stale)
 
+    def on_suspected(self, instance: str) -> None:
+        """Repeat the reads that a suspected instance has not answered.
+
+        Writes stay until a new primary is known, because only the term of
+        a new primary makes the old copy harmless.
+        """
+        for call in self.state.calls.reads_at(instance):
+            job = call.job
+            call.job = None
+            if job is not None:
+                self.recover(job)
+
     def abort(self, transaction: transactions.Transaction) -> None:
         """Close the connection of a transaction, which rolls it back.
 
