--- a/scenarios/checker.py
+++ b/scenarios/checker.py
@@ -14,9 +14,6 @@
 from jacinthhaven.standins import replicated_log
 from scenarios import evidence, history
 
-# Reads that state no age are served by a primary whose term was proved
-# current within `primary_confirm_ms`.
-_CURRENT_MS = 500
 _LEAVING_LIMIT_MS = 5000
 _MAX_SHOWN = 5
 _LOGGED = frozenset((history.WRITE, history.COMMIT))
@@ -38,7 +35,7 @@
     """Yield reads whose data was older than allowed when they were sent."""
     for read in facts.log.by_kind(history.READ):
         seen = set(evidence.rows(read))
-        oldest_ms = read.sent_ms - (read.max_age_ms or _CURRENT_MS)
+        oldest_ms = read.sent_ms - (read.max_age_ms or facts.current_ms)
         for write in facts.acknowledged.get((read.database, read.key), ()):
             if write.at_ms < oldest_ms and write.tag not in seen:
                 yield f'{read} misses {write.tag} of {write.at_ms} ms'
@@ -90,6 +87,17 @@
             yield f'{place}: nobody committed {applied.steps}'
 
 
+def check_rejections(facts: evidence.Evidence) -> Findings:
+    """Yield statements that met the open transaction of another caller.
+
+    All statements of the callers are valid, so a rejection means that
+    another transaction was open on the connection.
+    """
+    for request in facts.log.requests:
+        if request.answer and request.answer.error == 'statement_rejected':
+            yield f'{request} was rejected'
+
+
 def check_answers(facts: evidence.Evidence) -> Findings:
     """Yield answers that do not belong to their request or are partial."""
     for request in facts.log.requests:
@@ -147,6 +155,18 @@
             yield f'{change} has no known outcome'
 
 
+def check_errors(facts: evidence.Evidence) -> Findings:
+    """Yield exceptions that the decision code raised."""
+    yield from facts.errors
+
+
+def check_no_promotion(facts: evidence.Evidence) -> Findings:
+    """Yield databases whose primary was replaced."""
+    for database, entry in facts.entries():
+        if entry.kind == replicated_log.START and entry.term > 1:
+            yield f'{database} entered term {entry.term}'
+
+
 CHECKS = types.MappingProxyType(
     {
         'read_your_writes': check_read_your_writes,
@@ -154,14 +174,19 @@
         'not_run': check_not_run,
         'once': check_once,
         'transactions': check_transactions,
+        'rejections': check_rejections,
         'answers': check_answers,
         'ages': check_ages,
         'terms': check_terms,
         'connections': check_connections,
         'leaving': check_leaving,
         'resolved': check_resolved,
+        'errors': check_errors,
+        'no_promotion': check_no_promotion,
     },
 )
+# Checks of every scenario; the others hold in certain scenarios only.
+DEFAULT = tuple(name for name in CHECKS if name != 'no_promotion')
 
 
 def check(
--- a/scenarios/evidence.py
+++ b/scenarios/evidence.py
@@ -48,6 +48,8 @@
       executed: Requests as the instances executed them.
       peaks: Largest number of connections of each instance.
       connection_limit: Largest allowed number of connections.
+      current_ms: Allowed age of reads that state none.
+      errors: Exceptions of the decision code.
       leaving_ms: When instances were marked as leaving, by name.
     """
 
@@ -57,6 +59,8 @@
     peaks: dict[str, int]
     connection_limit: int
     leaving_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    current_ms: int = 0
+    errors: list[str] = dataclasses.field(default_factory=list)
 
     @functools.cached_property
     def applied(self) -> dict[Place, Applied]:
--- a/scenarios/fake_proxies.py
+++ b/scenarios/fake_proxies.py
@@ -7,10 +7,10 @@
 import collections
 import functools
 import random
+import traceback
 import typing
 
 from jacinthhaven.decide import messages, node
-from jacinthhaven.kernel import failures
 from jacinthhaven.records import callers, peers, presets, topology
 from scenarios import events, fake_instances
 
@@ -118,7 +118,7 @@
         self.inbox: collections.deque[events.Action] = collections.deque()
         self.exchanges: dict[int, Reply] = {}
         self.lines: list[tuple[int, str, messages.DecisionLine]] = []
-        self.counts: collections.Counter[str] = collections.Counter()
+        self.errors: list[str] = []
         peer_network.proxies[name] = self
         peer_network.network.zones[name] = zone
 
@@ -157,7 +157,7 @@
             messages.BackendCall: self.backends.call,
             messages.BackendClose: self.backends.close,
             messages.PeerSend: functools.partial(self.peer_network.send, self),
-            messages.Count: self._count,
+            messages.Count: _ignore,
             messages.DecisionLine: self._log,
         }
         self._tick(self.boots)
@@ -183,7 +183,7 @@
         """Execute what arrived during the pause, timers first or last."""
         self.paused = False
         if self.alive and self.events.rng.random() < 1 / 2:
-            self.send(self.node.tick(self.events.now_ms))
+            self._decide(self.node.tick)
         while self.inbox and not self.paused:
             self.inbox.popleft()()
 
@@ -238,8 +238,7 @@
         slots: list[topology.Slot],
     ) -> None:
         """Adopt members and slots from the directory."""
-        out = self.node.set_topology(members, slots, self.events.now_ms)
-        self.send(out)
+        self._decide(self.node.set_topology, members, slots)
 
     def use_policy(self, policy: presets.Policy) -> None:
         """Adopt a configuration."""
@@ -252,7 +251,21 @@
             self.handlers[type(message)](message)
 
     def _handle(self, message: typing.Any) -> None:
-        self.send(self.node.handle(message, self.events.now_ms))
+        self._decide(self.node.handle, message)
+
+    def _decide(
+        self,
+        step: typing.Callable[..., list[typing.Any]],
+        *arguments: typing.Any,
+    ) -> None:
+        """Run decision code; record an exception as an error."""
+        try:
+            out = step(*arguments, self.events.now_ms)
+        except Exception as error:
+            place = traceback.extract_tb(error.__traceback__)[-1]
+            self.errors.append(f'{error!r} in {place.name}')
+        else:
+            self.send(out)
 
     def _accept(
         self,
@@ -269,17 +282,12 @@
             request = messages.CallerRequest
         self._handle(request(number, database, body))
 
-    def _count(self, message: messages.Count) -> None:
-        self.counts[message.name] += message.amount
-
     def _log(self, message: messages.DecisionLine) -> None:
         self.lines.append((self.events.now_ms, self.name, message))
 
     def _answer(self, message: messages.CallerAnswer) -> None:
         reply = self.exchanges.pop(message.number, None)
-        if reply is None:
-            self.counts['answers_without_caller'] += 1
-        else:
+        if reply is not None:
             reply(message.answer)
 
     def _tick(self, boot: int) -> None:
@@ -287,12 +295,8 @@
             return
         self.events.after(TICK_MS, functools.partial(self._tick, boot))
         if not self.paused:
-            self.send(self.node.tick(self.events.now_ms))
+            self._decide(self.node.tick)
 
 
-def lost_answer() -> callers.Answer:
-    """Return what a caller knows after its connection was lost."""
-    return callers.Answer(
-        failures.Outcome.UNKNOWN.value,
-        error=failures.CONNECTION_LOST.code,
-    )
+def _ignore(_message: typing.Any) -> None:
+    """Accept a message that no check needs."""
--- a/scenarios/faults.py
+++ b/scenarios/faults.py
@@ -77,7 +77,7 @@
             place = self._place(name)
             if isinstance(place, fake_instances.Instance):
                 place.restart()
-            else:
+            elif not place.alive:
                 self._restart_proxy(place)
 
     def freeze(self, _step: language.Step, names: list[str]) -> None:
--- a/scenarios/language.py
+++ b/scenarios/language.py
@@ -82,6 +82,7 @@
 
     Attributes:
       sessions: Number of callers.
+      databases: Databases that they use; all by default.
       think_ms: Mean pause between two requests of a caller.
       reads: Weight of reads.
       writes: Weight of single writes.
@@ -99,6 +100,7 @@
     """
 
     sessions: int = 16
+    databases: list[str] = []
     think_ms: int = 20
     reads: int = 60
     writes: int = 30
@@ -178,7 +180,7 @@
     workload: Workload = Workload()
     preset: dict[str, typing.Any] = {}
     steps: list[Step] = []
-    checks: list[str] = list(checker.CHECKS)
+    checks: list[str] = list(checker.DEFAULT)
     variant: str = ''
     variant_check: str = ''
 
--- a/scenarios/simulation.py
+++ b/scenarios/simulation.py
@@ -217,6 +217,12 @@
             },
             self.group.connection_limit,
             self.leaving_ms,
+            self.directory.policy.preset.primary_confirm_ms,
+            [
+                error
+                for proxy in self.proxies.values()
+                for error in proxy.errors
+            ],
         )
         requests = self.log.requests
         return Report(
@@ -280,17 +286,18 @@
         }
 
     def _new_sessions(self) -> list[fake_callers.Session]:
+        workload = self.scenario.workload
         balancer = fake_callers.Balancer(self.proxies, self.events)
         return [
             fake_callers.Session(
                 f's{number}',
-                self.group.databases,
-                self.scenario.workload,
+                tuple(workload.databases) or self.group.databases,
+                workload,
                 balancer,
                 self.network,
                 self.log,
             )
-            for number in range(self.scenario.workload.sessions)
+            for number in range(workload.sessions)
         ]
 
 
--- a/scenarios/variants.py
+++ b/scenarios/variants.py
@@ -11,34 +11,259 @@
 from unittest import mock
 
 from jacinthhaven.decide import (
+    ages,
+    ballot,
+    entry,
+    owner,
     positions,
+    promotion_rules,
+    recovery,
+    replies,
+    requests,
+    work,
 )
 
-Patches = typing.Iterable[typing.Any]
+Patch = typing.Any
+Replaced = typing.Callable[..., typing.Any]
 
 
-def _acknowledge_at_once() -> Patches:
-    """Confirm a write as soon as the primary alone has it."""
+def _always(outcome: typing.Any) -> Replaced:
+    def replaced(*_args: typing.Any, **_names: typing.Any) -> typing.Any:
+        return outcome
 
-    def reached(*_args: typing.Any) -> int:  # noqa: WPS430
-        return sys.maxsize
+    return replaced
 
-    yield mock.patch.object(positions, 'confirmed_position', reached)
 
+def _forget_positions(original: Replaced) -> Replaced:
+    """Send a request to the owner without the session's positions."""
 
-def _ignore_needed_position() -> Patches:
-    """Let any replica serve a session."""
+    def replaced(*args: typing.Any) -> typing.Any:
+        forward = original(*args)
+        forward.needed_position = 0
+        return forward
 
-    def covers(*_args: typing.Any) -> bool:  # noqa: WPS430
-        return True
+    return replaced
 
-    yield mock.patch.object(positions, 'covers', covers)
+
+def _release_strict_reads(
+    replies_part: replies.Replies,
+    job: work.Work,
+    answer: typing.Any,
+) -> None:
+    """Answer a read without a token as soon as it was executed."""
+    replies_part.state.answer(job, answer)
+
+
+def _any_term_position(
+    instances: typing.Any,
+    database: str,
+    _term: int,
+) -> int:
+    """Count copies in every term for a position."""
+    reached = sorted(
+        view.copies[database].position
+        for view in instances.values()
+        if database in view.copies
+    )
+    return reached[-2] if len(reached) > 1 else 0
+
+
+def _first_vote(
+    counted: ballot.Ballot,
+    _situation: typing.Any,
+    *,
+    final: bool,
+) -> ballot.Verdict:
+    """Promote the first instance that accepts the term."""
+    return ballot.Verdict(next(iter(counted.accepted), ''), final)
+
+
+def _shortest_log(_situation: typing.Any, fenced: typing.Any) -> str:
+    """Promote the instance with the shortest log."""
+    return min(fenced, key=lambda name: fenced[name].position)
+
+
+def _reuse_connection(
+    recovery_part: recovery.Recovery,
+    transaction: typing.Any,
+) -> None:
+    """Give the connection of an abandoned transaction to others."""
+    recovery_part.state.transactions.end(transaction.name)
+    recovery_part.state.pools[transaction.instance].give_back(
+        transaction.connection,
+    )
+
+
+def _match_in_order(original: Replaced) -> Replaced:
+    """Match an answer to the oldest request at the owner that sent it."""
+
+    def replaced(
+        entry_part: entry.Entry,
+        member: str,
+        forwarded: typing.Any,
+        now_ms: int,
+    ) -> typing.Any:
+        for pending in entry_part.pending.values():
+            if pending.member == member:
+                forwarded.number = pending.number
+                forwarded.attempt = pending.attempt
+                break
+        return original(entry_part, member, forwarded, now_ms)
+
+    return replaced
+
+
+def _trust_outcome_refusals(original: Replaced) -> Replaced:
+    """Take the refusal of an outcome question for the outcome."""
+
+    def replaced(
+        entry_part: entry.Entry,
+        pending: entry.Pending,
+        now_ms: int,
+    ) -> typing.Any:
+        pending.maybe_run = False
+        return original(entry_part, pending, now_ms)
+
+    return replaced
+
+
+def _repeat_under_new_key(original: Replaced) -> Replaced:
+    """Repeat a lost write under another request key."""
+
+    def replaced(recovery_part: recovery.Recovery, job: work.Work) -> None:
+        job.request_key = f'{job.request_key}+'
+        original(recovery_part, job)
+
+    return replaced
+
+
+def _refuse_lost(recovery_part: recovery.Recovery, job: work.Work) -> None:
+    """Refuse a request whose connection was lost as not run."""
+    failure = entry.failures.UNAVAILABLE.because('connection lost')
+    recovery_part.state.refuse(job, failure)
+
+
+def _key_per_attempt(original: Replaced) -> Replaced:
+    """Make the entry and the attempt part of the request key."""
+
+    def replaced(member: str, forward: typing.Any, *args: typing.Any) -> Patch:
+        job = original(member, forward, *args)
+        if isinstance(job, work.Work) and job.request_key:
+            job.request_key = f'{job.request_key}@{member}{forward.attempt}'
+        return job
+
+    return replaced
+
+
+def _newest(_samples: typing.Any, _applied: int, proved_ms: int) -> int:
+    """Take the data of any copy for as new as the proof of the term."""
+    return proved_ms
+
+
+def _replace(
+    place: typing.Any,
+    name: str,
+    replaced: typing.Any,
+) -> Patch:
+    return mock.patch.object(place, name, replaced)
+
+
+def _wrap(
+    place: typing.Any,
+    name: str,
+    wrapper: typing.Callable[[Replaced], Replaced],
+) -> Patch:
+    return mock.patch.object(place, name, wrapper(getattr(place, name)))
+
+
+@contextlib.contextmanager
+def _confirm_in_any_term() -> typing.Iterator[None]:
+    """Confirm writes of an ended term with the positions of the next."""
+    counting = _replace(positions, 'confirmed_position', _any_term_position)
+    keeping = _replace(recovery.Recovery, 'on_new_term', _always(None))
+    with counting, keeping:
+        yield
 
 
 VARIANTS = types.MappingProxyType(
     {
-        'acknowledge_at_once': _acknowledge_at_once,
-        'ignore_needed_position': _ignore_needed_position,
+        'acknowledge_at_once': lambda: _replace(
+            positions,
+            'confirmed_position',
+            _always(sys.maxsize),
+        ),
+        'ignore_needed_position': lambda: _replace(
+            positions,
+            'covers',
+            _always(True),
+        ),
+        'forget_positions': lambda: _wrap(
+            entry.Entry,
+            '_statement_forward',
+            _forget_positions,
+        ),
+        'release_strict_reads': lambda: _replace(
+            replies.Replies,
+            '_answer_read',
+            _release_strict_reads,
+        ),
+        'keep_old_token': lambda: _replace(
+            entry.Entry,
+            '_extend_token',
+            _always(None),
+        ),
+        'confirm_in_any_term': _confirm_in_any_term,
+        'promote_without_majority': lambda: _replace(
+            ballot.Ballot,
+            'count',
+            _first_vote,
+        ),
+        'promote_shortest_log': lambda: _replace(
+            promotion_rules,
+            'choose',
+            _shortest_log,
+        ),
+        'promote_on_own_suspicion': lambda: _replace(
+            promotion_rules,
+            '_evidence',
+            _always('own suspicion'),
+        ),
+        'reuse_transaction_connection': lambda: _replace(
+            recovery.Recovery,
+            'abort',
+            _reuse_connection,
+        ),
+        'match_answers_in_order': lambda: _wrap(
+            entry.Entry,
+            'on_answer',
+            _match_in_order,
+        ),
+        'trust_outcome_refusals': lambda: _wrap(
+            entry.Entry,
+            '_accept',
+            _trust_outcome_refusals,
+        ),
+        'repeat_under_new_key': lambda: _wrap(
+            recovery.Recovery,
+            'repeat',
+            _repeat_under_new_key,
+        ),
+        'refuse_lost_requests': lambda: _replace(
+            recovery.Recovery,
+            'recover',
+            _refuse_lost,
+        ),
+        'key_per_attempt': lambda: _wrap(
+            requests,
+            'statement_work',
+            _key_per_attempt,
+        ),
+        'trust_any_age': lambda: _replace(ages, '_newest', _newest),
+        'take_whole_limit': lambda: _replace(
+            owner.Owner,
+            'share',
+            property(lambda group_owner: group_owner.group.connection_limit),
+        ),
     },
 )
 
@@ -46,8 +271,8 @@
 @contextlib.contextmanager
 def applied(name: str) -> typing.Iterator[None]:
     """Replace a decision by a broken variant; an empty name changes nothing."""
-    with contextlib.ExitStack() as stack:
-        if name:
-            for patch in VARIANTS[name]():
-                stack.enter_context(patch)
+    if not name:
+        yield
+        return
+    with VARIANTS[name]():
         yield
