--- a/bench/processes.py
+++ b/bench/processes.py
@@ -58,6 +58,14 @@
         self.processes: dict[str, Process] = {}
         self.overrides: dict[str, typing.Any] = {}
 
+    def __enter__(self) -> 'Fleet':
+        """Return the fleet; leaving the block ends all processes."""
+        return self
+
+    def __exit__(self, *_error: object) -> None:
+        """End all processes."""
+        self.stop_all()
+
     @property
     def instances(self) -> list[str]:
         """Return the names of the database instances."""
@@ -77,6 +85,10 @@
         """Return the caller port of a proxy, counted from 1."""
         return self.base_port + 10 + 3 * number
 
+    def zone(self, number: int) -> str:
+        """Return the availability zone of a proxy."""
+        return self.shape.zones[number % len(self.shape.zones)]
+
     def start_platform(self) -> None:
         """Start the platform stand-in."""
         self._start(
@@ -119,8 +131,9 @@
             )
         self._start(
             f'proxy-{number}',
-            ['jacinthhaven.cli.main', 'proxy', '--settings', str(path)],
+            ['jacinthhaven', 'proxy', '--settings', str(path)],
             [],
+            wait=False,
         )
 
     def kill(self, name: str) -> None:
@@ -151,6 +164,8 @@
         name: str,
         module: list[str],
         arguments: list[str],
+        *,
+        wait: bool = True,
     ) -> None:
         with (self.folder / f'{name}.err').open('ab') as errors:
             child = subprocess.Popen(
@@ -159,6 +174,8 @@
                 stderr=errors,
             )
         self.processes[name] = Process(name, child, 0)
+        if not wait:
+            return
         line = child.stdout.readline()
         if not line.startswith(b'ready'):
             raise ProcessFailedError(name, self.folder)
@@ -174,17 +191,20 @@
     def _settings(self, number: int, proxies: int) -> dict[str, typing.Any]:
         port = self.caller_port(number)
         seeds = [
-            _address(self.caller_port(other) + 1)
+            {
+                **_address(self.caller_port(other) + 1),
+                'name': f'proxy-{other}',
+                'zone': self.zone(other),
+            }
             for other in range(1, proxies + 1)
             if other != number
         ]
-        zones = self.shape.zones
         return {
             'cluster': self.shape.cluster,
             'cluster_key_file': str(self.key_file),
             'node': f'proxy-{number}',
             'region': self.shape.region,
-            'zone': zones[number % len(zones)],
+            'zone': self.zone(number),
             'listeners': {
                 'caller': _address(port),
                 'peer': _address(port + 1),
--- a/jacinthhaven/decide/directory.py
+++ b/jacinthhaven/decide/directory.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from jacinthhaven.decide import leaving
+from jacinthhaven.decide import leaving, slot_ranking
 from jacinthhaven.records import gossip, store, topology
 
 CONFIG = 'config'
@@ -28,6 +28,8 @@
 # Proofs that wait for the watch to catch up.
 _MAX_PENDING_PROOFS = 8
 
+_member_decoder = msgspec.json.Decoder(topology.Member)
+
 Entries = typing.Iterable[gossip.Entry]
 
 
@@ -193,11 +195,13 @@
         place = (group, int(number))
         self.slots.pop(place, None)
         if not entry.deleted:
-            self.slots[place] = topology.Slot(
-                *place,
-                holder=entry.value,
-                epoch=entry.created,
-            )
+            holder = slot_ranking.holder_of(entry.value)
+            if holder:
+                self.slots[place] = topology.Slot(
+                    *place,
+                    holder=holder,
+                    epoch=entry.created,
+                )
 
     def _delete_missing(
         self,
@@ -230,7 +234,7 @@
 def parse_member(document: str) -> topology.Member | None:
     """Return the member that a store document describes, or None."""
     try:
-        return msgspec.json.decode(document, type=topology.Member)
+        return _member_decoder.decode(document)
     except msgspec.MsgspecError:
         return None
 
