--- a/jacinthhaven/decide/executor.py
+++ b/jacinthhaven/decide/executor.py
@@ -81,6 +81,7 @@
     def tick(self, now_ms: int) -> None:
         """Expire requests, parked reads and idle transactions."""
         self._expire(now_ms)
+        self.recovery.close_stalled(now_ms)
         limit_ms = now_ms - self.state.preset.transaction_idle_ms
         for transaction in self.state.transactions.idle_since(limit_ms):
             self.recovery.abort(transaction)
@@ -116,6 +117,9 @@
         """Refuse everything that waits, when the owner stops."""
         for base in self.state.databases.values():
             self.refuse_waiting(base, kind, reason)
+            for read in base.strict:
+                self.state.refuse(read, kind.because(reason))
+            base.strict = []
             for job in base.confirmations.clear():
                 job.lost = True
                 self.state.refuse(job, kind.because(reason))
@@ -149,12 +153,8 @@
                 self.recovery.expire(job)
         if expired:
             for base in self.state.databases.values():
-                base.admission.remove_if(_is_finished)
+                base.drop_finished()
 
 
 def _always(_job: work.Work) -> bool:
     return True
-
-
-def _is_finished(job: work.Work) -> bool:
-    return job.finished
