--- a/bench/operations.py
+++ b/bench/operations.py
@@ -44,12 +44,26 @@
     """Return a client of a proxy's operator endpoint."""
     return operator_client.Client(
         processes.HOST,
-        fleet.caller_port(number) + 2,
+        fleet.operator_port(number),
         fleet.operator_key.read_bytes(),
         timeout_s=_CALL_TIMEOUT_S,
     )
 
 
+def status(fleet: processes.Fleet, number: int) -> dict[str, typing.Any]:
+    """Return the status of a proxy; empty if it does not answer."""
+    try:
+        return operator(fleet, number).read('/v1/status')
+    except exits.CommandError:
+        return {}
+
+
+def slot(fleet: processes.Fleet, number: int) -> int | None:
+    """Return the slot of the fleet's group that a proxy holds."""
+    groups = status(fleet, number).get('groups', {})
+    return groups.get(fleet.shape.group, {}).get('slot')
+
+
 def change(
     fleet: processes.Fleet,
     path: str,
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -57,6 +57,9 @@
         self.operator_key.write_text(secrets.token_hex(_KEY_BYTES))
         self.processes: dict[str, Process] = {}
         self.overrides: dict[str, typing.Any] = {}
+        self.owners = 3
+        # Caller port of all proxies; 0 gives each one its own.
+        self.shared_caller_port = 0
 
     def __enter__(self) -> 'Fleet':
         """Return the fleet; leaving the block ends all processes."""
@@ -83,7 +86,11 @@
 
     def caller_port(self, number: int) -> int:
         """Return the caller port of a proxy, counted from 1."""
-        return self.base_port + 10 + 3 * number
+        return self.shared_caller_port or self._ports(number)
+
+    def operator_port(self, number: int) -> int:
+        """Return the operator port of a proxy."""
+        return self._ports(number) + 2
 
     def zone(self, number: int) -> str:
         """Return the availability zone of a proxy."""
@@ -159,6 +166,9 @@
                 ending.child.kill()
         self.processes.clear()
 
+    def _ports(self, number: int) -> int:
+        return self.base_port + 10 + 3 * number
+
     def _start(
         self,
         name: str,
@@ -189,10 +199,10 @@
         return ','.join(found)
 
     def _settings(self, number: int, proxies: int) -> dict[str, typing.Any]:
-        port = self.caller_port(number)
+        port = self._ports(number)
         seeds = [
             {
-                **_address(self.caller_port(other) + 1),
+                **_address(self._ports(other) + 1),
                 'name': f'proxy-{other}',
                 'zone': self.zone(other),
             }
@@ -206,7 +216,7 @@
             'region': self.shape.region,
             'zone': self.zone(number),
             'listeners': {
-                'caller': _address(port),
+                'caller': _address(self.caller_port(number)),
                 'peer': _address(port + 1),
                 'operator': {
                     **_address(port + 2),
@@ -228,6 +238,7 @@
         return {
             'name': self.shape.group,
             'connection_limit': self.shape.connection_limit,
+            'owners': self.owners,
             'databases': list(self.shape.databases),
             'instances': [
                 {
