Honour tokens of later and of lost terms

Cause: `positions.is_lost` was not used. A read whose token named a later term than the owner knew went to the replaced primary, was found uncovered and was sent again without a pause until the deadline. A transaction did not check its token at all, so its statements could read from a replaced primary. After the loss of a majority a log that had grown past the token's position again counted as covering it.

Before: stale data in transactions, spinning reads, and lost writes that went unnoticed. After: reads and `begin` wait for the later term in a list of their own, so they hold up nobody, and expire as not run; a position in a lost term is refused as position_lost. A session without a token gets its transaction only after the proof that strict reads need, and the proof must be newer than the arrival, not of the same millisecond. Reads answered by a primary that was replaced meanwhile are repeated. Parked requests count towards the queue limit.

--- a/jacinthhaven/decide/builders.py
+++ b/jacinthhaven/decide/builders.py
@@ -104,6 +104,10 @@
         """Return the status that the instance would report."""
         log_term, position = self.end()
         silent_ms = 0 if self.primary else now_ms - self.heard_ms
+        starts = [
+            backend.TermStart(term, self.log.index(term) + 1)
+            for term in sorted(set(self.log))
+        ]
         return backend.DatabaseStatus(
             DATABASE,
             self.primary,
@@ -111,6 +115,7 @@
             log_term,
             position,
             position,
+            starts,
             upstream_silent_ms=silent_ms,
         )
 
@@ -299,6 +304,7 @@
         self.calls.pop(call.connection)
         replied = messages.BackendReply(call.connection, call.number, reply)
         self.keep(self.owner.handle(replied, self.now_ms))
+        self.accept()
 
     def done(self, position: int = 4, log_term: int = 1) -> None:
         """Answer the oldest call on a data connection with a result."""
@@ -316,6 +322,13 @@
         lost = messages.BackendLost(connection, failure)
         self.keep(self.owner.handle(lost, self.now_ms))
 
+    def settle(self, fake: FakeGroup) -> None:
+        """Let the group replicate and show its state twice."""
+        for step_ms in (10, 10):
+            fake.replicate(self.now_ms)
+            self.advance(step_ms)
+            self.show(fake)
+
     def show(self, fake: FakeGroup) -> None:
         """Answer the control calls of the reachable instances."""
         for connection, call in tuple(self.calls.items()):
@@ -374,14 +387,20 @@
     """Return an owner that has seen a healthy group twice."""
     desk = OwnerDesk()
     fake = FakeGroup()
-    fake.replicate(desk.now_ms)
-    desk.advance(10)
-    desk.show(fake)
-    desk.advance(10)
-    desk.show(fake)
+    desk.settle(fake)
     return desk, fake
 
 
+def promote(fake: FakeGroup, name: str, term: int) -> None:
+    """Replace the primary by another reachable instance."""
+    for copy in fake.copies.values():
+        request = backend.FenceRequest(DATABASE, term)
+        fake.apply(messages.InstanceOrder(copy.name, request))
+        copy.upstream = name
+    request = backend.PromoteRequest(DATABASE, term)
+    fake.apply(messages.InstanceOrder(name, request))
+
+
 class EntryDesk:
     """Entry with two owners; the test answers its forwards."""
 
--- a/jacinthhaven/decide/database.py
+++ b/jacinthhaven/decide/database.py
@@ -115,6 +115,25 @@
         """Remember that the primary refused this term."""
         self.refused = (term, now_ms)
 
+    def is_behind(self, job: work.Work) -> bool:
+        """Return whether the session has seen a later term than this owner.
+
+        The primary known here may be replaced, so data that is read from it
+        may lack the session's writes.
+        """
+        needed = job.needed
+        if needed is None or job.kind not in work.READING:
+            return False
+        return needed.term > self.term
+
+    def has_lost(self, job: work.Work) -> bool:
+        """Return whether the primary's log lacks the session's writes."""
+        view = self.instances.get(self.primary)
+        needed = job.needed
+        if view is None or needed is None or job.kind not in work.READING:
+            return False
+        return positions.is_lost(view.copies[self.name].starts, needed)
+
     def block_reason(self, job: work.Work, confirm_ms: int, now_ms: int) -> str:
         """Return why the primary cannot take a request now; empty if it can.
 
--- a/jacinthhaven/decide/dispatch.py
+++ b/jacinthhaven/decide/dispatch.py
@@ -12,7 +12,7 @@
     views,
     work,
 )
-from jacinthhaven.kernel import plugins
+from jacinthhaven.kernel import failures, plugins
 from jacinthhaven.records import backend
 
 if typing.TYPE_CHECKING:
@@ -86,6 +86,8 @@
         job = base.admission.peek(admission.REPLICA_LANE)
         if job is None:
             return False
+        if self._refuse_lost(base, job):
+            return True
         eligible = routing.eligible_replicas(
             base.view,
             job,
@@ -107,8 +109,7 @@
         job = base.admission.peek(admission.PRIMARY_LANE)
         if job is None:
             return False
-        if job.finished:
-            base.admission.pop(job.lane)
+        if self._set_aside(base, job):
             return True
         confirm_ms = self.state.preset.primary_confirm_ms
         if base.block_reason(job, confirm_ms, now_ms):
@@ -121,6 +122,28 @@
         self._send(job, base.primary, 0)
         return True
 
+    def _set_aside(self, base: database.Database, job: work.Work) -> bool:
+        """Take the next request out of the lane if it must not be sent."""
+        if job.finished:
+            base.admission.pop(job.lane)
+        elif base.is_behind(job):
+            # Others need not wait until this owner sees the later term.
+            base.parked.append(base.admission.pop(job.lane))
+        else:
+            return self._refuse_lost(base, job)
+        return True
+
+    def _refuse_lost(self, base: database.Database, job: work.Work) -> bool:
+        """Refuse the next request if its session's write was lost."""
+        if not base.has_lost(job):
+            return False
+        base.admission.pop(job.lane)
+        failure = failures.POSITION_LOST.because(
+            'a later term has replaced the newest write of the session',
+        )
+        self.state.refuse(job, failure)
+        return True
+
     def _choose(
         self,
         eligible: list[views.InstanceView],
--- a/jacinthhaven/decide/entry.py
+++ b/jacinthhaven/decide/entry.py
@@ -153,7 +153,7 @@
             body,
             token,
             now_ms + (body.deadline_ms or self.policy.preset.deadline_ms),
-            strict=strict and body.kind == work.READ,
+            strict=strict and body.kind in work.READING,
         )
         return self._accept(pending, now_ms)
 
--- a/jacinthhaven/decide/executor.py
+++ b/jacinthhaven/decide/executor.py
@@ -138,8 +138,8 @@
             self.state.refuse(job, kind.because(reason))
 
     def _enqueue(self, base: database.Database, job: work.Work) -> None:
-        limit = self.state.preset.queue_limit
-        for shed in base.admission.push(job, limit):
+        limit = self.state.preset.queue_limit - len(base.parked)
+        for shed in base.admission.push(job, max(limit, 0)):
             self.state.count('shed')
             failure = failures.OVERLOADED.because('queue is full')
             self.state.refuse(shed, failure)
--- a/jacinthhaven/decide/replies.py
+++ b/jacinthhaven/decide/replies.py
@@ -156,7 +156,8 @@
         )
         answer = self._done(job)
         answer.transaction = name
-        self.state.answer(job, answer)
+        job.answer = answer
+        self._answer_read(job, answer)
 
     def _finish_step(self, job: work.Work) -> None:
         transaction = self.state.transactions.find(
@@ -192,9 +193,13 @@
     ) -> None:
         if covered:
             self._answer_read(job, answer)
+            return
+        self.state.count('uncovered_reads')
+        base = self.state.databases[job.database]
+        if job.lane == admission.PRIMARY_LANE:
+            # The next status shows whether the write was lost.
+            base.parked.append(job)
         else:
-            self.state.count('uncovered_reads')
-            base = self.state.databases[job.database]
             self.dispatcher.use_primary(base, job, 'uncovered')
 
     def _on_resolved(
@@ -238,11 +243,12 @@
 
     def _answer_read(self, job: work.Work, answer: callers.Answer) -> None:
         base = self.state.databases[job.database]
-        if job.strict and job.term < base.term:
-            # The proof would be about a later primary than the one that
-            # executed the read.
+        on_primary = job.lane == admission.PRIMARY_LANE
+        if on_primary and job.term < base.term:
+            # The primary that executed the read is replaced, and a proof
+            # would be about the later one.
             self.dispatcher.use_primary(base, job, 'replaced')
-        elif job.strict and base.proved_ms < job.arrived_ms:
+        elif job.strict and base.proved_ms <= job.arrived_ms:
             base.strict.append(job)
         else:
             self.state.answer(job, answer)
--- a/jacinthhaven/decide/work.py
+++ b/jacinthhaven/decide/work.py
@@ -16,6 +16,8 @@
 KINDS = frozenset((READ, WRITE, BEGIN, STATEMENT, COMMIT, ROLLBACK))
 # Steps of an open transaction; they need the connection that it holds.
 STEPS = frozenset((STATEMENT, COMMIT, ROLLBACK))
+# Kinds that choose the copy whose data the session will read.
+READING = frozenset((READ, BEGIN))
 # Kinds that put an entry into the log, under a request key.
 LOGGED = frozenset((WRITE, COMMIT, RESOLVE))
 
