Move the requests of frozen owners and report unanswered steps as unknown

Cause: an owner process that freezes keeps its connections open, and the entry waited for it until the deadline of each request. A statement of a transaction that was in flight when its owner was lost, or whose answer came after the deadline, was answered as "not run" although the owner may have executed it and the transaction may still be committed. An outcome question was not checked: a huge deadline kept it for ever, and a refused one said "not run" about the write itself.

Ruled out: repeating a request elsewhere after a fixed time without a probe, because during a failover every waiting write would be copied to every owner.

--- a/jacinthhaven/adapters/peer_codec.py
+++ b/jacinthhaven/adapters/peer_codec.py
@@ -4,6 +4,7 @@
 bytes by a sixth, and it is not slower than the plain encoding.
 """
 
+import types
 import typing
 import zlib
 from importlib import resources
@@ -20,6 +21,17 @@
 _COMPRESS_BYTES = 1024
 _COMPRESS_LEVEL = 1
 _WORD_BYTES = 8
+# Payloads that consist of one number.
+_NUMBER_NAMES = types.MappingProxyType(
+    {
+        peers.ForwardCancel: 'forwardCancel',
+        peers.Probe: 'probe',
+        peers.ProbeReply: 'probeReply',
+    },
+)
+_NUMBER_RECORDS = types.MappingProxyType(
+    {name: record for record, name in _NUMBER_NAMES.items()},
+)
 _ENCODE_ERRORS = (
     LookupError,
     TypeError,
@@ -81,10 +93,11 @@
 
 
 def _fill(message: typing.Any, payload: typing.Any) -> None:
+    number_name = _NUMBER_NAMES.get(type(payload))
     if isinstance(payload, handshake.Proof):
         message.proof = payload.mac
-    elif isinstance(payload, peers.ForwardCancel):
-        message.forwardCancel = payload.number
+    elif number_name:
+        setattr(message, number_name, payload.number)
     else:
         name = peer_fields.UNION_NAMES[type(payload)]
         peer_fields.write(message.init(name), payload)
@@ -98,8 +111,9 @@
         name = str(message.which())
     if name == 'proof':
         return handshake.Proof(message.proof)
-    if name == 'forwardCancel':
-        return peers.ForwardCancel(message.forwardCancel)
+    number_record = _NUMBER_RECORDS.get(name)
+    if number_record:
+        return number_record(getattr(message, name))
     record = peer_fields.RECORDS.get(name)
     if record is None:
         raise BadPayloadError(name)
--- a/jacinthhaven/adapters/peer_codec_test.py
+++ b/jacinthhaven/adapters/peer_codec_test.py
@@ -22,6 +22,8 @@
     peers.ForwardAnswer(9, 1, b'{}', 'not_run', 'because'),
     peers.ForwardAnswer(9, 1, b'{}'),
     peers.ForwardCancel(2**33),
+    peers.Probe(2**33),
+    peers.ProbeReply(7),
     peers.InstanceSilence('g', {'i1': 0, 'i2': 70_000}),
     gossip.Exchange(),
     gossip.Exchange(
--- a/jacinthhaven/adapters/peer_schema.capnp
+++ b/jacinthhaven/adapters/peer_schema.capnp
@@ -14,6 +14,8 @@
     exchange @7 :Exchange;
     # Another Envelope compressed with zlib.
     compressed @8 :Data;
+    probe @9 :UInt64;
+    probeReply @10 :UInt64;
   }
 }
 
--- a/jacinthhaven/decide/builders.py
+++ b/jacinthhaven/decide/builders.py
@@ -415,6 +415,7 @@
         self.entry = entry.Entry('m9', self.signer, self)
         self.entry.refusal = None
         self.forwards: list[messages.PeerSend] = []
+        self.probes: list[str] = []
         self.answers: dict[int, list[callers.Answer]] = {}
 
     def owners(self, database: str) -> list[str] | None:
@@ -433,7 +434,10 @@
         """Sort the messages of the entry."""
         for message in out:
             if isinstance(message, messages.PeerSend):
-                self.forwards.append(message)
+                if isinstance(message.payload, peers.Probe):
+                    self.probes.append(message.member)
+                else:
+                    self.forwards.append(message)
             elif isinstance(message, messages.CallerAnswer):
                 found = self.answers.setdefault(message.number, [])
                 found.append(message.answer)
--- a/jacinthhaven/decide/entry.py
+++ b/jacinthhaven/decide/entry.py
@@ -14,6 +14,7 @@
 
 from jacinthhaven.decide import (
     messages,
+    owner_watch,
     requests,
     tokens,
     transactions,
@@ -36,6 +37,9 @@
 _RETRY_MS = 50
 # The owner's more precise answer at its deadline must arrive first.
 _ANSWER_MARGIN_MS = 30
+# Kinds that change data or a transaction; without an answer it is unknown
+# whether they ran.
+_EFFECTIVE = work.LOGGED | {work.STATEMENT, work.ROLLBACK}
 _ANSWER_DECODER = msgspec.json.Decoder(callers.Answer)
 
 
@@ -116,7 +120,7 @@
         self.pending: dict[int, Pending] = {}
         self.waiting: dict[int, Pending] = {}
         self.deadlines: list[tuple[int, int]] = []
-        self.in_flight: dict[str, int] = {}
+        self.watch = owner_watch.OwnerWatch(member)
         self.request_ids = itertools.count(1)
         self.outbox: list[typing.Any] = []
 
@@ -136,12 +140,12 @@
         wrong = requests.problem(body)
         if wrong:
             failure = failures.BAD_REQUEST.because(wrong)
-            return self._refuse_now(message.number, body, failure)
+            return _refuse_now(message.number, body, failure)
         if self.refusal is not None and body.kind not in work.STEPS:
-            return self._refuse_now(message.number, body, self.refusal)
+            return _refuse_now(message.number, body, self.refusal)
         token = self._session_token(body)
         if isinstance(token, failures.Failure):
-            return self._refuse_now(message.number, body, token)
+            return _refuse_now(message.number, body, token)
         strict = bool(body.session) and not body.token
         body.session = token.session
         if body.kind in {work.WRITE, work.COMMIT} and not body.request_id:
@@ -164,9 +168,13 @@
     ) -> list[typing.Any]:
         """Accept a question for a write's outcome."""
         body = message.body
+        wrong = requests.outcome_problem(body)
+        if wrong:
+            failure = failures.BAD_REQUEST.because(wrong)
+            return _refuse_now(message.number, body, failure)
         token = self._session_token(body)
         if isinstance(token, failures.Failure):
-            return self._refuse_now(message.number, body, token)
+            return _refuse_now(message.number, body, token)
         pending = Pending(
             message.number,
             message.database,
@@ -229,15 +237,14 @@
             if pending.member == member
         ]
         for pending in lost:
-            self._release(pending)
-            pending.tried.add(member)
-            pending.maybe_run = True
-            if pending.kind in work.STEPS or pending.kind == work.BEGIN:
-                self._recover_step(pending, now_ms)
-            else:
-                self._dispatch(pending, now_ms)
+            self._leave(pending, now_ms)
+        self.watch.lost(member)
         return self.take()
 
+    def on_heard(self, member: str, now_ms: int) -> None:
+        """Note that a payload has arrived from a member."""
+        self.watch.heard(member, now_ms)
+
     def tick(self, now_ms: int) -> list[typing.Any]:
         """Expire requests and look for owners again."""
         while self.deadlines and self.deadlines[0][0] <= now_ms:
@@ -249,6 +256,7 @@
             if now_ms >= pending.retry_ms:
                 pending.tried.clear()
                 self._dispatch(pending, now_ms)
+        self._watch_owners(now_ms)
         return self.take()
 
     # Acceptance.
@@ -277,20 +285,6 @@
         self._dispatch(pending, now_ms)
         return self.take()
 
-    def _refuse_now(
-        self,
-        number: int,
-        body: callers.StatementRequest | callers.OutcomeRequest,
-        failure: failures.Failure,
-    ) -> list[typing.Any]:
-        answer = callers.Answer(
-            failure.outcome.value,
-            request_id=body.request_id,
-            error=failure.kind.code,
-            detail=failure.reason,
-        )
-        return [messages.CallerAnswer(number, answer, failure)]
-
     # Dispatch.
 
     def _dispatch(self, pending: Pending, now_ms: int) -> None:
@@ -314,7 +308,8 @@
         owners = self.finder.owners(pending.database)
         if owners is None:
             return failures.UNKNOWN_DATABASE.because(pending.database)
-        usable = [name for name in owners if name not in pending.tried]
+        excluded = pending.tried | self.watch.silent
+        usable = [name for name in owners if name not in excluded]
         return min(usable, key=self._cost, default='')
 
     def _cost(self, member: str) -> tuple[bool, bool, int]:
@@ -322,7 +317,7 @@
         return (
             member != self.member,
             not self.finder.same_zone(member),
-            self.in_flight.get(member, 0),
+            self.watch.in_flight.get(member, 0),
         )
 
     def _transaction_owner(self, pending: Pending) -> str | failures.Failure:
@@ -336,7 +331,7 @@
     def _send(self, pending: Pending, owner: str, now_ms: int) -> None:
         pending.member = owner
         pending.attempt += 1
-        self.in_flight[owner] = self.in_flight.get(owner, 0) + 1
+        self.watch.sent(owner, now_ms)
         payload: peers.StatementForward | peers.OutcomeForward
         if pending.kind == work.RESOLVE:
             payload = self._outcome_forward(pending, now_ms)
@@ -354,7 +349,7 @@
             pending.number,
             pending.database,
             msgspec.json.encode(body),
-            self._remaining_ms(pending, now_ms),
+            _remaining_ms(pending, now_ms),
             attempt=pending.attempt,
             strict=pending.strict,
         )
@@ -377,13 +372,10 @@
             pending.number,
             pending.database,
             msgspec.json.encode(question),
-            self._remaining_ms(pending, now_ms),
+            _remaining_ms(pending, now_ms),
             pending.attempt,
         )
 
-    def _remaining_ms(self, pending: Pending, now_ms: int) -> int:
-        return max(pending.deadline_ms - now_ms - _ANSWER_MARGIN_MS, 1)
-
     # Answers.
 
     def _may_try_elsewhere(
@@ -403,18 +395,40 @@
         if unconfirmed:
             # The request key makes the repeat of a write safe.
             pending.maybe_run = True
-            return self._remaining_ms(pending, now_ms) > _ANSWER_MARGIN_MS
+            return _remaining_ms(pending, now_ms) > _ANSWER_MARGIN_MS
         return forwarded.failure in _ELSEWHERE
 
+    def _watch_owners(self, now_ms: int) -> None:
+        """Probe quiet owners and move the requests of silent ones."""
+        due = self.watch.tick(now_ms)
+        for member in due.probes:
+            probe = peers.Probe(now_ms)
+            self.outbox.append(messages.PeerSend(member, probe))
+        for silent in due.silent:
+            self.outbox.append(messages.Count('silent_owners'))
+            for pending in tuple(self.pending.values()):
+                # Other steps cannot be executed anywhere else.
+                bound = pending.kind in {work.STATEMENT, work.ROLLBACK}
+                if pending.member == silent and not bound:
+                    self._leave(pending, now_ms)
+
+    def _leave(self, pending: Pending, now_ms: int) -> None:
+        """Take a request from an owner that will not answer it."""
+        pending.tried.add(pending.member)
+        pending.maybe_run = True
+        self._release(pending)
+        if pending.kind in work.STEPS:
+            self._recover_step(pending, now_ms)
+        else:
+            self._dispatch(pending, now_ms)
+
     def _recover_step(self, pending: Pending, now_ms: int) -> None:
         """Handle the loss of the owner that held a transaction."""
         if pending.kind == work.COMMIT:
             self._look_up_commit(pending, now_ms)
-        elif pending.kind == work.BEGIN:
-            self._dispatch(pending, now_ms)
         else:
             failure = failures.UNKNOWN_TRANSACTION.because(
-                'the transaction was rolled back with its owner',
+                'the owner of the transaction is lost',
             )
             self._fail(pending, failure)
 
@@ -441,32 +455,15 @@
                 failures.PROTOCOL_ERROR,
             )
             failure = kind.because(forwarded.reason)
-            if self._contradicts(pending, failure):
+            if _contradicts(pending, failure):
                 self._fail(pending, failure)
                 return
         elif pending.kind in work.LOGGED:
             self._extend_token(pending, answer)
         self._answer(pending, answer, failure)
 
-    def _contradicts(
-        self,
-        pending: Pending,
-        failure: failures.Failure,
-    ) -> bool:
-        """Return whether a lost attempt makes "not run" unproved.
-
-        A lost owner may still have a copy of a write on its way. Only the
-        cancellation of the request key rules that out.
-        """
-        return (
-            pending.maybe_run
-            and pending.kind in work.LOGGED
-            and failure.outcome is failures.Outcome.NOT_RUN
-            and failure.kind is not failures.CANCELLED
-        )
-
     def _fail(self, pending: Pending, failure: failures.Failure) -> None:
-        if self._contradicts(pending, failure):
+        if _contradicts(pending, failure):
             failure = failures.UNCONFIRMED.because(failure.reason)
         answer = callers.Answer(
             failure.outcome.value,
@@ -476,7 +473,7 @@
         self._answer(pending, answer, failure)
 
     def _expire(self, pending: Pending) -> None:
-        if pending.member and pending.kind in work.LOGGED:
+        if pending.member and pending.kind in _EFFECTIVE:
             pending.maybe_run = True
         failure = failures.DEADLINE.because('deadline has passed')
         self._fail(pending, failure)
@@ -511,5 +508,45 @@
 
     def _release(self, pending: Pending) -> None:
         if pending.member:
-            self.in_flight[pending.member] -= 1
+            self.watch.released(pending.member)
             pending.member = ''
+
+
+def _remaining_ms(pending: Pending, now_ms: int) -> int:
+    return max(pending.deadline_ms - now_ms - _ANSWER_MARGIN_MS, 1)
+
+
+def _refuse_now(
+    number: int,
+    body: callers.StatementRequest | callers.OutcomeRequest,
+    failure: failures.Failure,
+) -> list[typing.Any]:
+    outcome = failure.outcome
+    if isinstance(body, callers.OutcomeRequest):
+        # That the question is refused says nothing about the write.
+        outcome = failures.Outcome.UNKNOWN
+    answer = callers.Answer(
+        outcome.value,
+        request_id=body.request_id,
+        error=failure.kind.code,
+        detail=failure.reason,
+    )
+    return [messages.CallerAnswer(number, answer, failure)]
+
+
+def _contradicts(
+    pending: Pending,
+    failure: failures.Failure,
+) -> bool:
+    """Return whether a lost attempt makes "not run" unproved.
+
+    A lost owner may still have a copy of a write on its way. Only the
+    cancellation of the request key rules that out. A statement may have
+    run in a transaction that is still open and can be committed.
+    """
+    return (
+        pending.maybe_run
+        and pending.kind in _EFFECTIVE
+        and failure.outcome is failures.Outcome.NOT_RUN
+        and failure.kind is not failures.CANCELLED
+    )
--- a/jacinthhaven/decide/node.py
+++ b/jacinthhaven/decide/node.py
@@ -98,6 +98,7 @@
             peers.OutcomeForward: self._on_forward,
             peers.ForwardAnswer: self.entry.on_answer,
             peers.ForwardCancel: self._on_cancel,
+            peers.Probe: _answer_probe,
             peers.InstanceSilence: self._on_silence,
             gossip.Exchange: self._on_exchange,
             messages.StoreReply: self._on_cluster,
@@ -338,6 +339,7 @@
         now_ms: int,
     ) -> list[typing.Any]:
         self.table.mark_heard(message.member)
+        self.entry.on_heard(message.member, now_ms)
         return self._on_payload(message.member, message.payload, now_ms)
 
     def _on_peer_lost(
@@ -414,6 +416,14 @@
 )
 
 
+def _answer_probe(
+    member: str,
+    probe: peers.Probe,
+    _now_ms: int,
+) -> list[messages.PeerSend]:
+    return [messages.PeerSend(member, peers.ProbeReply(probe.number))]
+
+
 def _forward_answer(message: work.OwnerAnswer) -> messages.PeerSend:
     origin = message.origin
     payload = peers.ForwardAnswer(
--- a/jacinthhaven/decide/requests.py
+++ b/jacinthhaven/decide/requests.py
@@ -29,6 +29,17 @@
     return _id_problem(body)
 
 
+def outcome_problem(body: callers.OutcomeRequest) -> str:
+    """Return what is wrong with an outcome request; empty if nothing."""
+    if not body.session or not body.request_id:
+        return 'session and request_id are required'
+    if len(body.request_id) > _MAX_REQUEST_ID:
+        return 'request_id is too long'
+    if not 0 <= body.deadline_ms <= MAX_DEADLINE_MS:
+        return 'deadline_ms is out of range'
+    return ''
+
+
 def _id_problem(body: callers.StatementRequest) -> str:
     if len(body.request_id) > _MAX_REQUEST_ID:
         return 'request_id is too long'
--- a/jacinthhaven/records/peers.py
+++ b/jacinthhaven/records/peers.py
@@ -71,6 +71,18 @@
     number: int
 
 
+class Probe(msgspec.Struct):
+    """Entry to a quiet owner: show that you are not frozen."""
+
+    number: int
+
+
+class ProbeReply(msgspec.Struct):
+    """Owner to entry: answer to a probe."""
+
+    number: int
+
+
 class InstanceSilence(msgspec.Struct):
     """Owner to the other owners of a group: how long instances are silent.
 
