Stop an owner whose slot was taken over

Cause: an owner that is isolated from the store can lose its slot to a newer holder. Instances then refuse its connections with stale_epoch, but it kept the slot and the requests until their deadlines. After: the owner closes its connections and refuses with no_owner, which entries try elsewhere; the same epoch is not started again.

--- a/jacinthhaven/decide/owner.py
+++ b/jacinthhaven/decide/owner.py
@@ -69,6 +69,8 @@
         self.channels: dict[str, control.ControlChannel] = {}
         self.suspicions: dict[str, suspicion.Suspicion] = {}
         self.reported_ms = 0
+        # Epoch that an instance has refused; later ones are higher.
+        self.evicted_epoch = 0
         self.executor = executor.Executor(state)
         self.promotions = {
             name: promotion.DatabasePromotion(
@@ -88,7 +90,7 @@
 
     def start(self, slot: topology.Slot, now_ms: int) -> list[typing.Any]:
         """Open the connections of a slot that this node holds now."""
-        if self.slot == slot:
+        if self.slot == slot or slot.epoch <= self.evicted_epoch:
             return []
         out = self.stop('slot was replaced')
         self.slot = slot
@@ -126,6 +128,8 @@
         instance = self.places.get(message.connection)
         if instance is None:
             return []
+        if _is_eviction(message):
+            return self._evict(instance)
         channel = self.channels[instance]
         if channel.connection == message.connection:
             self._on_control(channel, message, now_ms)
@@ -194,6 +198,17 @@
                 self.places.pop(message.connection, None)
         return out
 
+    def _evict(self, instance: str) -> list[typing.Any]:
+        """Stop because an instance knows a newer holder of the slot.
+
+        The directory may name this node as the holder for some time; until
+        it does not, the same epoch is not started again.
+        """
+        if self.slot is not None:
+            self.evicted_epoch = self.slot.epoch
+            self.state.log('evicted', {'instance': instance})
+        return self.stop('slot has a newer holder')
+
     # Control connections.
 
     def _close_all(self) -> None:
@@ -240,8 +255,6 @@
             self.suspicions[channel.instance].on_connection_lost()
             self.places.pop(message.connection, None)
             out = channel.on_lost(now_ms)
-            if message.failure.kind is failures.STALE_EPOCH:
-                self.state.log('evicted', {'instance': channel.instance})
         self.outbox.extend(self._control_out(out, now_ms))
 
     def _on_control_reply(
@@ -406,3 +419,10 @@
             now_ms,
         )
         self.executor.on_lost(message.connection, now_ms)
+
+
+def _is_eviction(message: typing.Any) -> bool:
+    return (
+        isinstance(message, messages.BackendLost)
+        and message.failure.kind is failures.STALE_EPOCH
+    )
--- a/jacinthhaven/decide/owner_test.py
+++ b/jacinthhaven/decide/owner_test.py
@@ -1,6 +1,7 @@
 """Tests of an owner: stop and start with pending work."""
 
-from jacinthhaven.decide import builders, work
+from jacinthhaven.decide import builders, messages, work
+from jacinthhaven.kernel import failures
 
 
 def test_stop_answers_strict_reads():
@@ -50,3 +51,19 @@
     assert len(desk.answers) == 2
     assert desk.owner.executor.idle
     assert not len(desk.base.confirmations)
+
+
+def test_eviction_sends_work_elsewhere():
+    """Guards against work that waits at an owner whose slot was taken."""
+    desk, _fake = builders.serving()
+    running = desk.submit()
+    failure = failures.STALE_EPOCH.because('test')
+    lost = messages.BackendLost(desk.statements[0].connection, failure)
+    desk.calls.pop(lost.connection)
+    desk.keep(desk.owner.handle(lost, desk.now_ms))
+    assert desk.owner.slot is None
+    assert desk.codes(running) == ['unconfirmed']
+    desk.start(epoch=7)
+    assert desk.codes(desk.submit()) == ['no_owner']
+    desk.start(epoch=8)
+    assert desk.owner.slot.epoch == 8
