Remember in the token whether all writes of a session are known

Cause: a session that had lost its token got a new one with its next answer. The new token named no positions, so the following reads were served without regard to the session's earlier writes. The same happened when a token dropped its oldest database.

A token now says whether it is complete. Reads of a database that an incomplete token does not name need the proof of the term, and the confirmed position that they saw becomes part of the token.

--- a/jacinthhaven/decide/database.py
+++ b/jacinthhaven/decide/database.py
@@ -100,6 +100,15 @@
         )
         return self.confirmations.confirmed(reached)
 
+    @property
+    def confirmed_position(self) -> int:
+        """Return the position that a majority has in the current term."""
+        return positions.confirmed_position(
+            self.instances,
+            self.name,
+            self.term,
+        )
+
     def refuse_term(self, term: int, now_ms: int) -> None:
         """Remember that the primary refused this term."""
         self.refused = (term, now_ms)
--- a/jacinthhaven/decide/entry.py
+++ b/jacinthhaven/decide/entry.py
@@ -142,7 +142,7 @@
         token = self._session_token(body)
         if isinstance(token, failures.Failure):
             return self._refuse_now(message.number, body, token)
-        strict = bool(body.session) and not body.token
+        strict = not token.covers(message.database)
         body.session = token.session
         if body.kind in {work.WRITE, work.COMMIT} and not body.request_id:
             body.request_id = f'{message.number:x}-{next(self.request_ids)}'
@@ -258,7 +258,7 @@
         body: callers.StatementRequest | callers.OutcomeRequest,
     ) -> tokens.Token | failures.Failure:
         if not body.session and not body.token:
-            return tokens.Token(self.signer.new_session())
+            return tokens.Token(self.signer.new_session(), complete=True)
         if not self.signer.valid_session(body.session):
             return failures.BAD_TOKEN.because('session id was not issued')
         if not body.token:
@@ -427,7 +427,7 @@
             if self._contradicts(pending, failure):
                 self._fail(pending, failure)
                 return
-        elif pending.kind in work.LOGGED:
+        elif pending.kind in work.LOGGED or pending.strict:
             self._extend_token(pending, answer)
         self._answer(pending, answer, failure)
 
--- a/jacinthhaven/decide/replies.py
+++ b/jacinthhaven/decide/replies.py
@@ -221,7 +221,12 @@
             # The proof would be about a later primary than the one that
             # executed the read.
             self.dispatcher.use_primary(base, job, 'replaced')
-        elif job.strict and base.proved_ms < job.arrived_ms:
+        elif job.strict and not (
+            base.proved_ms >= job.arrived_ms
+            and base.confirmed_position >= answer.position
+        ):
+            # The position becomes part of the session's token, so it must
+            # survive as well.
             base.strict.append(job)
         else:
             self.state.answer(job, answer)
--- a/jacinthhaven/decide/tokens.py
+++ b/jacinthhaven/decide/tokens.py
@@ -19,7 +19,7 @@
 _TOKEN_TAG_BYTES = 15
 _BITS_PER_BYTE = 8
 # Bounds the size of a token; the oldest written databases are dropped
-# first, and reads of a dropped database go to the primary.
+# first, and the token is no longer complete then.
 MAX_DATABASES = 32
 
 
@@ -31,10 +31,23 @@
 
 
 class Token(msgspec.Struct, array_like=True):
-    """Newest confirmed write of a session, by database name."""
+    """Newest confirmed write of a session, by database name.
+
+    Attributes:
+      session: Session id.
+      positions: Position that a read must see, by database name.
+      complete: Whether the session has written no other database. It is
+        not known to after an earlier token was lost, and a read of
+        another database needs a proof then.
+    """
 
     session: str
     positions: dict[str, Position] = msgspec.field(default_factory=dict)
+    complete: bool = False
+
+    def covers(self, database: str) -> bool:
+        """Return whether the writes of the session to it are known."""
+        return self.complete or database in self.positions
 
 
 class Signer:
@@ -98,12 +111,13 @@
 
 
 def advance(token: Token, database: str, newest: Position) -> Token:
-    """Return a token that also covers a newer confirmed write.
+    """Return a token that also covers a newer confirmed position.
 
     Args:
       token: Previous token of the session.
-      database: Name of the written database.
-      newest: Term and position of the write.
+      database: Name of the database.
+      newest: Term and position of a write, or of a read that is proved to
+        have seen all earlier writes of the session.
     """
     known = token.positions.get(database)
     if known is not None and _order(known) >= _order(newest):
@@ -111,9 +125,10 @@
     positions = dict(token.positions)
     positions.pop(database, None)
     positions[database] = newest
+    complete = token.complete and len(positions) <= MAX_DATABASES
     while len(positions) > MAX_DATABASES:
         positions.pop(next(iter(positions)))
-    return Token(token.session, positions)
+    return Token(token.session, positions, complete)
 
 
 def _order(position: Position) -> tuple[int, int]:
