Run the scenarios on the real cluster services and the store model

Members, slots, configuration and leaving flags now come from the decision code of the nodes; the scenario only provides the store, the VM list and operators. The planned stop is the one of the product process.

--- a/scenarios/checker.py
+++ b/scenarios/checker.py
@@ -12,9 +12,8 @@
 import msgspec
 
 from jacinthhaven.standins import replicated_log
-from scenarios import evidence, history
+from scenarios import control_checks, evidence, history
 
-_LEAVING_LIMIT_MS = 5000
 _MAX_SHOWN = 5
 _LOGGED = frozenset((history.WRITE, history.COMMIT))
 
@@ -137,17 +136,6 @@
             yield f'{name} had {peak} connections'
 
 
-def check_leaving(facts: evidence.Evidence) -> Findings:
-    """Yield work of leaving instances later than the limit."""
-    for executed in facts.executed:
-        marked_ms = facts.leaving_ms.get(executed.instance)
-        if marked_ms is None:
-            continue
-        late_ms = executed.at_ms - marked_ms
-        if late_ms > _LEAVING_LIMIT_MS:
-            yield f'{executed.instance} got work {late_ms} ms after its mark'
-
-
 def check_resolved(facts: evidence.Evidence) -> Findings:
     """Yield writes whose outcome stays unknown after all faults ended."""
     for change in facts.log.changes:
@@ -160,13 +148,6 @@
     yield from facts.errors
 
 
-def check_no_promotion(facts: evidence.Evidence) -> Findings:
-    """Yield databases whose primary was replaced."""
-    for database, entry in facts.entries():
-        if entry.kind == replicated_log.START and entry.term > 1:
-            yield f'{database} entered term {entry.term}'
-
-
 CHECKS = types.MappingProxyType(
     {
         'read_your_writes': check_read_your_writes,
@@ -179,14 +160,20 @@
         'ages': check_ages,
         'terms': check_terms,
         'connections': check_connections,
-        'leaving': check_leaving,
+        'leaving': control_checks.check_leaving,
         'resolved': check_resolved,
         'errors': check_errors,
-        'no_promotion': check_no_promotion,
+        'revisions': control_checks.check_revisions,
+        'in_force': control_checks.check_in_force,
+        'one_preset': control_checks.check_one_preset,
+        'operators': control_checks.check_operators,
+        'no_promotion': control_checks.check_no_promotion,
+        'planned_stop': control_checks.check_planned_stop,
     },
 )
 # Checks of every scenario; the others hold in certain scenarios only.
-DEFAULT = tuple(name for name in CHECKS if name != 'no_promotion')
+_SPECIAL = frozenset(('no_promotion', 'planned_stop'))
+DEFAULT = tuple(name for name in CHECKS if name not in _SPECIAL)
 
 
 def check(
--- a/scenarios/evidence.py
+++ b/scenarios/evidence.py
@@ -8,7 +8,12 @@
 import msgspec
 
 from jacinthhaven.standins import replicated_log
-from scenarios import fake_instances, history
+from scenarios import (
+    fake_instances,
+    fake_proxies,
+    fake_store,
+    history,
+)
 
 _CHANGES = frozenset((replicated_log.WRITE, replicated_log.COMMIT))
 Logs = dict[str, list[replicated_log.Entry]]
@@ -38,6 +43,23 @@
     tag: str
 
 
+@dataclasses.dataclass(slots=True)
+class Route:
+    """One routing decision.
+
+    Attributes:
+      at_ms: Time of the decision.
+      node: Name of the node.
+      revision: Policy revision that decided it.
+      preset: Preset that decided it.
+    """
+
+    at_ms: int
+    node: str
+    revision: int
+    preset: str
+
+
 @dataclasses.dataclass
 class Evidence:
     """Everything that a run produced.
@@ -49,6 +71,9 @@
       peaks: Largest number of connections of each instance.
       connection_limit: Largest allowed number of connections.
       current_ms: Allowed age of reads that state none.
+      routes: Routing decisions of all nodes by time.
+      written: Accepted changes of the configuration.
+      answers: Answers that operators got.
       errors: Exceptions of the decision code.
       leaving_ms: When instances were marked as leaving, by name.
     """
@@ -60,6 +85,13 @@
     connection_limit: int
     leaving_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     current_ms: int = 0
+    routes: list[Route] = dataclasses.field(default_factory=list)
+    written: list[fake_store.Written] = dataclasses.field(
+        default_factory=list,
+    )
+    answers: list[fake_proxies.OperatorAnswer] = dataclasses.field(
+        default_factory=list,
+    )
     errors: list[str] = dataclasses.field(default_factory=list)
 
     @functools.cached_property
--- a/scenarios/fake_callers.py
+++ b/scenarios/fake_callers.py
@@ -15,6 +15,7 @@
 _SETTLE_TRIES = 40
 _SETTLE_PAUSE_MS = 150
 _RECONNECT_MS = 20
+_MOVING = frozenset(('isolated', 'draining', 'no_owner'))
 _IMPATIENT_MS = 60
 _PERCENT = 100
 SHARED_ROWS = 4
@@ -34,7 +35,7 @@
 
     def choose(self, avoided: str = '') -> fake_proxies.Proxy:
         """Return a running proxy, another one than before if possible."""
-        running = [proxy for proxy in self.proxies.values() if proxy.alive]
+        running = [proxy for proxy in self.proxies.values() if proxy.ready]
         others = [proxy for proxy in running if proxy.name != avoided]
         return self.rng.choice(others or running or list(self.proxies.values()))
 
@@ -225,7 +226,9 @@
         if answer is None:
             self.move()
             yield _RECONNECT_MS
-        elif answer.token:
+        elif answer.error in _MOVING or not self.proxy.ready:
+            self.move()
+        if answer is not None and answer.token:
             self.session_id = answer.session
             self.token = answer.token
 
@@ -288,6 +291,7 @@
         self.session.events.after(limit_ms, self._give_up)
 
     def _arrive(self) -> None:
+        self.request.refused = self.proxy.closed
         self.proxy.accept(
             self.request.database,
             self.body,
--- a/scenarios/fake_proxies.py
+++ b/scenarios/fake_proxies.py
@@ -5,14 +5,22 @@
 """
 
 import collections
+import dataclasses
 import functools
 import random
 import traceback
 import typing
 
-from jacinthhaven.decide import messages, node
-from jacinthhaven.records import callers, peers, presets, topology
-from scenarios import events, fake_instances
+from jacinthhaven.decide import (
+    cluster,
+    messages,
+    node,
+    operator_changes,
+)
+from jacinthhaven.kernel import clock
+from jacinthhaven.process import stopping
+from jacinthhaven.records import callers, operators, peers, topology
+from scenarios import events, fake_instances, fake_store
 
 TICK_MS = 20
 _STATUS_WAIT_MS = 200
@@ -22,6 +30,13 @@
 _DISORDER_MS = 400
 CLUSTER_KEY = b'scenario cluster key of 32 bytes'
 
+_VM_LIST_MS = 2000
+_OPEN = 'open'
+_DRAINING = 'draining'
+_CLOSED = 'closed'
+# Time that a planned stop may take; the default settings allow more.
+_DRAIN_MS = 8000
+
 Reply = typing.Callable[[callers.Answer | None], None]
 
 
@@ -94,39 +109,80 @@
             self.break_link(ends)
 
 
+@dataclasses.dataclass(slots=True)
+class OperatorAnswer:
+    """Answer to a change of an operator."""
+
+    at_ms: int
+    result: operators.ChangeResult
+
+
+@dataclasses.dataclass(slots=True)
+class Platform:
+    """What all proxies share.
+
+    Attributes:
+      group: Database group.
+      instances: Instances of the group.
+      peer_network: Connections between the proxies.
+      store: Key-value store.
+      seeds: Members in the settings of every proxy.
+      listed: Instances that the VM list shows as leaving.
+      answers: Answers to operators.
+    """
+
+    group: topology.Group
+    instances: fake_instances.Group
+    peer_network: PeerNetwork
+    store: fake_store.StoreServer
+    seeds: tuple[topology.Member, ...] = ()
+    listed: set[str] = dataclasses.field(default_factory=set)
+    answers: list[OperatorAnswer] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class _Settings:
+    drain_ms: int = _DRAIN_MS
+
+
+class _Application:
+    """Process as the planned stop sees it."""
+
+    def __init__(self, proxy: 'Proxy') -> None:
+        """Let the proxy play all parts of the process."""
+        self.poller = proxy
+        self.callers = proxy
+        self.switch = proxy
+        self.node = proxy.node
+        self.settings = _Settings()
+        self.finish = proxy.kill
+
+
 class Proxy:
     """One proxy process; replaced by a new one after its end."""
 
-    def __init__(
-        self,
-        name: str,
-        zone: str,
-        groups: tuple[topology.Group, ...],
-        peer_network: PeerNetwork,
-        group: fake_instances.Group,
-    ) -> None:
+    def __init__(self, name: str, zone: str, platform: Platform) -> None:
         """Create a process that is not running."""
         self.name = name
-        self.groups = groups
-        self.peer_network = peer_network
-        self.group = group
-        self.events = peer_network.events
+        self.platform = platform
         self.alive = False
         self.paused = False
+        self.stage = _OPEN
         self.boots = 0
-        self.directory_epoch = 0
         self.inbox: collections.deque[events.Action] = collections.deque()
         self.exchanges: dict[int, Reply] = {}
         self.lines: list[tuple[int, str, messages.DecisionLine]] = []
         self.errors: list[str] = []
-        peer_network.proxies[name] = self
-        peer_network.network.zones[name] = zone
+        self.platform.peer_network.proxies[name] = self
+        self.network = platform.instances.network
+        self.events = self.network.events
+        self.network.zones[name] = zone
 
     def start(self) -> None:
         """Start the process with a node that knows nothing."""
         self.alive = True
-        self.directory_epoch = 0
         self.paused = False
+        self.stage = _OPEN
         self.boots += 1
         seed = self.events.rng.random()
         rng = random.Random(seed)  # noqa: S311
@@ -135,20 +191,26 @@
             str(self.boots),
             '127.0.0.1',
             0,
-            self.peer_network.network.zones[self.name],
+            self.network.zones[self.name],
         )
         self.node = node.Node(
             node.Identity(
                 member,
-                self.groups,
+                (self.platform.group,),
                 CLUSTER_KEY,
                 _STATUS_WAIT_MS,
                 rng,
+                cluster.ClusterSettings(self.platform.seeds),
             ),
         )
         self.backends = fake_instances.Backends(
             self.name,
-            self.group,
+            self.platform.instances,
+            self.deliver,
+        )
+        self.store = fake_store.Client(
+            self.name,
+            self.platform.store,
             self.deliver,
         )
         self.handlers = {
@@ -156,12 +218,29 @@
             messages.BackendOpen: self.backends.open,
             messages.BackendCall: self.backends.call,
             messages.BackendClose: self.backends.close,
-            messages.PeerSend: functools.partial(self.peer_network.send, self),
+            messages.PeerSend: functools.partial(
+                self.platform.peer_network.send, self
+            ),
             messages.Count: _ignore,
             messages.DecisionLine: self._log,
+            messages.StoreCall: self.store.call,
+            messages.StoreCancel: self.store.cancel,
+            messages.MembersKnown: _ignore,
+            operator_changes.ChangeAnswer: self._answer_operator,
         }
+        self._read_vms(self.boots)
         self._tick(self.boots)
 
+    @property
+    def ready(self) -> bool:
+        """Return whether the balancer sends new callers to it."""
+        return self.alive and self.stage == _OPEN and self.node.ready
+
+    @property
+    def closed(self) -> bool:
+        """Return whether it accepts no connection any more."""
+        return self.stage == _CLOSED
+
     def kill(self) -> None:
         """End the process at once."""
         if not self.alive:
@@ -169,7 +248,8 @@
         self.alive = False
         self.inbox.clear()
         self.backends.close_all()
-        self.peer_network.drop(self.name)
+        self.store.close()
+        self.platform.peer_network.drop(self.name)
         waiting = self.exchanges
         self.exchanges = {}
         for reply in waiting.values():
@@ -215,7 +295,7 @@
           reply: Called with the answer, or None if the process ends.
           keep: Called with the number of the request.
         """
-        if self.alive:
+        if self.alive and not self.closed:
             action = functools.partial(
                 self._accept,
                 database,
@@ -232,18 +312,47 @@
         if self.exchanges.pop(number, None) is not None:
             self.deliver(messages.CallerGone(number))
 
-    def use_topology(
+    def change(
         self,
-        members: list[topology.Member],
-        slots: list[topology.Slot],
+        body: operators.PresetSwitch | operators.ConfigApply,
     ) -> None:
-        """Adopt members and slots from the directory."""
-        self._decide(self.node.set_topology, members, slots)
+        """Accept a change of an operator."""
+        number = next(self.node.numbers)
+        self.deliver(operator_changes.ChangeRequest(number, body))
+
+    def stop(self) -> None:
+        """Start the planned stop."""
+        stopping.Stopping(_Application(self)).begin()
+
+    # What the planned stop uses of the parts of a process.
+
+    @property
+    def clock(self) -> clock.Clock:
+        """Return the clock of the process."""
+        return self.events.clock
+
+    @property
+    def busy(self) -> int:
+        """Return how many requests wait for an answer."""
+        return len(self.exchanges)
 
-    def use_policy(self, policy: presets.Policy) -> None:
-        """Adopt a configuration."""
-        if policy.revision >= self.node.policy.revision:
-            self.node.adopt_policy(policy)
+    def call_later(self, delay_ms: int, action: events.Action) -> None:
+        """Run an action after a delay, unless the process ends before."""
+        boot = self.boots
+
+        def fire() -> None:  # noqa: WPS430
+            if boot == self.boots:
+                self.run(action)
+
+        self.events.after(delay_ms, fire)
+
+    def drain(self) -> None:
+        """Close the connection of each caller after its next answer."""
+        self.stage = _DRAINING
+
+    def close(self) -> None:
+        """Accept no connection any more."""
+        self.stage = _CLOSED
 
     def send(self, out: list[typing.Any]) -> None:
         """Hand messages of the decision code to the tasks."""
@@ -290,6 +399,19 @@
         if reply is not None:
             reply(message.answer)
 
+    def _answer_operator(self, message: operator_changes.ChangeAnswer) -> None:
+        answer = OperatorAnswer(self.events.now_ms, message.result)
+        self.platform.answers.append(answer)
+
+    def _read_vms(self, boot: int) -> None:
+        if not self.alive or boot != self.boots:
+            return
+        again = functools.partial(self._read_vms, boot)
+        self.events.after(_VM_LIST_MS, again)
+        if self.node.cluster.reader.active:
+            listed = frozenset(self.platform.listed)
+            self.deliver(messages.VmsListed(listed))
+
     def _tick(self, boot: int) -> None:
         if not self.alive or boot != self.boots:
             return
--- a/scenarios/faults.py
+++ b/scenarios/faults.py
@@ -3,13 +3,19 @@
 import itertools
 import typing
 
-from scenarios import fake_instances, fake_proxies, history, language
+from jacinthhaven.records import operators
+from scenarios import (
+    fake_instances,
+    fake_proxies,
+    history,
+    language,
+    places,
+)
 
 if typing.TYPE_CHECKING:
     from scenarios import simulation
 
 Place = fake_instances.Instance | fake_proxies.Proxy
-_LEASE_MS = 10_000
 _PERCENT = 100
 
 
@@ -21,33 +27,16 @@
         self.world = world
         self.events = world.events
         self.network = world.network
-        self.finders = {
-            'primary': lambda name: [self._primary(name)],
-            'replicas': self._replicas,
-            'slot': lambda number: [self._holder(number)],
-            'zone': self._zone,
-            'proxies': lambda _name: list(world.proxies),
-            'instances': lambda _name: list(world.instances),
-        }
+        self.changes = 0
+        self.finder = places.Finder(world)
 
     def execute(self, step: language.Step) -> None:
         """Execute one step now."""
-        names = self.resolve(step.places)
+        names = self.finder.resolve(step.places)
         fault = history.Fault(self.events.now_ms, step.do, ' '.join(names))
         self.world.log.faults.append(fault)
         getattr(self, step.do)(step, names)
 
-    def resolve(self, places: list[str]) -> list[str]:
-        """Return the names of places as they are now."""
-        names: list[str] = []
-        for place in places:
-            if place.startswith('-'):
-                removed = self._find(place[1:])
-                names = [name for name in names if name not in removed]
-            else:
-                names.extend(self._find(place))
-        return names
-
     def end_all(self) -> None:
         """End all faults, so that the outcome of everything can be known."""
         for ends in tuple(self.network.cuts) + tuple(self.network.slow):
@@ -60,16 +49,17 @@
             instance.restart()
         for proxy in self.world.proxies.values():
             if not proxy.alive:
-                self._restart_proxy(proxy)
+                proxy.start()
             proxy.resume()
-        self.world.directory.store_up = True
-        self.world.directory.assign()
+        store = self.world.store
+        store.delay_ms = 0
+        store.lost_answers = 0
+        store.start()
 
     def kill(self, _step: language.Step, names: list[str]) -> None:
         """End processes at once."""
         for name in names:
             self._place(name).kill()
-            self._expire_later(name)
 
     def restart(self, _step: language.Step, names: list[str]) -> None:
         """Start processes again."""
@@ -78,7 +68,7 @@
             if isinstance(place, fake_instances.Instance):
                 place.restart()
             elif not place.alive:
-                self._restart_proxy(place)
+                place.start()
 
     def freeze(self, _step: language.Step, names: list[str]) -> None:
         """Stop instances or proxies without closing their connections."""
@@ -88,7 +78,6 @@
                 place.gate.move(closed=True)
             else:
                 place.pause()
-                self._expire_later(name)
 
     def thaw(self, _step: language.Step, names: list[str]) -> None:
         """Let frozen places continue with what arrived meanwhile."""
@@ -98,7 +87,6 @@
                 place.gate.move(closed=False)
             else:
                 place.resume()
-        self.world.directory.assign()
 
     def cut(self, step: language.Step, names: list[str]) -> None:
         """Hold everything between two sets of places."""
@@ -145,27 +133,69 @@
 
     def store_down(self, _step: language.Step, _names: list[str]) -> None:
         """Stop the store."""
-        self.world.directory.store_up = False
+        self.world.store.stop()
 
     def store_up(self, _step: language.Step, _names: list[str]) -> None:
         """Start the store."""
-        self.world.directory.store_up = True
-        self.world.directory.assign()
-
-    def _restart_proxy(self, proxy: fake_proxies.Proxy) -> None:
-        proxy.start()
-        # The new process has another boot and none of the old leases.
-        self.world.directory.release(proxy.name)
-
-    def _expire_later(self, name: str) -> None:
-        proxy = self.world.proxies.get(name)
-        if proxy is not None:
-            boot = proxy.boots
-            directory = self.world.directory
-            self.events.after(
-                _LEASE_MS,
-                lambda: directory.expire(proxy, boot),
+        self.world.store.start()
+
+    def store_slow(self, step: language.Step, _names: list[str]) -> None:
+        """Delay every call of the store."""
+        self.world.store.delay_ms = step.by_ms
+
+    def store_answer_lost(
+        self,
+        step: language.Step,
+        _names: list[str],
+    ) -> None:
+        """Lose the answers to the next writes, which take effect."""
+        self.world.store.lost_answers += step.count
+
+    def stop(self, _step: language.Step, names: list[str]) -> None:
+        """Start the planned stop of proxies."""
+        for name in names:
+            self.world.proxies[name].stop()
+
+    def leave(self, step: language.Step, names: list[str]) -> None:
+        """Tell instances to shut down; the VM list shows it later."""
+        for name in names:
+            self._instance(name).model.announce_leaving(leaving=True)
+            self._instance(name).notify_soon()
+            self.world.leaving_ms[name] = self.events.now_ms
+        listed = self.world.platform.listed
+        self.events.after(step.by_ms, lambda: listed.update(names))
+
+    def list_leaving(self, _step: language.Step, names: list[str]) -> None:
+        """Show instances as leaving in the VM list only."""
+        self.world.platform.listed.update(names)
+        for name in names:
+            self.world.leaving_ms[name] = self.events.now_ms
+
+    def switch_preset(self, step: language.Step, names: list[str]) -> None:
+        """Switch the preset through a proxy, as an operator does."""
+        for name in names:
+            proxy = self.world.proxies[name]
+            switch = operators.PresetSwitch(
+                name=step.preset,
+                expected_revision=proxy.node.policy.revision,
+                change_id=self._change_id(name),
+            )
+            proxy.change(switch)
+
+    def apply_config(self, _step: language.Step, names: list[str]) -> None:
+        """Write the configuration again through a proxy."""
+        for name in names:
+            proxy = self.world.proxies[name]
+            change = operators.ConfigApply(
+                presets=self.world.presets().presets,
+                expected_revision=proxy.node.policy.revision,
+                change_id=self._change_id(name),
             )
+            proxy.change(change)
+
+    def _change_id(self, name: str) -> str:
+        self.changes += 1
+        return f'{name}-{self.changes}'
 
     def _instance(self, name: str) -> fake_instances.Instance:
         return self.world.instances[name]
@@ -179,34 +209,9 @@
         step: language.Step,
         names: list[str],
     ) -> list[frozenset[str]]:
-        others = self.resolve(step.to)
+        others = self.finder.resolve(step.to)
         return [
             frozenset(pair)
             for pair in itertools.product(names, others)
             if pair[0] != pair[1]
         ]
-
-    def _find(self, place: str) -> list[str]:
-        kind, _colon, name = place.partition(':')
-        finder = self.finders.get(kind)
-        return [place] if finder is None else finder(name)
-
-    def _replicas(self, database: str) -> list[str]:
-        primary = self._primary(database)
-        return [name for name in self.world.instances if name != primary]
-
-    def _zone(self, zone: str) -> list[str]:
-        places = self.network.zones.items()
-        return [name for name, place in places if place == zone]
-
-    def _holder(self, number: str) -> str:
-        slots = self.world.directory.slots
-        return slots[int(number)].holder
-
-    def _primary(self, database: str) -> str:
-        def rank(name: str) -> tuple[bool, int]:  # noqa: WPS430
-            model = self._instance(name).model
-            copy = model.copies[database]
-            return copy.primary, copy.term
-
-        return max(self.world.instances, key=rank)
--- a/scenarios/history.py
+++ b/scenarios/history.py
@@ -33,6 +33,7 @@
       with_token: Whether a token was sent.
       sent_ms: When it was sent.
       answered_ms: When the answer or the loss was seen; -1 for neither.
+      refused: Whether the proxy accepted no connection any more.
       answer: Answer; None if the connection was lost or given up.
     """
 
@@ -50,6 +51,7 @@
     sent_ms: int = -1
     answered_ms: int = -1
     answer: callers.Answer | None = None
+    refused: bool = False
 
     def __str__(self) -> str:
         """Return a short description for messages."""
--- a/scenarios/language.py
+++ b/scenarios/language.py
@@ -30,6 +30,13 @@
         'move_sessions',
         'store_down',
         'store_up',
+        'store_slow',
+        'store_answer_lost',
+        'stop',
+        'leave',
+        'list_leaving',
+        'switch_preset',
+        'apply_config',
     ),
 )
 FOLDER = pathlib.Path(__file__).parent / 'cases'
--- a/scenarios/simulation.py
+++ b/scenarios/simulation.py
@@ -2,8 +2,12 @@
 
 import dataclasses
 import functools
+import itertools
+import operator
 import typing
 
+import msgspec
+
 from jacinthhaven.records import presets, topology
 from jacinthhaven.standins import database_copy, instance_model, replicated_log
 from scenarios import (
@@ -13,117 +17,17 @@
     fake_callers,
     fake_instances,
     fake_proxies,
+    fake_store,
     faults,
     history,
     language,
 )
 
-# Time without connections before callers start.
-WARM_UP_MS = 1500
+# Time in which the members register and take the connection slots.
+WARM_UP_MS = 3000
 # No instance refuses connections by itself, so that the peak is seen.
 _NO_LIMIT = 10_000
-_INSTANCES = 3
-_LEASE_MS = 10_000
-_SPREAD_MS = 400
-
-
-class Directory:
-    """Members and slots, given to each running proxy some time later.
-
-    It stands for the store, the leases and the gossip. A dead member keeps
-    its slots until its lease has ended.
-    """
-
-    def __init__(self, world: 'World') -> None:
-        """Give the slots to proxies in different zones."""
-        self.world = world
-        self.events = world.events
-        self.group = world.group
-        self.epoch = 0
-        self.store_up = True
-        self.slots: dict[int, topology.Slot] = {}
-        self.policy = presets.Policy(
-            revision=1,
-            name='ordinary',
-            preset=presets.Preset(**world.scenario.preset),
-        )
-
-    def assign(self) -> None:
-        """Give every free slot to a member without a slot."""
-        if self.store_up:
-            for number in range(self.group.owners):
-                if number not in self.slots:
-                    self._give(number)
-        self.spread()
-
-    def expire(self, proxy: fake_proxies.Proxy, boot: int) -> None:
-        """End the lease of a member that is dead or paused."""
-        if proxy.boots == boot and proxy.alive and not proxy.paused:
-            return
-        if not self.store_up:
-            again = functools.partial(self.expire, proxy, boot)
-            self.events.after(_LEASE_MS, again)
-            return
-        self.release(proxy.name)
-
-    def release(self, name: str) -> None:
-        """Free the slots of a member and give them to others."""
-        self.slots = {
-            number: slot
-            for number, slot in self.slots.items()
-            if slot.holder != name
-        }
-        self.assign()
-
-    def spread(self) -> None:
-        """Let every running proxy learn the directory after a while."""
-        slots = list(self.slots.values())
-        members = [
-            proxy.node.identity.member
-            for proxy in self.world.proxies.values()
-            if proxy.alive
-        ]
-        for proxy in self.world.proxies.values():
-            learn = functools.partial(
-                self._learn,
-                proxy,
-                proxy.boots,
-                (members, slots, self.policy, self.epoch),
-            )
-            delay_ms = self.events.rng.uniform(0, _SPREAD_MS)
-            self.events.after(delay_ms, functools.partial(proxy.run, learn))
-
-    def _learn(
-        self,
-        proxy: fake_proxies.Proxy,
-        boot: int,
-        news: tuple[typing.Any, ...],
-    ) -> None:
-        members, slots, policy, epoch = news
-        if proxy.boots != boot or epoch < proxy.directory_epoch:
-            return
-        proxy.directory_epoch = epoch
-        proxy.use_policy(policy)
-        proxy.use_topology(members, slots)
-
-    def _give(self, number: int) -> None:
-        holders = {slot.holder for slot in self.slots.values()}
-        places = self.world.network.zones
-        zones = {places[name] for name in holders}
-        free = [
-            proxy
-            for proxy in self.world.proxies.values()
-            if proxy.alive and not proxy.paused and proxy.name not in holders
-        ]
-        if free:
-            chosen = min(free, key=lambda proxy: places[proxy.name] in zones)
-            self.epoch += 1
-            self.slots[number] = topology.Slot(
-                self.group.name,
-                number,
-                chosen.name,
-                self.epoch,
-            )
+_PRESET = 'ordinary'
 
 
 @dataclasses.dataclass(slots=True)
@@ -164,19 +68,26 @@
         self.group = self._new_group()
         self.instances = self._new_instances()
         self.peer_network = fake_proxies.PeerNetwork(self.network)
+        self.store = fake_store.StoreServer(self.network)
+        self.preset = presets.Preset(**scenario.preset)
+        self.platform = fake_proxies.Platform(
+            self.group,
+            self.instances['i1'].group,
+            self.peer_network,
+            self.store,
+        )
         self.proxies = self._new_proxies()
         self.log = history.History()
         self.leaving_ms: dict[str, int] = {}
-        self.directory = Directory(self)
         self.sessions = self._new_sessions()
         self.faults = faults.Faults(self)
 
     def run(self) -> Report:
         """Run the scenario and check its invariants."""
         scenario = self.scenario
+        self.store.begin(self.presets(), _PRESET)
         for proxy in self.proxies.values():
             proxy.start()
-        self.directory.assign()
         self.events.run(WARM_UP_MS)
         for session in self.sessions:
             session.start()
@@ -194,6 +105,21 @@
         self.events.run(end_ms + scenario.settle_ms)
         return self._report()
 
+    def presets(self) -> presets.Configuration:
+        """Return the configuration at the start of the run."""
+        replace = msgspec.structs.replace
+        return presets.Configuration(
+            change_id='first',
+            presets={
+                _PRESET: self.preset,
+                'peak': replace(self.preset, replica_wait_ms=5),
+                'maintenance': replace(
+                    self.preset,
+                    excluded_instances=['i3'],
+                ),
+            },
+        )
+
     def surviving(self) -> dict[str, list[replicated_log.Entry]]:
         """Return the log of the newest primary of each database."""
         logs = {}
@@ -207,6 +133,10 @@
         return logs
 
     def _report(self) -> Report:
+        lines = sorted(
+            (line for proxy in self.proxies.values() for line in proxy.lines),
+            key=operator.itemgetter(0),
+        )
         facts = evidence.Evidence(
             self.log,
             self.surviving(),
@@ -217,7 +147,19 @@
             },
             self.group.connection_limit,
             self.leaving_ms,
-            self.directory.policy.preset.primary_confirm_ms,
+            self.preset.primary_confirm_ms,
+            [
+                evidence.Route(
+                    at_ms,
+                    name,
+                    line.fields['preset_revision'],
+                    line.fields['preset'],
+                )
+                for at_ms, name, line in lines
+                if line.event == 'route'
+            ],
+            self.store.written,
+            self.platform.answers,
             [
                 error
                 for proxy in self.proxies.values()
@@ -231,14 +173,7 @@
             checker.replica_share(self.log),
             len(requests),
             sum(request.outcome == history.DONE for request in requests),
-            sorted(
-                (
-                    line
-                    for proxy in self.proxies.values()
-                    for line in proxy.lines
-                ),
-                key=lambda line: line[0],
-            ),
+            lines,
         )
 
     def _new_group(self) -> topology.Group:
@@ -272,18 +207,19 @@
         return group.instances
 
     def _new_proxies(self) -> dict[str, fake_proxies.Proxy]:
-        zones = self.deployment.zones
-        group = self.instances['i1'].group
-        return {
-            f'p{number}': fake_proxies.Proxy(
-                f'p{number}',
-                zones[(number - 1) % len(zones)],
-                (self.group,),
-                self.peer_network,
-                group,
-            )
+        zones = itertools.cycle(self.deployment.zones)
+        places = {
+            f'p{number}': next(zones)
             for number in range(1, self.scenario.proxies + 1)
         }
+        self.platform.seeds = tuple(
+            topology.Member(name, '', '127.0.0.1', 0, zone)
+            for name, zone in places.items()
+        )
+        return {
+            name: fake_proxies.Proxy(name, zone, self.platform)
+            for name, zone in places.items()
+        }
 
     def _new_sessions(self) -> list[fake_callers.Session]:
         workload = self.scenario.workload
--- a/scenarios/variants.py
+++ b/scenarios/variants.py
@@ -20,6 +20,7 @@
     recovery,
     replies,
     requests,
+    tokens,
     work,
 )
 
@@ -207,6 +208,11 @@
             '_answer_read',
             _release_strict_reads,
         ),
+        'forget_earlier_databases': lambda: _replace(
+            tokens.Token,
+            'covers',
+            _always(True),
+        ),
         'keep_old_token': lambda: _replace(
             entry.Entry,
             '_extend_token',
