--- a/jacinthhaven/decide/recovery.py
+++ b/jacinthhaven/decide/recovery.py
@@ -94,6 +94,18 @@
         for stale in base.confirmations.start_term(base.term):
             self.repeat(stale)
 
+    def on_suspected(self, instance: str) -> None:
+        """Repeat the reads that a suspected instance has not answered.
+
+        Writes stay until a new primary is known, because only the term of
+        a new primary makes the old copy harmless.
+        """
+        for call in self.state.calls.reads_at(instance):
+            job = call.job
+            call.job = None
+            if job is not None:
+                self.recover(job)
+
     def abort(self, transaction: transactions.Transaction) -> None:
         """Close the connection of a transaction, which rolls it back.
 
@@ -108,6 +120,21 @@
         if job is not None:
             self.recover(job)
 
+    def close_stalled(self, now_ms: int) -> None:
+        """Close the connections whose calls will not be answered.
+
+        Their requests have expired, and a connection that waits for ever
+        would reduce the share for ever.
+        """
+        for call in self.state.calls.stalled(now_ms):
+            held = self.state.transactions.on_connection(call.connection)
+            if held is not None:
+                self.state.transactions.end(held.name)
+            self.state.count('stalled_calls')
+            self.state.close(call.instance, call.connection)
+        for connections in self.state.pools.values():
+            self.state.outbox.extend(connections.expire_opening(now_ms))
+
     def expire(self, job: work.Work) -> None:
         """Refuse a request whose deadline has passed."""
         call = self.state.calls.by_connection.get(job.connection)
