--- a/jacinthhaven/decide/executor.py
+++ b/jacinthhaven/decide/executor.py
@@ -51,7 +51,7 @@
         base.budget.request(self.state.preset.retry_ratio)
         if job.kind in work.STEPS:
             self.replies.start_step(job, now_ms)
-        else:
+        if job.kind not in work.STEPS:
             self._enqueue(base, job)
             self.dispatcher.pump(base, now_ms)
 
@@ -138,8 +138,8 @@
             self.state.refuse(job, kind.because(reason))
 
     def _enqueue(self, base: database.Database, job: work.Work) -> None:
-        limit = self.state.preset.queue_limit
-        for shed in base.admission.push(job, limit):
+        limit = self.state.preset.queue_limit - len(base.parked)
+        for shed in base.admission.push(job, max(limit, 0)):
             self.state.count('shed')
             failure = failures.OVERLOADED.because('queue is full')
             self.state.refuse(shed, failure)
--- a/jacinthhaven/decide/replies.py
+++ b/jacinthhaven/decide/replies.py
@@ -63,7 +63,12 @@
                 self._answer_read(strict_job, strict_job.answer)
 
     def start_step(self, job: work.Work, now_ms: int) -> None:
-        """Send a step of a transaction on the connection that it holds."""
+        """Send a step of a transaction on the connection that it holds.
+
+        A commit that cannot be executed here may be the repeat of one that
+        was. It becomes a look-up of its request key, which waits in the
+        queue as any other request.
+        """
         transaction = self.state.transactions.find(
             job.transaction,
             job.session,
@@ -72,12 +77,12 @@
             failure = failures.UNKNOWN_TRANSACTION.because(
                 'no such open transaction in this session',
             )
-            self.state.refuse(job, failure)
+            if job.kind == work.COMMIT:
+                self.recovery.look_up(job, failure)
+            else:
+                self.state.refuse(job, failure)
         elif transaction.busy:
-            failure = failures.BAD_REQUEST.because(
-                'a step of the transaction is still running',
-            )
-            self.state.refuse(job, failure)
+            self._refuse_second_step(job, transaction)
         else:
             transaction.busy = True
             transaction.used_ms = now_ms
@@ -88,6 +93,22 @@
                 transaction.instance,
             )
 
+    def _refuse_second_step(
+        self,
+        job: work.Work,
+        transaction: transactions.Transaction,
+    ) -> None:
+        failure = failures.BAD_REQUEST.because(
+            'a step of the transaction is still running',
+        )
+        call = self.state.calls.by_connection.get(transaction.connection)
+        running = None if call is None else call.job
+        key = job.request_key
+        if key and running is not None and running.request_key == key:
+            self.recovery.look_up(job, None)
+        else:
+            self.state.refuse(job, failure)
+
     def _free_abandoned(self, call: calls.Call) -> None:
         """Free the connection of a call that nobody waits for."""
         self.state.count('late_replies')
@@ -135,7 +156,8 @@
         )
         answer = self._done(job)
         answer.transaction = name
-        self.state.answer(job, answer)
+        job.answer = answer
+        self._answer_read(job, answer)
 
     def _finish_step(self, job: work.Work) -> None:
         transaction = self.state.transactions.find(
@@ -171,9 +193,13 @@
     ) -> None:
         if covered:
             self._answer_read(job, answer)
+            return
+        self.state.count('uncovered_reads')
+        base = self.state.databases[job.database]
+        if job.lane == admission.PRIMARY_LANE:
+            # The next status shows whether the write was lost.
+            base.parked.append(job)
         else:
-            self.state.count('uncovered_reads')
-            base = self.state.databases[job.database]
             self.dispatcher.use_primary(base, job, 'uncovered')
 
     def _on_resolved(
@@ -217,12 +243,13 @@
 
     def _answer_read(self, job: work.Work, answer: callers.Answer) -> None:
         base = self.state.databases[job.database]
-        if job.strict and job.term < base.term:
-            # The proof would be about a later primary than the one that
-            # executed the read.
+        on_primary = job.lane == admission.PRIMARY_LANE
+        if on_primary and job.term < base.term:
+            # The primary that executed the read is replaced, and a proof
+            # would be about the later one.
             self.dispatcher.use_primary(base, job, 'replaced')
         elif job.strict and not (
-            base.proved_ms >= job.arrived_ms
+            base.proved_ms > job.arrived_ms
             and base.confirmed_position >= answer.position
         ):
             # The position becomes part of the session's token, so it must
