--- a/jacinthhaven/decide/replies.py
+++ b/jacinthhaven/decide/replies.py
@@ -129,7 +129,7 @@
         reply: backend.Reply,
     ) -> None:
         if job.kind == work.BEGIN:
-            self._on_begun(call, job)
+            self._on_begun(call, job, reply)
             return
         if job.kind == work.STATEMENT:
             self._finish_step(job)
@@ -141,7 +141,12 @@
         elif isinstance(reply, backend.ExecuteReply):
             self._on_executed(job, reply)
 
-    def _on_begun(self, call: calls.Call, job: work.Work) -> None:
+    def _on_begun(
+        self,
+        call: calls.Call,
+        job: work.Work,
+        reply: backend.ExecuteReply,
+    ) -> None:
         name = self.state.transactions.new_name()
         self.state.transactions.add(
             transactions.Transaction(
@@ -156,6 +161,8 @@
         )
         answer = self._done(job)
         answer.transaction = name
+        answer.term = reply.log_term
+        answer.position = reply.position
         job.answer = answer
         self._answer_read(job, answer)
 
@@ -248,7 +255,12 @@
             # The primary that executed the read is replaced, and a proof
             # would be about the later one.
             self.dispatcher.use_primary(base, job, 'replaced')
-        elif job.strict and base.proved_ms <= job.arrived_ms:
+        elif job.strict and not (
+            base.proved_ms > job.arrived_ms
+            and base.confirmed_position >= answer.position
+        ):
+            # The position becomes part of the session's token, so it must
+            # survive as well.
             base.strict.append(job)
         else:
             self.state.answer(job, answer)
--- a/jacinthhaven/decide/sessions_test.py
+++ b/jacinthhaven/decide/sessions_test.py
@@ -75,6 +75,8 @@
     assert not desk.codes(read)
     desk.show(fake)
     assert desk.codes(read) == ['done']
+    # The position becomes part of the session's token.
+    assert desk.answers[-1].answer.position == 3
 
 
 def test_read_of_a_replaced_primary_is_repeated():
