Bound what bad clients can hold, and answer what they send

The timeout of partial requests counted from the first of several pipelined ones. - A client that reads no answers filled the output queue. - Timeouts, broken limits and wrong operator keys were not counted. - A session id followed by foreign characters was accepted, so request keys had no bound. - Every listener shared its port. Two processes with the same peer or operator port by mistake would each get half of the connections; now only the caller listener sets SO_REUSEPORT.

Ruled out: an idle timeout for complete connections, which callers keep open on purpose.

--- a/jacinthhaven/adapters/callers.py
+++ b/jacinthhaven/adapters/callers.py
@@ -15,6 +15,8 @@
 _PREFIX = '/v1/databases/'
 _STATEMENTS = 'statements'
 _OUTCOMES = 'outcomes'
+# Deeply nested documents exceed the recursion limit of the decoder.
+_DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
 _OK = http.HTTPStatus.OK.value
 
 CountFailure = typing.Callable[[str], None]
@@ -109,9 +111,13 @@
         number = next(self.numbers)
         try:
             request = self._decode(action, number, database, message.body)
-        except msgspec.MsgspecError as error:
+        except _DECODE_ERRORS as error:
             failure = failures.BAD_REQUEST.because(str(error))
-            self._reject(exchange, failure)
+            outcome = failure.outcome
+            if action == _OUTCOMES:
+                # Nothing is said about the write that was asked for.
+                outcome = failures.Outcome.UNKNOWN
+            self._reject(exchange, failure, outcome)
             return
         self.exchanges[number] = exchange
         exchange.number = number
@@ -147,10 +153,11 @@
         self,
         exchange: http_server.Exchange,
         failure: failures.Failure,
+        outcome: failures.Outcome = failures.Outcome.NOT_RUN,
     ) -> None:
         self.count('bad_requests')
         answer = callers.Answer(
-            failure.outcome.value,
+            outcome.value,
             error=failure.kind.code,
             detail=failure.reason,
         )
--- a/jacinthhaven/adapters/http_messages.py
+++ b/jacinthhaven/adapters/http_messages.py
@@ -47,6 +47,7 @@
 
     Attributes:
       status: Status code that a server answers with.
+      complete: Messages that were complete before the bad bytes.
     """
 
     def __init__(self, status: http.HTTPStatus, reason: str) -> None:
@@ -54,6 +55,7 @@
         super().__init__(reason)
         self.status = status
         self.reason = reason
+        self.complete: list[Message] = []
 
 
 class Parser:
@@ -105,15 +107,9 @@
         try:
             self.parser.feed_data(chunk)
         except httptools.HttpParserUpgrade as error:
-            raise BadMessageError(
-                http.HTTPStatus.BAD_REQUEST,
-                'protocol upgrade is not supported',
-            ) from error
+            raise self._bad('protocol upgrade is not supported') from error
         except httptools.HttpParserError as error:
-            raise self.refusal or BadMessageError(
-                http.HTTPStatus.BAD_REQUEST,
-                str(error),
-            ) from error
+            raise self.refusal or self._bad(str(error)) from error
         complete = self.messages
         self.messages = []
         if not self.in_body:
@@ -167,11 +163,17 @@
         if self.head_bytes > _MAX_HEAD_BYTES:
             self._refuse('head is too large')
 
+    def _bad(self, reason: str) -> BadMessageError:
+        bad = BadMessageError(http.HTTPStatus.BAD_REQUEST, reason)
+        bad.complete = self.messages
+        return bad
+
     def _refuse(self, reason: str) -> typing.NoReturn:
         self.refusal = BadMessageError(
             http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
             reason,
         )
+        self.refusal.complete = self.messages
         raise self.refusal
 
 
--- a/jacinthhaven/adapters/http_server.py
+++ b/jacinthhaven/adapters/http_server.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import http
 import typing
 
 import msgspec
@@ -15,14 +16,15 @@
 _IDLE_CHECK_MS = 1000
 # A caller that sends a partial request must finish it within this time.
 REQUEST_TIMEOUT_MS = 10_000
-# Pipelined requests of one connection that may wait for answers.
+# Pipelined requests of one connection that may wait for answers, or whose
+# answers the client has not read yet.
 _MAX_PIPELINED = 64
 
 
 class Exchange:
     """One request and the place of its answer in the connection's order."""
 
-    __slots__ = ('connection', 'message', 'answer', 'number')
+    __slots__ = ('connection', 'message', 'answer', 'closes', 'number')
 
     def __init__(
         self,
@@ -33,6 +35,7 @@
         self.connection = connection
         self.message = message
         self.answer: bytes | None = None
+        self.closes = not message.keep_alive
         self.number = 0
 
     @property
@@ -43,12 +46,18 @@
     def respond(self, status: int, body: bytes) -> None:
         """Answer the request; only the first answer counts."""
         if self.answer is None:
+            connection = self.connection
+            if connection.draining and connection.is_last(self):
+                # An earlier answer must not announce the end of the
+                # connection, since clients drop what follows it.
+                self.closes = True
+                connection.ended = True
             self.answer = http_messages.format_response(
                 status,
                 body,
-                self.message.keep_alive and not self.connection.draining,
+                not self.closes,
             )
-            self.connection.send_ready()
+            connection.send_ready()
 
     def respond_json(self, status: int, document: typing.Any) -> None:
         """Answer the request with a document encoded as JSON."""
@@ -67,6 +76,7 @@
         'parser',
         'exchanges',
         'draining',
+        'ended',
         'partial_since_ms',
         'context',
     )
@@ -78,26 +88,39 @@
         self.parser = server.new_parser(False, server.max_body)
         self.exchanges: collections.deque[Exchange] = collections.deque()
         self.draining = server.draining
+        # Whether further bytes are ignored.
+        self.ended = False
         self.partial_since_ms = 0
         self.context: typing.Any = None
+        if stream.handshaking:
+            self.partial_since_ms = server.poller.clock.now_ms()
+            stream.on_open = self.on_open
         stream.on_bytes = self.on_bytes
         stream.on_close = self.on_close
 
+    def on_open(self) -> None:
+        """Accept the end of the TLS handshake."""
+        self.partial_since_ms = 0
+
     def on_bytes(self, chunk: bytes) -> None:
         """Parse received bytes and hand complete requests to the handler."""
+        if self.ended:
+            return
+        error = None
         try:
             messages = self.parser.feed(chunk)
-        except http_messages.BadMessageError as error:
-            self._refuse(error)
+        except http_messages.BadMessageError as bad:
+            error = bad
+            messages = bad.complete
+        waiting = len(self.exchanges) + len(self.stream.outgoing)
+        if waiting + len(messages) > _MAX_PIPELINED:
+            self.reject(http.HTTPStatus.TOO_MANY_REQUESTS)
             return
-        if len(self.exchanges) + len(messages) > _MAX_PIPELINED:
-            self.close()
-            return
-        self._mark_partial()
+        self._mark_partial(bool(messages))
         for message in messages:
-            exchange = Exchange(self, message)
-            self.exchanges.append(exchange)
-            self.server.handler(exchange)
+            self._handle(message)
+        if error is not None and not self.ended:
+            self._refuse(error)
 
     def on_close(self) -> None:
         """Drop the waiting exchanges of a closed connection."""
@@ -106,32 +129,59 @@
 
     def close(self) -> None:
         """Close the connection now."""
+        self.ended = True
         self.stream.close()
         self.on_close()
 
+    def reject(self, status: http.HTTPStatus) -> None:
+        """Count a client that breaks a limit and close its connection."""
+        bad = http_messages.BadMessageError(status, status.phrase)
+        self.server.on_bad_message(bad)
+        self.close()
+
+    def is_last(self, exchange: Exchange) -> bool:
+        """Return whether no later request waits for an answer."""
+        return not self.exchanges or self.exchanges[-1] is exchange
+
     def send_ready(self) -> None:
         """Send the answers that are next in order."""
         while self.exchanges and self.exchanges[0].answer is not None:
             exchange = self.exchanges.popleft()
             self.stream.send(exchange.answer)
-            if not exchange.message.keep_alive or self.draining:
-                self.finish_when_idle(exchange.message.keep_alive)
+            if exchange.closes:
+                self._finish()
 
-    def finish_when_idle(self, keep_alive: bool = True) -> None:
-        """Close once nothing is waiting for an answer."""
-        if keep_alive and self.exchanges:
-            return
+    def finish_when_idle(self) -> None:
+        """Close the connection if no request waits for an answer."""
+        if not self.exchanges:
+            self._finish()
+
+    def _finish(self) -> None:
+        self.ended = True
         self.stream.finish()
-        self.server.connections.discard(self)
+        # A client that does not read its last answer has as much time as
+        # one that does not finish its request.
+        self.partial_since_ms = self.server.poller.clock.now_ms()
+        if self.stream.closed:
+            self.server.connections.discard(self)
+
+    def _handle(self, message: http_messages.Message) -> None:
+        if self.ended:
+            return
+        exchange = Exchange(self, message)
+        self.exchanges.append(exchange)
+        self.ended = exchange.closes
+        self.server.handler(exchange)
 
-    def _mark_partial(self) -> None:
+    def _mark_partial(self, completed: bool) -> None:
         if self.parser.idle:
             self.partial_since_ms = 0
-        elif not self.partial_since_ms:
+        elif completed or not self.partial_since_ms:
             self.partial_since_ms = self.server.poller.clock.now_ms()
 
     def _refuse(self, error: http_messages.BadMessageError) -> None:
         self.server.on_bad_message(error)
+        self.ended = True
         message = http_messages.Message(keep_alive=False)
         exchange = Exchange(self, message)
         self.exchanges.append(exchange)
@@ -174,12 +224,19 @@
             None,
         ] = _ignore
 
-    def listen(self, address: tuple[str, int], tls: typing.Any = None) -> int:
+    def listen(
+        self,
+        address: tuple[str, int],
+        tls: typing.Any = None,
+        *,
+        share_port: bool = False,
+    ) -> int:
         """Start to accept connections.
 
         Args:
           address: IP address and TCP port.
           tls: TLS context, or None.
+          share_port: Whether other processes may listen on the same port.
 
         Returns:
           The bound TCP port.
@@ -192,6 +249,7 @@
             address,
             self._on_stream,
             tls,
+            share_port=share_port,
         )
         self.poller.call_later(_IDLE_CHECK_MS, self._close_slow)
         return self.listener.port
@@ -218,8 +276,12 @@
     def _close_slow(self) -> None:
         limit_ms = self.poller.clock.now_ms() - REQUEST_TIMEOUT_MS
         for connection in tuple(self.connections):
-            if 0 < connection.partial_since_ms < limit_ms:
+            if not 0 < connection.partial_since_ms < limit_ms:
+                continue
+            if connection.ended:
                 connection.close()
+            else:
+                connection.reject(http.HTTPStatus.REQUEST_TIMEOUT)
         self.poller.call_later(_IDLE_CHECK_MS, self._close_slow)
 
 
--- a/jacinthhaven/adapters/operators.py
+++ b/jacinthhaven/adapters/operators.py
@@ -38,6 +38,7 @@
 
     Attributes:
       deliver: Called with each change for the decision code.
+      count: Called with the name of each counter to increase.
       status: Returns the answer to `GET /v1/status`.
       presets: Returns the answer to `GET /v1/presets`.
       drain: Starts the planned stop of this process.
@@ -58,11 +59,13 @@
         """
         self.key = b'Bearer %b' % key
         self.deliver = deliver
+        self.count: typing.Callable[[str], None] = _ignore
         self.status: typing.Callable[[], Document] = dict
         self.presets: typing.Callable[[], Document] = dict
         self.drain: typing.Callable[[], None] = _ignore
         self.server = http_server.Server(loop, self._on_exchange)
         self.server.new_parser = http_messages.HeaderParser
+        self.server.on_bad_message = self._on_bad_message
         self.numbers = itertools.count(1)
         self.exchanges: dict[int, http_server.Exchange] = {}
         self.paths = {
@@ -100,6 +103,7 @@
         message = exchange.message
         sent = message.headers.get('authorization', '').encode('latin-1')
         if not hmac.compare_digest(sent, self.key):
+            self.count('operators_unauthorized')
             failure = failures.UNAUTHORIZED.because('operator key is wrong')
             _refuse(exchange, failure)
             return
@@ -109,7 +113,7 @@
             return
         try:
             handler(exchange)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             _refuse(exchange, failures.BAD_REQUEST.because(str(error)))
 
     def _on_status(self, exchange: http_server.Exchange) -> None:
@@ -144,6 +148,9 @@
         self.drain()
         exchange.respond_json(_OK, {'draining': True})
 
+    def _on_bad_message(self, error: http_messages.BadMessageError) -> None:
+        self.count('operators_bad_requests')
+
     def _change(
         self,
         exchange: http_server.Exchange,
@@ -164,5 +171,5 @@
     )
 
 
-def _ignore() -> None:
+def _ignore(*_args: str) -> None:
     """Do nothing; default of an unset action."""
--- a/jacinthhaven/adapters/streams.py
+++ b/jacinthhaven/adapters/streams.py
@@ -233,6 +233,8 @@
         address: tuple[str, int],
         on_stream: typing.Callable[[Stream], None],
         tls: ssl.SSLContext | None = None,
+        *,
+        share_port: bool = False,
     ) -> None:
         """Bind and listen.
 
@@ -241,6 +243,8 @@
           address: IP address and port; port 0 takes any free port.
           on_stream: Called with each accepted stream.
           tls: Context for TLS, or None for plain TCP.
+          share_port: Whether several processes of one VM may listen on the
+            port; the kernel then spreads new connections over them.
 
         Raises:
           OSError: If the address cannot be bound.
@@ -250,9 +254,8 @@
         self.tls = tls
         self.sock = _tcp_socket(address[0])
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        # Several processes of one VM may share the port; the kernel spreads
-        # new connections over them.
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        if share_port:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         self.sock.bind(address)
         self.sock.listen(_BACKLOG)
         self.port = self.sock.getsockname()[1]
--- a/jacinthhaven/decide/tokens.py
+++ b/jacinthhaven/decide/tokens.py
@@ -75,7 +75,12 @@
     def valid_session(self, session: str) -> bool:
         """Return whether the session id was issued under this key."""
         raw = _from_text(session)
-        if len(raw) != _SESSION_BYTES + _SESSION_TAG_BYTES:
+        # The decoder skips foreign characters, and the session becomes part
+        # of the request keys that the database keeps.
+        if (
+            _to_text(raw) != session
+            or len(raw) != _SESSION_BYTES + _SESSION_TAG_BYTES
+        ):
             return False
         unique = raw[:_SESSION_BYTES]
         return hmac.compare_digest(
--- a/jacinthhaven/process/application.py
+++ b/jacinthhaven/process/application.py
@@ -84,6 +84,7 @@
         self.callers.server.listen(
             (listeners.caller.host, listeners.caller.port),
             contexts.server(listeners.caller.tls),
+            share_port=True,
         )
         self.operators.server.listen(
             (listeners.operator.host, listeners.operator.port),
@@ -203,6 +204,7 @@
         self.callers.new_session = self.node.entry.signer.new_session
         self.callers.ready = self._is_ready
         self.callers.count = self._count
+        self.operators.count = self._count
         self.operators.status = self._status
         self.operators.presets = self._presets
         self.operators.drain = self._drain
--- a/jacinthhaven/records/settings.py
+++ b/jacinthhaven/records/settings.py
@@ -219,8 +219,7 @@
 
     @pydantic.model_validator(mode='after')
     def _check_ports(self) -> typing.Self:
-        # The listening sockets share ports with other processes, so binding
-        # a port twice would spread one protocol over two listeners.
+        # Binding a port twice fails only after the process has started.
         _raise_located(
             _duplicates(
                 (
