Count the idle time of a transaction from the end of its last step

Cause: the time was set when a step started, and for `begin` when it arrived at the owner. Ruled out: the busy flag, which protects a transaction only while the step runs. Before: a transaction whose `begin` or statement took longer than transaction_idle_ms was rolled back at the next tick after the successful answer. After: it has the whole idle time.

--- a/jacinthhaven/decide/replies.py
+++ b/jacinthhaven/decide/replies.py
@@ -50,7 +50,7 @@
         elif isinstance(message.reply, failures.Failure):
             self._on_refusal(call, job, message.reply, now_ms)
         else:
-            self._on_result(call, job, message.reply)
+            self._on_result(call, job, message.reply, now_ms)
 
     def on_status(self, base: database.Database) -> None:
         """Release the answers that new knowledge about a database allows."""
@@ -127,12 +127,13 @@
         call: calls.Call,
         job: work.Work,
         reply: backend.Reply,
+        now_ms: int,
     ) -> None:
         if job.kind == work.BEGIN:
-            self._on_begun(call, job, reply)
+            self._on_begun(call, job, reply, now_ms)
             return
         if job.kind == work.STATEMENT:
-            self._finish_step(job)
+            self._finish_step(job, now_ms)
         else:
             self.state.transactions.end(job.transaction)
             self.state.pools[call.instance].give_back(call.connection)
@@ -146,6 +147,7 @@
         call: calls.Call,
         job: work.Work,
         reply: backend.ExecuteReply,
+        now_ms: int,
     ) -> None:
         name = self.state.transactions.new_name()
         self.state.transactions.add(
@@ -156,7 +158,7 @@
                 call.instance,
                 call.connection,
                 job.term,
-                job.arrived_ms,
+                now_ms,
             ),
         )
         answer = self._done(job)
@@ -166,13 +168,14 @@
         job.answer = answer
         self._answer_read(job, answer)
 
-    def _finish_step(self, job: work.Work) -> None:
+    def _finish_step(self, job: work.Work, now_ms: int) -> None:
         transaction = self.state.transactions.find(
             job.transaction,
             job.session,
         )
         if transaction is not None:
             transaction.busy = False
+            transaction.used_ms = now_ms
 
     def _on_executed(
         self,
@@ -284,7 +287,7 @@
         now_ms: int,
     ) -> None:
         if job.kind in work.STEPS:
-            self._on_step_refused(call, job, failure)
+            self._on_step_refused(call, job, failure, now_ms)
             return
         base = self.state.databases[job.database]
         self.state.pools[call.instance].give_back(call.connection)
@@ -301,9 +304,10 @@
         call: calls.Call,
         job: work.Work,
         failure: failures.Failure,
+        now_ms: int,
     ) -> None:
         if job.kind == work.STATEMENT:
-            self._finish_step(job)
+            self._finish_step(job, now_ms)
             self.state.refuse(job, failure)
             return
         # The state of a transaction whose end was refused is not known.
--- a/jacinthhaven/decide/transactions_test.py
+++ b/jacinthhaven/decide/transactions_test.py
@@ -51,3 +51,21 @@
     desk.done(position=3)
     assert desk.codes(step) == ['done']
     assert len(desk.state.pools['i1'].busy) == 1
+
+
+def test_idle_time_starts_at_the_end_of_a_step():
+    """Guards against aborting a transaction after a slow begin or step."""
+    desk, _fake = builders.serving()
+    desk.submit(work.BEGIN, deadline_ms=60_000)
+    desk.now_ms += 11_000
+    desk.done(position=3)
+    name = desk.answers[-1].answer.transaction
+    desk.advance(20)
+    desk.submit(work.STATEMENT, transaction=name, deadline_ms=60_000)
+    desk.now_ms += 11_000
+    desk.done(position=3)
+    desk.advance(9_900)
+    assert list(desk.state.transactions.by_name) == [name]
+    desk.advance(200)
+    assert not desk.state.transactions.by_name
+    assert desk.state.pools['i1'].size == 0
