Close a connection whose begin has an unknown outcome

Cause: the refusal of a `begin` returned the connection to the pool, also if the failure does not say whether the transaction was opened, such as an unknown error code. Ruled out: refusals that prove that nothing ran keep the connection. Before: the next statement could run inside that transaction. After: the connection is closed, which rolls the transaction back.

--- a/jacinthhaven/decide/replies.py
+++ b/jacinthhaven/decide/replies.py
@@ -290,7 +290,11 @@
             self._on_step_refused(call, job, failure, now_ms)
             return
         base = self.state.databases[job.database]
-        self.state.pools[call.instance].give_back(call.connection)
+        if call.begins and failure.outcome is failures.Outcome.UNKNOWN:
+            # A transaction may be open on the connection.
+            self.state.close(call.instance, call.connection)
+        else:
+            self.state.pools[call.instance].give_back(call.connection)
         if failure.kind is failures.STALE_TERM:
             base.refuse_term(job.term, now_ms)
             base.admission.push_front(job)
--- a/jacinthhaven/decide/transactions_test.py
+++ b/jacinthhaven/decide/transactions_test.py
@@ -1,6 +1,7 @@
 """Tests of the steps of transactions at an owner."""
 
 from jacinthhaven.decide import builders, work
+from jacinthhaven.kernel import failures
 from jacinthhaven.records import backend
 
 
@@ -69,3 +70,15 @@
     desk.advance(200)
     assert not desk.state.transactions.by_name
     assert desk.state.pools['i1'].size == 0
+
+
+def test_unknown_begin_closes_the_connection():
+    """Guards against other statements inside a transaction left open."""
+    desk, _fake = builders.serving()
+    begun = desk.submit(work.BEGIN)
+    first = desk.statements[0].connection
+    desk.reply(failures.PROTOCOL_ERROR.because('test'))
+    assert first in desk.closed
+    assert desk.statements[0].connection != first
+    desk.done(position=3)
+    assert desk.codes(begun) == ['done']
