Confirm foreign cancellations and drop the work of callers that are gone

Cause: a write refused because its key was cancelled by somebody else was answered as "not run" at once, although the cancellation may not be on a majority yet; a later primary without it would execute an earlier copy. The cancellation by a caller that is gone did not reach requests that wait for a replica or a later term, nor a `begin` that was running.

Ruled out: commits, whose transaction is gone with the refusal. Before: an unproved answer, and connections held until transaction_idle_ms. After: the key is looked up and the answer waits for a majority; the requests are dropped and the transaction's connection is closed.

--- a/jacinthhaven/decide/executor.py
+++ b/jacinthhaven/decide/executor.py
@@ -98,7 +98,10 @@
         )
 
     def cancel(self, member: str, number: int) -> None:
-        """Drop a queued request whose caller is gone.
+        """Drop a request whose caller is gone, unless it is running.
+
+        A `begin` that is running is given up too, so that its transaction
+        does not hold a connection until the idle timeout.
 
         Args:
           member: Entry that forwarded the request.
@@ -110,8 +113,11 @@
             return (origin.member, origin.number) == (member, number)
 
         for base in self.state.databases.values():
-            for job in base.admission.remove_if(matches):
-                job.finished = True
+            for job in (*base.admission.remove_if(matches), *base.parked):
+                job.finished = job.finished or matches(job)
+        for call in self.state.calls.by_number.values():
+            if call.begins and call.job is not None and matches(call.job):
+                call.job.finished = True
 
     def refuse_all(self, kind: failures.Kind, reason: str) -> None:
         """Refuse everything that waits, when the owner stops."""
--- a/jacinthhaven/decide/recovery.py
+++ b/jacinthhaven/decide/recovery.py
@@ -80,9 +80,13 @@
         """Refuse a request; cancel its key first if a copy was lost.
 
         An earlier copy could still arrive after this refusal, so a request
-        with a lost copy is refused only after its key is cancelled.
+        with a lost copy is refused only after its key is cancelled. A key
+        that somebody else has cancelled is refused only after a majority
+        has the cancellation, since a later primary may not have it.
         """
-        if job.lost and job.kind == work.WRITE and not job.finished:
+        unproved = job.lost or failure.kind is failures.CANCELLED
+        if unproved and job.kind == work.WRITE and not job.finished:
+            job.lost = True
             job.kind = work.RESOLVE
             job.refusal = failure
             self._requeue(job)
