--- a/scenarios/checker.py
+++ b/scenarios/checker.py
@@ -167,6 +167,7 @@
         'in_force': control_checks.check_in_force,
         'one_preset': control_checks.check_one_preset,
         'operators': control_checks.check_operators,
+        'races': control_checks.check_races,
         'no_promotion': control_checks.check_no_promotion,
         'planned_stop': control_checks.check_planned_stop,
     },
--- a/scenarios/control_checks.py
+++ b/scenarios/control_checks.py
@@ -72,6 +72,16 @@
             yield f'{answer.result} but was written'
 
 
+def check_races(facts: evidence.Evidence) -> Findings:
+    """Yield revisions that more than one change has replaced."""
+    based = collections.Counter(
+        facts.expected.get(change.change_id, -1) for change in facts.written
+    )
+    for revision, changes in based.items():
+        if revision >= 0 and changes > 1:
+            yield f'{changes} changes replaced revision {revision}'
+
+
 def check_planned_stop(facts: evidence.Evidence) -> Findings:
     """Yield requests that failed, in runs where nothing but stops happens.
 
--- a/scenarios/evidence.py
+++ b/scenarios/evidence.py
@@ -74,6 +74,7 @@
       routes: Routing decisions of all nodes by time.
       written: Accepted changes of the configuration.
       answers: Answers that operators got.
+      expected: Revision that each change was based on, by change id.
       errors: Exceptions of the decision code.
       leaving_ms: When instances were marked as leaving, by name.
     """
@@ -92,6 +93,7 @@
     answers: list[fake_proxies.OperatorAnswer] = dataclasses.field(
         default_factory=list,
     )
+    expected: dict[str, int] = dataclasses.field(default_factory=dict)
     errors: list[str] = dataclasses.field(default_factory=list)
 
     @functools.cached_property
--- a/scenarios/faults.py
+++ b/scenarios/faults.py
@@ -27,7 +27,7 @@
         self.world = world
         self.events = world.events
         self.network = world.network
-        self.changes = 0
+        self.expected: dict[str, int] = {}
         self.finder = places.Finder(world)
 
     def execute(self, step: language.Step) -> None:
@@ -178,7 +178,7 @@
             switch = operators.PresetSwitch(
                 name=step.preset,
                 expected_revision=proxy.node.policy.revision,
-                change_id=self._change_id(name),
+                change_id=self._change_id(proxy),
             )
             proxy.change(switch)
 
@@ -189,13 +189,15 @@
             change = operators.ConfigApply(
                 presets=self.world.presets().presets,
                 expected_revision=proxy.node.policy.revision,
-                change_id=self._change_id(name),
+                change_id=self._change_id(proxy),
             )
             proxy.change(change)
 
-    def _change_id(self, name: str) -> str:
-        self.changes += 1
-        return f'{name}-{self.changes}'
+    def _change_id(self, proxy: fake_proxies.Proxy) -> str:
+        number = len(self.expected) + 1
+        change_id = f'{proxy.name}-{number}'
+        self.expected[change_id] = proxy.node.policy.revision
+        return change_id
 
     def _instance(self, name: str) -> fake_instances.Instance:
         return self.world.instances[name]
--- a/scenarios/places.py
+++ b/scenarios/places.py
@@ -15,7 +15,7 @@
         self.finders = {
             'primary': lambda name: [self._primary(name)],
             'replicas': self._replicas,
-            'slot': lambda number: [self._holder(number)],
+            'slot': self._holders,
             'zone': self._zone,
             'proxies': lambda _name: list(world.proxies),
             'instances': lambda _name: list(world.instances),
@@ -45,13 +45,14 @@
         places = self.world.network.zones.items()
         return [name for name, place in places if place == zone]
 
-    def _holder(self, number: str) -> str:
+    def _holders(self, number: str) -> list[str]:
+        """Return who holds a slot; nobody may hold it at the moment."""
         group = self.world.group.name
         for proxy in self.world.proxies.values():
             slot = proxy.node.owners[group].slot
             if proxy.alive and slot and slot.number == int(number):
-                return proxy.name
-        raise LookupError(f'nobody holds slot {number}')
+                return [proxy.name]
+        return []
 
     def _primary(self, database: str) -> str:
         def rank(name: str) -> tuple[bool, int]:  # noqa: WPS430
--- a/scenarios/run.py
+++ b/scenarios/run.py
@@ -60,12 +60,16 @@
         return ' '.join(parts)
 
 
-def judge(scenario: language.Scenario) -> Verdict:
+def judge(
+    scenario: language.Scenario,
+    *,
+    with_variant: bool = True,
+) -> Verdict:
     """Run a scenario with the product code and with its broken variant."""
     started = time.monotonic()
     report = simulation.run(scenario)
     verdict = Verdict(scenario, report, checker.describe(report.violations))
-    if scenario.variant:
+    if scenario.variant and with_variant:
         with variants.applied(scenario.variant):
             broken = simulation.run(scenario)
         caught = broken.violations.get(scenario.variant_check, [])
--- a/scenarios/simulation.py
+++ b/scenarios/simulation.py
@@ -160,6 +160,7 @@
             ],
             self.store.written,
             self.platform.answers,
+            self.faults.expected,
             [
                 error
                 for proxy in self.proxies.values()
