Refuse work under an expired configuration right after a pause

Cause: a node noticed only at its next tick that its proof had expired. Work that entries had forwarded was not refused by an isolated owner at all.

A message that arrives long after the last tick is now handled after a tick, and an isolated owner refuses queued and forwarded work, which its entry tries at another owner.

--- a/jacinthhaven/decide/entry.py
+++ b/jacinthhaven/decide/entry.py
@@ -29,6 +29,7 @@
         failures.NO_PRIMARY.code,
         failures.DRAINING.code,
         failures.STALE_EPOCH.code,
+        failures.ISOLATED.code,
     ),
 )
 _MAX_ATTEMPTS = 6
--- a/jacinthhaven/decide/executor.py
+++ b/jacinthhaven/decide/executor.py
@@ -124,6 +124,11 @@
                 job.lost = True
                 self.state.refuse(job, kind.because(reason))
 
+    def refuse_queued(self, failure: failures.Failure) -> None:
+        """Refuse the requests of all databases that wait in the queue."""
+        for base in self.state.databases.values():
+            self.refuse_waiting(base, failure.kind, failure.reason)
+
     def refuse_waiting(
         self,
         base: database.Database,
--- a/jacinthhaven/decide/node.py
+++ b/jacinthhaven/decide/node.py
@@ -30,6 +30,9 @@
 
 _NUMBER_BITS = 40
 _NUMBER_SHIFT = 20
+# After such a time without a tick the process was paused, and what it
+# knows may have expired. Ticks come every 20 ms.
+_PAUSE_MS = 500
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,6 +88,7 @@
             identity.services,
         )
         self.draining = False
+        self.ticked_ms = 0
         self.steps: dict[type, typing.Callable] = {
             messages.CallerRequest: self._on_request,
             messages.CallerOutcome: self._on_outcome,
@@ -120,12 +124,16 @@
         Returns:
           Messages for the tasks.
         """
+        out: list[typing.Any] = []
+        if now_ms - self.ticked_ms > _PAUSE_MS:
+            out = self.tick(now_ms)
         self.table.now_ms = now_ms
         step = self.steps[type(message)]
-        return self._settle(step(message, now_ms), now_ms)
+        return out + self._settle(step(message, now_ms), now_ms)
 
     def tick(self, now_ms: int) -> list[typing.Any]:
         """Advance the timers of all parts."""
+        self.ticked_ms = now_ms
         self.table.now_ms = now_ms
         out = self.cluster.tick(now_ms)
         out += self.entry.tick(now_ms)
@@ -281,9 +289,12 @@
     ) -> list[typing.Any]:
         self.entry.refusal = None
         if message.state is configuration.Freshness.ISOLATED:
-            self.entry.refusal = failures.ISOLATED.because(
+            refusal = failures.ISOLATED.because(
                 'configuration may be out of date',
             )
+            self.entry.refusal = refusal
+            for group_owner in self.owners.values():
+                group_owner.executor.refuse_queued(refusal)
         return []
 
     def _on_leaving(
@@ -374,6 +385,8 @@
             job = requests.outcome_work(member, forward, now_ms)
         if isinstance(job, failures.Failure):
             return [_forward_refusal(member, forward, job)]
+        if self.entry.refusal and job.kind not in work.STEPS:
+            return [_forward_refusal(member, forward, self.entry.refusal)]
         group = self.table.group_of.get(job.database, '')
         if group not in self.owners:
             failure = failures.UNKNOWN_DATABASE.because(job.database)
