--- a/scenarios/language.py
+++ b/scenarios/language.py
@@ -172,6 +172,8 @@
       workload: What the callers do.
       preset: Parameters of the preset that differ from the defaults.
       steps: Fault steps.
+      max_gap_ms: Longest allowed time without an acknowledged write of a
+        database after the first fault; 0 for any.
       checks: Names of the invariants to check; all of them by default.
       variant: Broken variant that the scenario must catch.
       variant_check: Invariant that the variant must violate.
@@ -187,6 +189,7 @@
     workload: Workload = Workload()
     preset: dict[str, typing.Any] = {}
     steps: list[Step] = []
+    max_gap_ms: int = 0
     checks: list[str] = list(checker.DEFAULT)
     variant: str = ''
     variant_check: str = ''
--- a/scenarios/run.py
+++ b/scenarios/run.py
@@ -69,6 +69,9 @@
     started = time.monotonic()
     report = simulation.run(scenario)
     verdict = Verdict(scenario, report, checker.describe(report.violations))
+    limit_ms = scenario.max_gap_ms or report.gap_ms
+    if report.gap_ms > limit_ms:
+        verdict.problems.append(f'gap is longer than {limit_ms} ms')
     if scenario.variant and with_variant:
         with variants.applied(scenario.variant):
             broken = simulation.run(scenario)
