Measure the control plane, idle processes and promotions

The two-year target had no measured slopes. Fleets of 8 to 512 nodes run the decision code in virtual time with the peer codec; one node learns a directory of the target size; one owner promotes up to 100 databases; eight real processes idle.

--- a/bench/run.py
+++ b/bench/run.py
@@ -9,16 +9,30 @@
 import types
 import typing
 
-from bench import hot_path, results
+from bench import (
+    control_plane,
+    hot_path,
+    idle,
+    plots,
+    promotions,
+    results,
+    target_node,
+)
 
 Measurement = typing.Callable[[int], results.Result]
 
-# Each measurement gets ports of its own, so that sockets that linger in
-# TIME_WAIT do not disturb the next one.
+# Each measurement gets 1,000 ports of its own, so that sockets that linger
+# in TIME_WAIT do not disturb the next one.
 _FIRST_PORT = 30_000
+_PORTS = 1000
 MEASUREMENTS: typing.Mapping[str, Measurement] = types.MappingProxyType(
     {
         'hot_path': hot_path.measure,
+        'idle': idle.measure,
+        'control_plane': control_plane.measure,
+        'control_memory': control_plane.measure_memory,
+        'target_node': target_node.measure,
+        'promotion': promotions.measure,
     },
 )
 
@@ -35,6 +49,7 @@
         sys.stderr.write(f'unknown: {unknown[0]}; known: {known}\n')
         return 2
     found = [_measure(name) for name in names or MEASUREMENTS]
+    plots.draw(found)
     sys.stdout.write(f'{results.table(found)}\n')
     return 0
 
@@ -42,7 +57,7 @@
 def _measure(name: str) -> results.Result:
     sys.stderr.write(f'{name} ...\n')
     started_s = time.monotonic()
-    result = MEASUREMENTS[name](_FIRST_PORT)
+    result = MEASUREMENTS[name](_FIRST_PORT + _PORTS * (name == 'idle'))
     result.seconds = round(time.monotonic() - started_s, 1)
     results.write(result)
     return result
