--- a/bench/hot_path.py
+++ b/bench/hot_path.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+import types
 
 import msgspec
 
@@ -30,6 +31,16 @@
 _MIXED = 0.1
 _CONNECTIONS = 120
 _SETTLE_S = 3
+_PROXY = 'proxy-1'
+# Share of writes and age that the reads allow.
+_MIXES = types.MappingProxyType(
+    {
+        'reads with an age': (0, _MAX_AGE_MS),
+        'current reads': (0, 0),
+        '10% writes, reads with an age': (_MIXED, _MAX_AGE_MS),
+        'writes': (1, 0),
+    },
+)
 _POLL_S = 0.1
 
 
@@ -166,11 +177,12 @@
     )
 
 
-def _plan(
+def new_plan(
     fleet: processes.Fleet,
     name: str,
     ports: list[int],
 ) -> steady_load.Plan:
+    """Return a load of reads that allow an age, in a closed loop."""
     return steady_load.Plan(
         name=name,
         ports=ports,
@@ -184,22 +196,13 @@
     with processes.Fleet(shape(), base_port) as fleet:
         fleet.owners = 1
         start(fleet, 1)
-        for kind, write_share, max_age_ms in (
-            ('reads with an age', 0, _MAX_AGE_MS),
-            ('current reads', 0, 0),
-            ('10% writes, reads with an age', _MIXED, _MAX_AGE_MS),
-            ('writes', 1, 0),
-        ):
-            plan = _plan(fleet, f'local-{kind}', [fleet.caller_port(1)])
+        for kind, (write_share, max_age_ms) in _MIXES.items():
+            plan = new_plan(fleet, f'local-{kind}', [fleet.caller_port(1)])
             plan.write_share = write_share
             plan.max_age_ms = max_age_ms
-            _add_load(
-                result,
-                f'one owner, {kind}',
-                run_load(fleet, ['proxy-1'], [plan]),
-            )
-        ports = [fleet.caller_port(1)]
-        _measure_latency(result, fleet, 'owner', ports)
+            load = run_load(fleet, [_PROXY], [plan])
+            _add_load(result, f'one owner, {kind}', load)
+        _measure_latency(result, fleet, 'owner', [fleet.caller_port(1)])
 
 
 def _measure_latency(
@@ -210,7 +213,7 @@
 ) -> None:
     """Compare the latency with direct connections at the same rate."""
     for kind, write_share in (('reads', 0), ('writes', 1)):
-        proxied = _plan(fleet, f'paced-{kind}', ports)
+        proxied = new_plan(fleet, f'paced-{kind}', ports)
         proxied.interval_ms = _PACED_MS
         proxied.write_share = write_share
         proxied.max_age_ms = 0
@@ -260,13 +263,13 @@
             for number in (1, 2)
             if operations.slot(fleet, number) is None
         )
-        names = ['proxy-1', 'proxy-2']
+        names = [_PROXY, 'proxy-2']
         ports = [fleet.caller_port(entry)]
         for kind, write_share in (
             ('reads with an age', 0),
             ('10% writes, reads with an age', _MIXED),
         ):
-            plan = _plan(fleet, f'forward-{kind}', ports)
+            plan = new_plan(fleet, f'forward-{kind}', ports)
             plan.write_share = write_share
             _add_load(
                 result,
@@ -287,7 +290,7 @@
         names = [f'proxy-{number}' for number in range(1, proxies + 1)]
         plans = []
         for number in range(3):
-            plan = _plan(fleet, f'shared-{number}', [base_port + 4])
+            plan = new_plan(fleet, f'shared-{number}', [base_port + 4])
             plan.write_share = _MIXED
             plans.append(plan)
         load = run_load(fleet, names, plans)
--- a/bench/run.py
+++ b/bench/run.py
@@ -14,6 +14,7 @@
     hot_path,
     idle,
     plots,
+    policy,
     promotions,
     results,
     target_node,
@@ -21,13 +22,14 @@
 
 Measurement = typing.Callable[[int], results.Result]
 
-# Each measurement gets 1,000 ports of its own, so that sockets that linger
-# in TIME_WAIT do not disturb the next one.
+# The measurements with real processes use different ports, so that sockets
+# that linger in TIME_WAIT do not disturb the next one.
 _FIRST_PORT = 30_000
-_PORTS = 1000
+_PORTS = types.MappingProxyType({'policy': 31_000, 'idle': 31_500})
 MEASUREMENTS: typing.Mapping[str, Measurement] = types.MappingProxyType(
     {
         'hot_path': hot_path.measure,
+        'policy': policy.measure,
         'idle': idle.measure,
         'control_plane': control_plane.measure,
         'control_memory': control_plane.measure_memory,
@@ -57,7 +59,7 @@
 def _measure(name: str) -> results.Result:
     sys.stderr.write(f'{name} ...\n')
     started_s = time.monotonic()
-    result = MEASUREMENTS[name](_FIRST_PORT + _PORTS * (name == 'idle'))
+    result = MEASUREMENTS[name](_PORTS.get(name, _FIRST_PORT))
     result.seconds = round(time.monotonic() - started_s, 1)
     results.write(result)
     return result
--- a/bench/target_node.py
+++ b/bench/target_node.py
@@ -7,13 +7,15 @@
 
 import functools
 import gc
+import itertools
 import tracemalloc
 import typing
 
 import msgspec
 
 from bench import results, virtual_fleet
-from jacinthhaven.decide import slot_ranking
+from jacinthhaven.decide import messages, slot_ranking
+from jacinthhaven.kernel import failures
 from jacinthhaven.records import store, topology
 
 # Members and groups.
@@ -27,6 +29,8 @@
 _ZONE_MEMBERS = 133
 _OWNERS = 3
 _NS_PER_MS = 1_000_000
+_NS_PER_US = 1000
+_SEARCHES = 2000
 _ZONES = 15
 _NODE = 'proxy-0000'
 _BOOT = 'f0f0f0f0f0f0f0f0'
@@ -68,6 +72,7 @@
     )
     add('memory of decisions', kept_kb, 'KB')
     idle_ms = _measure_idle(add, fleet, placed)
+    _measure_search(add, fleet)
     percent = idle_ms / _WINDOW_MS * _PERCENT
     points = result.series.setdefault(f'idle by {series}', [])
     points.append((size, percent))
@@ -92,6 +97,21 @@
     return idle_ms
 
 
+def _measure_search(
+    add: typing.Callable,
+    fleet: virtual_fleet.Fleet,
+) -> None:
+    """Measure how long the owner of a backend connection is searched."""
+    host = fleet.hosts[_NODE]
+    failure = failures.CONNECTION_LOST.because('unknown connection')
+    message = messages.BackendLost(-1, failure)
+    fleet.reset()
+    for found in itertools.repeat(message, _SEARCHES):
+        host.deliver(found)
+    spent_us = host.cpu_ns / _NS_PER_US / _SEARCHES
+    add('backend message: search of its owner, worst case', spent_us, 'us')
+
+
 def _measure_joins(
     add: typing.Callable,
     fleet: virtual_fleet.Fleet,
