--- a/scenarios/run.py
+++ b/scenarios/run.py
@@ -60,12 +60,19 @@
         return ' '.join(parts)
 
 
-def judge(scenario: language.Scenario) -> Verdict:
+def judge(
+    scenario: language.Scenario,
+    *,
+    with_variant: bool = True,
+) -> Verdict:
     """Run a scenario with the product code and with its broken variant."""
     started = time.monotonic()
     report = simulation.run(scenario)
     verdict = Verdict(scenario, report, checker.describe(report.violations))
-    if scenario.variant:
+    limit_ms = scenario.max_gap_ms or report.gap_ms
+    if report.gap_ms > limit_ms:
+        verdict.problems.append(f'gap is longer than {limit_ms} ms')
+    if scenario.variant and with_variant:
         with variants.applied(scenario.variant):
             broken = simulation.run(scenario)
         caught = broken.violations.get(scenario.variant_check, [])
