Refuse forwarded work at an isolated owner

Cause: a node whose configuration may be out of date refused the requests of its own callers only; what other entries forwarded to it was still routed under its preset. Ruled out: steps of open transactions and outcome questions, which finish earlier work. Before: decisions under a preset that is not in force any more. After: new work is refused as isolated, and the entry tries another owner.

--- a/jacinthhaven/decide/entry.py
+++ b/jacinthhaven/decide/entry.py
@@ -29,6 +29,7 @@
         failures.NO_OWNER.code,
         failures.NO_PRIMARY.code,
         failures.DRAINING.code,
+        failures.ISOLATED.code,
         failures.STALE_EPOCH.code,
         failures.ISOLATED.code,
     ),
--- a/jacinthhaven/decide/node.py
+++ b/jacinthhaven/decide/node.py
@@ -387,6 +387,10 @@
             job = requests.outcome_work(member, forward, now_ms)
         if isinstance(job, failures.Failure):
             return [_forward_refusal(member, forward, job)]
+        refusal = self.entry.refusal
+        if refusal is not None and job.kind not in work.ONGOING:
+            # Routing it could use a preset that is not in force any more.
+            return [_forward_refusal(member, forward, refusal)]
         if self.entry.refusal and job.kind not in work.STEPS:
             return [_forward_refusal(member, forward, self.entry.refusal)]
         group = self.table.group_of.get(job.database, '')
--- /dev/null
+++ b/jacinthhaven/decide/node_test.py
@@ -0,0 +1,62 @@
+"""Tests of the delivery between the parts of a node."""
+
+import random
+
+from jacinthhaven.decide import builders, messages, node, work
+from jacinthhaven.kernel import failures
+from jacinthhaven.records import peers
+
+BODY = b'{"kind":"%b","session":"s","transaction":"m1~1"}'
+
+
+def new_node():
+    """Return a node that knows no configuration."""
+    return node.Node(
+        node.Identity(
+            builders.member('m1'),
+            (builders.group(),),
+            b'key',
+            50,
+            random.Random(1),
+        ),
+    )
+
+
+def forwarded(found, kind):
+    """Return the failure code of the answer to a forward."""
+    body = BODY % kind.encode()
+    forward = peers.StatementForward(7, builders.DATABASE, body, 100)
+    sent = receive(found, forward)
+    return [(message.member, message.payload.failure) for message in sent]
+
+
+def receive(found, payload):
+    """Hand a payload of m2 to a node and return what it sends to peers."""
+    out = found.handle(messages.PeerReceived('m2', payload), 1000)
+    return [sent for sent in out if isinstance(sent, messages.PeerSend)]
+
+
+def test_isolated_owner_refuses_new_work():
+    """Guards against decisions under a preset that is not in force."""
+    found = new_node()
+    assert forwarded(found, work.WRITE) == [('m2', 'isolated')]
+    assert forwarded(found, work.STATEMENT) == [('m2', 'no_owner')]
+    found.entry.refusal = None
+    assert forwarded(found, work.WRITE) == [('m2', 'no_owner')]
+
+
+def test_entry_leaves_an_isolated_owner():
+    """Guards against a refusal that another owner would not give."""
+    desk = builders.EntryDesk()
+    number = desk.request()
+    desk.reply(failures.ISOLATED.because('test'))
+    assert desk.forwards[-1].member == 'm2'
+    desk.reply()
+    assert desk.outcomes(number) == ['done']
+
+
+def test_probe_is_answered():
+    """Guards against a healthy owner that counts as frozen."""
+    answer = messages.PeerSend('m2', peers.ProbeReply(5))
+    assert receive(new_node(), peers.Probe(5)) == [answer]
+    assert not receive(new_node(), peers.ProbeReply(5))
--- a/jacinthhaven/decide/work.py
+++ b/jacinthhaven/decide/work.py
@@ -16,6 +16,8 @@
 KINDS = frozenset((READ, WRITE, BEGIN, STATEMENT, COMMIT, ROLLBACK))
 # Steps of an open transaction; they need the connection that it holds.
 STEPS = frozenset((STATEMENT, COMMIT, ROLLBACK))
+# Kinds that finish earlier work; an isolated node still executes them.
+ONGOING = STEPS | {RESOLVE}
 # Kinds that choose the copy whose data the session will read.
 READING = frozenset((READ, BEGIN))
 # Kinds that put an entry into the log, under a request key.
