Test admission, ages and random histories of an owner

The queue, the proof of ages and the owner as a whole had no tests. The random histories check that every request is answered exactly once, that no pool exceeds the share and that nothing remains after the deadlines.

--- /dev/null
+++ b/jacinthhaven/decide/admission_test.py
@@ -0,0 +1,51 @@
+"""Tests of the bounded queue of a database."""
+
+from jacinthhaven.decide import admission, builders, work
+from jacinthhaven.records import callers
+
+
+def new_work(priority, lane=admission.PRIMARY_LANE):
+    """Return a request of a priority."""
+    origin = work.Origin('m1', 1)
+    return work.Work(
+        origin,
+        builders.DATABASE,
+        work.READ,
+        's',
+        100,
+        priority=priority,
+        lane=lane,
+    )
+
+
+def test_lowest_priority_is_shed_first():
+    """Guards against settlements that are shed while history waits."""
+    queue = admission.Admission()
+    history = new_work(callers.HISTORY, admission.REPLICA_LANE)
+    normal = new_work(callers.NORMAL)
+    settlement = new_work(callers.SETTLEMENT)
+    assert not queue.push(history, 2)
+    assert not queue.push(normal, 2)
+    assert queue.push(settlement, 2) == [history]
+    late = new_work(callers.HISTORY)
+    assert queue.push(late, 2) == [late]
+    assert queue.pop(admission.PRIMARY_LANE) is settlement
+    assert queue.remove_if(lambda job: job is normal) == [normal]
+    assert queue.size == 0
+
+
+def test_parked_requests_count_towards_the_limit():
+    """Guards against a list of waiting reads that grows without bound."""
+    desk, _fake = builders.serving()
+    limit = desk.state.preset.queue_limit
+    needed = builders.tokens.Position(2, 1)
+    jobs = [
+        desk.submit(work.READ, needed=needed, priority=callers.HISTORY)
+        for _ in range(limit + 3)
+    ]
+    assert [desk.codes(job) for job in jobs[limit:]] == [
+        ['overloaded'],
+        ['overloaded'],
+        ['overloaded'],
+    ]
+    assert len(desk.base.parked) == limit
--- a/jacinthhaven/decide/owner_test.py
+++ b/jacinthhaven/decide/owner_test.py
@@ -1,5 +1,7 @@
 """Tests of an owner: stop and start with pending work."""
 
+import random
+
 from jacinthhaven.decide import builders, messages, work
 from jacinthhaven.kernel import failures
 
@@ -67,3 +69,37 @@
     assert desk.codes(desk.submit()) == ['no_owner']
     desk.start(epoch=8)
     assert desk.owner.slot.epoch == 8
+
+
+def act(rng, desk, fake, jobs):
+    """Let one random thing happen to an owner."""
+    kinds = (work.READ, work.WRITE, work.BEGIN, work.RESOLVE)
+    action = rng.randrange(7)
+    if action < 3:
+        strict = rng.random() < 1 / 2
+        jobs.append(desk.submit(rng.choice(kinds), strict=strict))
+    elif action < 5 and desk.statements:
+        rng.choice((desk.done, desk.lose))()
+    elif rng.randrange(20) == 0:
+        term = desk.base.term + 1
+        builders.promote(fake, rng.choice(builders.INSTANCES), term)
+    else:
+        fake.write()
+        desk.settle(fake)
+
+
+def test_random_histories_answer_every_request_once():
+    """Guards against answers, connections or work lost on any path."""
+    rng = random.Random(11)
+    desk, fake = builders.serving()
+    jobs = []
+    for _ in range(1500):
+        act(rng, desk, fake, jobs)
+        desk.advance(rng.choice((0, 20)))
+        sizes = [found.size for found in desk.state.pools.values()]
+        assert max(sizes) <= desk.owner.share
+    desk.advance(30_000)
+    desk.advance(30_000)
+    assert {len(desk.codes(job)) for job in jobs} == {1}
+    assert desk.owner.executor.idle
+    assert not desk.owner.executor.deadlines
