Replace a primary that responds but reaches no majority of replicas

Cause: a promotion needed an owner's suspicion of the primary. A primary that the owners reached but no replica reached kept its role, and since none of its writes could be confirmed, all writes waited until the link was repaired.

The owners now also start when a majority of the replicas of the newest term has had no contact for unreachable_ms, and prefer the other instances to the primary that they replace.

test_handover_without_caught_up_replica cut the replicas off completely, which is now a reason to promote. It keeps them in contact without the missing entry instead; its assertions are unchanged.

--- a/jacinthhaven/decide/ballot.py
+++ b/jacinthhaven/decide/ballot.py
@@ -90,7 +90,7 @@
         reliable = {
             name: end
             for name, end in self.accepted.items()
-            if not situation.instances[name].suspected
+            if self._reliable(situation, name)
         }
         awaited = set() if final else self._awaited(situation)
         if len(reliable) >= majority:
@@ -106,6 +106,20 @@
         reachable = len(self.accepted) + len(self.asked)
         return Verdict(failed=final or reachable < majority)
 
+    def _reliable(
+        self,
+        situation: promotion_rules.Situation,
+        name: str,
+    ) -> bool:
+        """Return whether an instance may be promoted before others.
+
+        A primary that is replaced without a plan has no contact to its
+        replicas or to the owners, even if it answers here.
+        """
+        if name == self.cause.old_primary and not self.cause.planned:
+            return False
+        return not situation.instances[name].suspected
+
     def _awaited(self, situation: promotion_rules.Situation) -> set[str]:
         return {
             name
--- a/jacinthhaven/decide/promotion.py
+++ b/jacinthhaven/decide/promotion.py
@@ -183,7 +183,11 @@
         now_ms: int,
     ) -> list[typing.Any]:
         primary = situation.primary(self.database)
-        if primary is None or primary.suspected:
+        if (
+            primary is None
+            or primary.suspected
+            or promotion_rules.cut_off(situation, self.database, primary)
+        ):
             return self._consider(situation, primary, now_ms)
         term = primary.copies[self.database].term
         out = self._end_outage(primary.name, term)
--- a/jacinthhaven/decide/promotion_rules.py
+++ b/jacinthhaven/decide/promotion_rules.py
@@ -145,11 +145,35 @@
         ]
     elif primary.suspected:
         silent = [primary]
+    elif cut_off(situation, database, primary):
+        return 'the primary reaches no majority'
     else:
         return ''
     return _evidence(situation, database, silent, now_ms - since_ms, now_ms)
 
 
+def cut_off(
+    situation: Situation,
+    database: str,
+    primary: views.InstanceView,
+) -> bool:
+    """Return whether a responding primary has no contact with a majority.
+
+    It cannot confirm any write then. The limit is that for owners without
+    contact, because a replica needs some time to connect.
+    """
+    term = primary.copies[database].term
+    silent = [
+        view
+        for view in responding(situation.instances, database)
+        if view is not primary
+        and view.copies[database].term == term
+        and view.copies[database].upstream_silent_ms
+        >= situation.preset.unreachable_ms
+    ]
+    return len(silent) >= views.majority(situation.instances)
+
+
 def choose(
     situation: Situation,
     fenced: dict[str, backend.FenceReply],
--- a/jacinthhaven/decide/promotion_test.py
+++ b/jacinthhaven/decide/promotion_test.py
@@ -432,7 +432,10 @@
     cluster.seen[0]['i1'].leaving = True
     cluster.copy('i1').log.append(1)
     for name in ('i2', 'i3'):
+        # The replicas miss an entry but stay in contact, since a primary
+        # without contact to its replicas is replaced anyway.
         cluster.copy(name).upstream = ''
+        cluster.copy(name).heard_ms = cluster.now_ms + 2000
     hand_over(cluster, writes_finished=True)
     assert cluster.holds == [True, False]
     assert cluster.primary() == ['i1']
