Accept the first configuration of a measured fleet

A configuration without a chosen preset is never in force, so the control plane measurement stopped at its first change. A test runs it with 8 nodes.

--- a/bench/control_plane.py
+++ b/bench/control_plane.py
@@ -177,7 +177,9 @@
         while answer is None and fleet.now_ms - begun_ms < _CHANGE_LIMIT_MS:
             fleet.run_for(_POLL_MS)
             answer = _answer(host)
-        if answer is None or not answer.result.in_force:
+        # A configuration without a chosen preset is never in force.
+        chosen = isinstance(body, operators.PresetSwitch)
+        if answer is None or answer.result.in_force != chosen:
             raise ChangeError(answer)
         self.revision = answer.result.revision
         reached_ms = max(place.in_force_ms for place in self.hosts)
