--- a/bench/run.py
+++ b/bench/run.py
@@ -11,6 +11,7 @@
 
 from bench import (
     control_plane,
+    decisions,
     hot_path,
     idle,
     plots,
@@ -30,6 +31,7 @@
     {
         'hot_path': hot_path.measure,
         'policy': policy.measure,
+        'decisions': decisions.measure,
         'idle': idle.measure,
         'control_plane': control_plane.measure,
         'control_memory': control_plane.measure_memory,
