Do not count a restarted primary twice for a confirmation

Cause: the primary of a term was counted for every position in addition to the other copies. After its restart it shows itself as an ordinary copy of that term and was counted again, so a write that only it had was acknowledged and lost by the next promotion.

--- a/jacinthhaven/decide/positions.py
+++ b/jacinthhaven/decide/positions.py
@@ -55,14 +55,17 @@
     """Return the position that a majority has in a term.
 
     The primary of the term counts for every position, since it wrote them
-    all. A copy that has accepted a higher term does not count, so nothing
+    all. After its restart it shows its position like any other copy, and
+    must not be counted twice. A copy that has accepted a higher term does not count, so nothing
     is acknowledged for a primary that is known to be replaced.
 
     Returns:
       The highest position that enough other copies have; 0 if too few of
       them have any entry of the term.
     """
-    needed = views.majority(instances) - 1
+    needed = views.majority(instances)
+    if _primary_position(instances, database, term):
+        needed -= 1
     reached = sorted(
         (
             copy.position
