Extend the token by strict reads only, not by begin

Cause: since begin needs the proof of the term as well, its answer, which has no position, replaced an unknown position in the token by 0. Reads of the session then missed its earlier writes.

--- a/jacinthhaven/decide/entry.py
+++ b/jacinthhaven/decide/entry.py
@@ -445,7 +445,9 @@
             if self._contradicts(pending, failure):
                 self._fail(pending, failure)
                 return
-        elif pending.kind in work.LOGGED or pending.strict:
+        elif pending.kind in work.LOGGED or (
+            pending.strict and pending.kind == work.READ
+        ):
             self._extend_token(pending, answer)
         self._answer(pending, answer, failure)
 
