--- a/scenarios/variants.py
+++ b/scenarios/variants.py
@@ -261,6 +261,11 @@
             _always(None),
         ),
         'confirm_in_any_term': _confirm_in_any_term,
+        'count_primary_twice': lambda: _replace(
+            positions,
+            '_primary_position',
+            _always(1),
+        ),
         'promote_without_majority': lambda: _replace(
             ballot.Ballot,
             'count',
