--- a/jacinthhaven/decide/node.py
+++ b/jacinthhaven/decide/node.py
@@ -102,6 +102,7 @@
             peers.OutcomeForward: self._on_forward,
             peers.ForwardAnswer: self.entry.on_answer,
             peers.ForwardCancel: self._on_cancel,
+            peers.Probe: _answer_probe,
             peers.InstanceSilence: self._on_silence,
             gossip.Exchange: self._on_exchange,
             messages.StoreReply: self._on_cluster,
@@ -349,6 +350,7 @@
         now_ms: int,
     ) -> list[typing.Any]:
         self.table.mark_heard(message.member)
+        self.entry.on_heard(message.member, now_ms)
         return self._on_payload(message.member, message.payload, now_ms)
 
     def _on_peer_lost(
@@ -385,6 +387,10 @@
             job = requests.outcome_work(member, forward, now_ms)
         if isinstance(job, failures.Failure):
             return [_forward_refusal(member, forward, job)]
+        refusal = self.entry.refusal
+        if refusal is not None and job.kind not in work.ONGOING:
+            # Routing it could use a preset that is not in force any more.
+            return [_forward_refusal(member, forward, refusal)]
         if self.entry.refusal and job.kind not in work.STEPS:
             return [_forward_refusal(member, forward, self.entry.refusal)]
         group = self.table.group_of.get(job.database, '')
@@ -427,6 +433,14 @@
 )
 
 
+def _answer_probe(
+    member: str,
+    probe: peers.Probe,
+    _now_ms: int,
+) -> list[messages.PeerSend]:
+    return [messages.PeerSend(member, peers.ProbeReply(probe.number))]
+
+
 def _forward_answer(message: work.OwnerAnswer) -> messages.PeerSend:
     origin = message.origin
     payload = peers.ForwardAnswer(
--- a/jacinthhaven/decide/replies.py
+++ b/jacinthhaven/decide/replies.py
@@ -50,7 +50,7 @@
         elif isinstance(message.reply, failures.Failure):
             self._on_refusal(call, job, message.reply, now_ms)
         else:
-            self._on_result(call, job, message.reply)
+            self._on_result(call, job, message.reply, now_ms)
 
     def on_status(self, base: database.Database) -> None:
         """Release the answers that new knowledge about a database allows."""
@@ -127,12 +127,13 @@
         call: calls.Call,
         job: work.Work,
         reply: backend.Reply,
+        now_ms: int,
     ) -> None:
         if job.kind == work.BEGIN:
-            self._on_begun(call, job)
+            self._on_begun(call, job, reply, now_ms)
             return
         if job.kind == work.STATEMENT:
-            self._finish_step(job)
+            self._finish_step(job, now_ms)
         else:
             self.state.transactions.end(job.transaction)
             self.state.pools[call.instance].give_back(call.connection)
@@ -141,7 +142,13 @@
         elif isinstance(reply, backend.ExecuteReply):
             self._on_executed(job, reply)
 
-    def _on_begun(self, call: calls.Call, job: work.Work) -> None:
+    def _on_begun(
+        self,
+        call: calls.Call,
+        job: work.Work,
+        reply: backend.ExecuteReply,
+        now_ms: int,
+    ) -> None:
         name = self.state.transactions.new_name()
         self.state.transactions.add(
             transactions.Transaction(
@@ -151,21 +158,24 @@
                 call.instance,
                 call.connection,
                 job.term,
-                job.arrived_ms,
+                now_ms,
             ),
         )
         answer = self._done(job)
         answer.transaction = name
+        answer.term = reply.log_term
+        answer.position = reply.position
         job.answer = answer
         self._answer_read(job, answer)
 
-    def _finish_step(self, job: work.Work) -> None:
+    def _finish_step(self, job: work.Work, now_ms: int) -> None:
         transaction = self.state.transactions.find(
             job.transaction,
             job.session,
         )
         if transaction is not None:
             transaction.busy = False
+            transaction.used_ms = now_ms
 
     def _on_executed(
         self,
@@ -277,10 +287,14 @@
         now_ms: int,
     ) -> None:
         if job.kind in work.STEPS:
-            self._on_step_refused(call, job, failure)
+            self._on_step_refused(call, job, failure, now_ms)
             return
         base = self.state.databases[job.database]
-        self.state.pools[call.instance].give_back(call.connection)
+        if call.begins and failure.outcome is failures.Outcome.UNKNOWN:
+            # A transaction may be open on the connection.
+            self.state.close(call.instance, call.connection)
+        else:
+            self.state.pools[call.instance].give_back(call.connection)
         if failure.kind is failures.STALE_TERM:
             base.refuse_term(job.term, now_ms)
             base.admission.push_front(job)
@@ -294,9 +308,10 @@
         call: calls.Call,
         job: work.Work,
         failure: failures.Failure,
+        now_ms: int,
     ) -> None:
         if job.kind == work.STATEMENT:
-            self._finish_step(job)
+            self._finish_step(job, now_ms)
             self.state.refuse(job, failure)
             return
         # The state of a transaction whose end was refused is not known.
