Give new sessions a token, use the lease floor and bound unclear repeats

After: POST /v1/sessions also returns the first token; the floor reaches the membership; such repeats use the retry budget. The last two have tests that failed before.

--- a/bench/load_tool.py
+++ b/bench/load_tool.py
@@ -185,7 +185,9 @@
 
     def _on_reply(self, message: http_messages.Message) -> None:
         if not self.session:
-            self.session = msgspec.json.decode(message.body)['session']
+            opened = msgspec.json.decode(message.body)
+            self.session = opened['session']
+            self.token = opened['token']
             self._next()
             return
         answer = self.decode(message.body)
--- a/bench/steady_load.py
+++ b/bench/steady_load.py
@@ -225,7 +225,9 @@
 
     def _on_reply(self, message: http_messages.Message) -> None:
         if not self.opened:
-            self.session = msgspec.json.decode(message.body)['session']
+            opened = msgspec.json.decode(message.body)
+            self.session = opened['session']
+            self.token = opened['token']
         super()._on_reply(message)
 
 
--- a/jacinthhaven/adapters/callers.py
+++ b/jacinthhaven/adapters/callers.py
@@ -28,7 +28,7 @@
     Attributes:
       deliver: Called with each message for the decision code.
       count: Called with the name of each counter to increase.
-      new_session: Returns a new session id.
+      open_session: Returns the id and the first token of a new session.
       ready: Returns whether the health check succeeds.
     """
 
@@ -48,7 +48,7 @@
         self.numbers = numbers
         self.deliver = deliver
         self.count: CountFailure = _ignore
-        self.new_session: typing.Callable[[], str] = str
+        self.open_session: typing.Callable[[], tuple[str, str]] = _no_session
         self.ready: typing.Callable[[], bool] = bool
         self.server = http_server.Server(loop, self._on_exchange)
         self.server.on_disconnect = self._on_disconnect
@@ -94,7 +94,8 @@
         elif message.path == '/health':
             self._on_health(exchange)
         elif message.path == '/v1/sessions' and message.method == 'POST':
-            exchange.respond_json(_OK, {'session': self.new_session()})
+            session, token = self.open_session()
+            exchange.respond_json(_OK, {'session': session, 'token': token})
         else:
             self._reject(exchange, failures.BAD_REQUEST.because('no such path'))
 
@@ -177,3 +178,8 @@
 
 def _ignore(_name: str) -> None:
     """Do nothing; default of an unset counter."""
+
+
+def _no_session() -> tuple[str, str]:
+    """Return an empty session; default before the signer is connected."""
+    return '', ''
--- a/jacinthhaven/decide/cluster.py
+++ b/jacinthhaven/decide/cluster.py
@@ -32,12 +32,14 @@
     Attributes:
       seeds: Members named in the settings.
       exchange: Parameters of the gossip.
+      lease_ttl_floor_ms: Shortest time to live of this node's lease.
     """
 
     seeds: tuple[topology.Member, ...] = ()
     exchange: gossip.Settings = dataclasses.field(
         default_factory=gossip.Settings,
     )
+    lease_ttl_floor_ms: int = membership.TTL_FLOOR_MS
 
 
 @dataclasses.dataclass(slots=True)
@@ -116,6 +118,7 @@
             numbers,
             rng,
         )
+        self.membership.ttl_floor_ms = settings.lease_ttl_floor_ms
         self.reader = store_reader.StoreReader(
             member.name,
             member.zone,
--- a/jacinthhaven/decide/membership.py
+++ b/jacinthhaven/decide/membership.py
@@ -16,7 +16,7 @@
 from jacinthhaven.records import store, topology
 
 # Keeps the keepalives of 2,000 members at about 100 per second.
-_TTL_MIN_MS = 10_000
+TTL_FLOOR_MS = 10_000
 _TTL_PER_MEMBER_MS = 30
 _KEEPALIVES_PER_TTL = 3
 
@@ -50,6 +50,7 @@
         self.lease: int | None = None
         self.registered = ''
         self.ttl_ms = 0
+        self.ttl_floor_ms = TTL_FLOOR_MS
         self.keepalive_ms = 0
         # Last known revision of the member key; None before a read.
         self.revision: int | None = None
@@ -124,7 +125,7 @@
             return None
         members = len(self.directory.members)
         return store.LeaseRequest(
-            max(_TTL_MIN_MS, _TTL_PER_MEMBER_MS * members),
+            max(self.ttl_floor_ms, _TTL_PER_MEMBER_MS * members),
         )
 
     def _key_request(self, lease: int) -> store.Request | None:
--- a/jacinthhaven/decide/membership_test.py
+++ b/jacinthhaven/decide/membership_test.py
@@ -168,3 +168,10 @@
     assert setup.key is None
     assert not setup.tick(20_000)
     assert not setup.store.leases
+
+
+def test_lease_uses_the_configured_floor(setup):
+    """Guards against a setting of the lease that has no effect."""
+    setup.membership.ttl_floor_ms = 25_000
+    setup.tick(0)
+    assert setup.store.leases[setup.membership.lease] == 25_000
--- a/jacinthhaven/decide/owner_test.py
+++ b/jacinthhaven/decide/owner_test.py
@@ -103,3 +103,16 @@
     assert {len(desk.codes(job)) for job in jobs} == {1}
     assert desk.owner.executor.idle
     assert not desk.owner.executor.deadlines
+
+
+def test_unclear_replies_use_the_retry_budget():
+    """Guards against asking an instance without pause until the deadline."""
+    desk, _fake = builders.serving()
+    job = desk.submit()
+    failure = failures.PROTOCOL_ERROR.because('test')
+    replies = 0
+    while desk.statements and replies < 50:
+        desk.reply(failure)
+        replies += 1
+    assert replies < 50
+    assert desk.codes(job) == ['protocol_error']
--- a/jacinthhaven/decide/replies.py
+++ b/jacinthhaven/decide/replies.py
@@ -299,10 +299,27 @@
             base.refuse_term(job.term, now_ms)
             base.admission.push_front(job)
         elif failure.outcome is failures.Outcome.UNKNOWN:
-            self.recovery.recover(job)
+            self._on_unclear_refusal(base, job, failure)
         else:
             self.recovery.refuse_surely(job, failure)
 
+    def _on_unclear_refusal(
+        self,
+        base: database.Database,
+        job: work.Work,
+        failure: failures.Failure,
+    ) -> None:
+        """Repeat a request after a reply that proves nothing.
+
+        An instance that always replies so would be asked without pause,
+        therefore these repeats use the retry budget.
+        """
+        if base.budget.spend():
+            self.recovery.recover(job)
+        else:
+            job.lost = True
+            self.state.refuse(job, failure)
+
     def _on_step_refused(
         self,
         call: calls.Call,
--- a/jacinthhaven/decide/tokens.py
+++ b/jacinthhaven/decide/tokens.py
@@ -72,6 +72,15 @@
         raw = unique.to_bytes(_SESSION_BYTES, 'big')
         return _to_text(raw + self._session_tag(raw))
 
+    def open_session(self) -> tuple[str, str]:
+        """Return a new session id and its first token.
+
+        The token says that the session has written nothing, so that its
+        first reads need no proof of the term.
+        """
+        session = self.new_session()
+        return session, self.sign(Token(session, complete=True))
+
     def valid_session(self, session: str) -> bool:
         """Return whether the session id was issued under this key."""
         raw = _from_text(session)
--- a/jacinthhaven/process/application.py
+++ b/jacinthhaven/process/application.py
@@ -146,6 +146,7 @@
                         settings.fanout,
                         settings.freshness_ms,
                     ),
+                    settings.lease_ttl_floor_ms,
                 ),
             ),
         )
@@ -201,7 +202,7 @@
     def _connect_tasks(self) -> None:
         self.peers.deliver = self.switch.deliver
         self.peers.on_failure = self._on_peer_failure
-        self.callers.new_session = self.node.entry.signer.new_session
+        self.callers.open_session = self.node.entry.signer.open_session
         self.callers.ready = self._is_ready
         self.callers.count = self._count
         self.operators.count = self._count
