Check configurations by one set of rules

The operator endpoint and the command line had their own bounds for the same parameters, which differed for the suspicion times.

--- a/jacinthhaven/decide/policy_rules.py
+++ b/jacinthhaven/decide/policy_rules.py
@@ -4,33 +4,15 @@
 one go.
 """
 
-import types
 import typing
 
 import msgspec
 
+from jacinthhaven.records import configuration as rules
 from jacinthhaven.records import operators, presets
 
-_MAX_MS = 3_600_000
-_MAX_NAME = 64
 # Largest value of a store key is 1 MB; JSON of this size is well below.
 MAX_DOCUMENT_BYTES = 500_000
-# Smallest and largest value of each number.
-_RANGES = types.MappingProxyType(
-    {
-        'queue_limit': (1, 1_000_000),
-        'deadline_ms': (1, _MAX_MS),
-        'replica_wait_ms': (0, _MAX_MS),
-        'default_max_age_ms': (0, _MAX_MS),
-        'suspect_ms': (1, _MAX_MS),
-        'unreachable_ms': (1, _MAX_MS),
-        'decider_stagger_ms': (0, _MAX_MS),
-        'primary_confirm_ms': (1, _MAX_MS),
-        'transaction_idle_ms': (1, _MAX_MS),
-        'retry_ratio': (0, 1),
-        'slow_start_ms': (0, _MAX_MS),
-    },
-)
 
 Problems = list[operators.Problem]
 Document = typing.TypeVar('Document')
@@ -61,36 +43,26 @@
       configuration: Decoded configuration.
       routing_names: Registered routing policies; empty to accept any.
     """
-    problems = []
-    if not configuration.presets:
-        problems.append(operators.Problem('presets', 'must not be empty'))
-    for name, preset in configuration.presets.items():
-        place = f'presets.{name}'
-        if not 0 < len(name) <= _MAX_NAME:
-            reason = f'name must have 1 to {_MAX_NAME} characters'
-            problems.append(operators.Problem(place, reason))
-        if routing_names and preset.routing not in routing_names:
-            known = ', '.join(sorted(routing_names))
-            problems.append(
-                operators.Problem(f'{place}.routing', f'must be one of {known}')
-            )
-        problems += _check_ranges(place, preset)
+    document = {'presets': msgspec.to_builtins(configuration.presets)}
+    problems = [
+        operators.Problem('.'.join(map(str, loc)), reason)
+        for loc, reason in rules.check(document)
+    ]
+    if routing_names:
+        problems += _check_routing(configuration, routing_names)
     return problems
 
 
-def _check_ranges(place: str, preset: presets.Preset) -> Problems:
-    problems = []
-    for field, (lowest, highest) in _RANGES.items():
-        found = getattr(preset, field)
-        # Written this way, NaN is refused as well.
-        if not lowest <= found <= highest:
-            reason = f'must be from {lowest} to {highest}'
-            problems.append(operators.Problem(f'{place}.{field}', reason))
-    if preset.unreachable_ms < preset.suspect_ms:
-        problems.append(
-            operators.Problem(
-                f'{place}.unreachable_ms',
-                'must not be less than suspect_ms',
-            ),
+def _check_routing(
+    configuration: presets.Configuration,
+    routing_names: typing.Collection[str],
+) -> Problems:
+    known = ', '.join(sorted(routing_names))
+    return [
+        operators.Problem(
+            f'presets.{name}.routing',
+            f'must be one of {known}',
         )
-    return problems
+        for name, preset in configuration.presets.items()
+        if preset.routing not in routing_names
+    ]
--- a/jacinthhaven/records/configuration.py
+++ b/jacinthhaven/records/configuration.py
@@ -83,9 +83,17 @@
         problem = _check_parameter(key, setting)
         if problem:
             located.append(((*path, str(key)), problem))
+    if not located and _suspects_late(preset):
+        message = 'must not be less than suspect_ms'
+        located.append(((*path, 'unreachable_ms'), message))
     return located
 
 
+def _suspects_late(preset: dict[str, typing.Any]) -> bool:
+    found = msgspec.convert(preset, presets.Preset)
+    return found.unreachable_ms < found.suspect_ms
+
+
 def _check_parameter(key: typing.Any, setting: typing.Any) -> str:
     """Return what is wrong with one parameter, or an empty string."""
     # A preset has a default for every parameter, so each can be converted
