--- a/jacinthhaven/adapters/callers_test.py
+++ b/jacinthhaven/adapters/callers_test.py
@@ -52,7 +52,7 @@
     def __init__(self, context=None) -> None:
         """Listen on a free port."""
         self.driver = driver.Driver()
-        self.desk = builders.EntryDesk()
+        self.harness = builders.EntryHarness()
         self.counts = []
         self.side = callers.HttpCallers(
             self.driver.loop,
@@ -67,16 +67,16 @@
     def deliver(self, message):
         """Hand a message to the entry."""
         handlers = {
-            messages.CallerRequest: self.desk.entry.on_request,
-            messages.CallerOutcome: self.desk.entry.on_outcome,
+            messages.CallerRequest: self.harness.entry.on_request,
+            messages.CallerOutcome: self.harness.entry.on_outcome,
         }
         handler = handlers.get(type(message))
         if handler is not None:
-            self.keep(handler(message, self.desk.now_ms))
+            self.keep(handler(message, self.harness.now_ms))
 
     def keep(self, out):
         """Send the answers of the entry to the callers."""
-        self.desk.keep(out)
+        self.harness.keep(out)
         for message in out:
             if isinstance(message, messages.CallerAnswer):
                 self.side.answer(message)
@@ -133,7 +133,7 @@
     assert client.documents[0]['error'] == 'bad_request'
     assert client.documents[0]['outcome'] == 'not_run'
     assert setup.counts == ['bad_requests']
-    assert not setup.desk.forwards
+    assert not setup.harness.forwards
     setup.check_neighbour()
 
 
@@ -146,8 +146,8 @@
 def test_sessions_and_tokens():
     """Guards against sessions and tokens that were not issued here."""
     setup = Setup()
-    signer = setup.desk.signer
-    session = setup.desk.session
+    signer = setup.harness.signer
+    session = setup.harness.session
     other = signer.sign(builders.tokens.Token(signer.new_session()))
     for fields in (
         {'session': 'unknown'},
@@ -158,7 +158,7 @@
     ):
         client = setup.ask(request(**fields))
         assert client.documents[0]['error'] == 'bad_token'
-    assert not setup.desk.forwards
+    assert not setup.harness.forwards
 
 
 def test_pipelined_answers_keep_the_order():
@@ -167,17 +167,17 @@
     parts = (request(request_id='a'), request(request_id='b'), b'no HTTP\r\n')
     client = setup.connect()
     client.stream.send(b''.join(parts))
-    setup.driver.run_until(lambda: len(setup.desk.forwards) == 2)
+    setup.driver.run_until(lambda: len(setup.harness.forwards) == 2)
     setup.side.drain()
-    first, second = setup.desk.forwards
+    first, second = setup.harness.forwards
     for sent in (second, first):
-        setup.desk.forwards.append(sent)
+        setup.harness.forwards.append(sent)
         answer = builders.peers.ForwardAnswer(
             sent.payload.number,
             sent.payload.attempt,
             b'{"outcome":"done"}',
         )
-        setup.keep(setup.desk.entry.on_answer(sent.member, answer, 1000))
+        setup.keep(setup.harness.entry.on_answer(sent.member, answer, 1000))
     setup.driver.run_until(lambda: client.closed)
     found = client.documents
     assert [document.get('request_id') for document in found] == [
@@ -211,12 +211,12 @@
     closing = request().replace(b'Host', b'Connection: close\r\nHost')
     client = setup.connect()
     client.stream.send(closing + request())
-    setup.driver.run_until(lambda: setup.desk.forwards)
+    setup.driver.run_until(lambda: setup.harness.forwards)
     client.stream.send(request() * 3)
     setup.driver.step()
-    assert len(setup.desk.forwards) == setup.side.busy == 1
-    setup.desk.now_ms += 60_000
-    setup.keep(setup.desk.entry.tick(setup.desk.now_ms))
+    assert len(setup.harness.forwards) == setup.side.busy == 1
+    setup.harness.now_ms += 60_000
+    setup.keep(setup.harness.entry.tick(setup.harness.now_ms))
     setup.driver.run_until(lambda: client.closed)
     assert len(client.documents) == 1
 
--- a/jacinthhaven/decide/admission_test.py
+++ b/jacinthhaven/decide/admission_test.py
@@ -36,16 +36,16 @@
 
 def test_parked_requests_count_towards_the_limit():
     """Guards against a list of waiting reads that grows without bound."""
-    desk, _fake = builders.serving()
-    limit = desk.state.preset.queue_limit
+    harness, _fake = builders.serving()
+    limit = harness.state.preset.queue_limit
     needed = builders.tokens.Position(2, 1)
     jobs = [
-        desk.submit(work.READ, needed=needed, priority=callers.HISTORY)
+        harness.submit(work.READ, needed=needed, priority=callers.HISTORY)
         for _ in range(limit + 3)
     ]
-    assert [desk.codes(job) for job in jobs[limit:]] == [
+    assert [harness.codes(job) for job in jobs[limit:]] == [
         ['overloaded'],
         ['overloaded'],
         ['overloaded'],
     ]
-    assert len(desk.base.parked) == limit
+    assert len(harness.base.parked) == limit
--- a/jacinthhaven/decide/builders.py
+++ b/jacinthhaven/decide/builders.py
@@ -223,7 +223,7 @@
         return seen
 
 
-class OwnerDesk:
+class OwnerHarness:
     """Owner of one slot; the test answers its calls and moves its clock."""
 
     def __init__(self) -> None:
@@ -383,12 +383,12 @@
         self.calls[message.connection] = message
 
 
-def serving() -> tuple[OwnerDesk, FakeGroup]:
+def serving() -> tuple[OwnerHarness, FakeGroup]:
     """Return an owner that has seen a healthy group twice."""
-    desk = OwnerDesk()
+    harness = OwnerHarness()
     fake = FakeGroup()
-    desk.settle(fake)
-    return desk, fake
+    harness.settle(fake)
+    return harness, fake
 
 
 def promote(fake: FakeGroup, name: str, term: int) -> None:
@@ -401,7 +401,7 @@
     fake.apply(messages.InstanceOrder(name, request))
 
 
-class EntryDesk:
+class EntryHarness:
     """Entry with two owners; the test answers its forwards."""
 
     def __init__(self) -> None:
--- a/jacinthhaven/decide/node_test.py
+++ b/jacinthhaven/decide/node_test.py
@@ -47,12 +47,12 @@
 
 def test_entry_leaves_an_isolated_owner():
     """Guards against a refusal that another owner would not give."""
-    desk = builders.EntryDesk()
-    number = desk.request()
-    desk.reply(failures.ISOLATED.because('test'))
-    assert desk.forwards[-1].member == 'm2'
-    desk.reply()
-    assert desk.outcomes(number) == ['done']
+    harness = builders.EntryHarness()
+    number = harness.request()
+    harness.reply(failures.ISOLATED.because('test'))
+    assert harness.forwards[-1].member == 'm2'
+    harness.reply()
+    assert harness.outcomes(number) == ['done']
 
 
 def test_probe_is_answered():
--- a/jacinthhaven/decide/pool_test.py
+++ b/jacinthhaven/decide/pool_test.py
@@ -59,21 +59,21 @@
 
 def test_unanswered_calls_free_the_share():
     """Guards against a frozen instance that keeps the share for ever."""
-    desk, fake = builders.serving()
-    begun = desk.submit(work.BEGIN)
-    desk.done()
-    name = desk.answers[-1].answer.transaction
-    step = desk.submit(work.STATEMENT, transaction=name)
-    jobs = [desk.submit() for _ in range(8)]
-    assert desk.state.pools['i1'].size == desk.owner.share
-    desk.advance(5000)
-    assert desk.codes(step) == ['deadline']
-    assert {code for job in jobs for code in desk.codes(job)} == {
+    harness, fake = builders.serving()
+    begun = harness.submit(work.BEGIN)
+    harness.done()
+    name = harness.answers[-1].answer.transaction
+    step = harness.submit(work.STATEMENT, transaction=name)
+    jobs = [harness.submit() for _ in range(8)]
+    assert harness.state.pools['i1'].size == harness.owner.share
+    harness.advance(5000)
+    assert harness.codes(step) == ['deadline']
+    assert {code for job in jobs for code in harness.codes(job)} == {
         'unconfirmed',
         'deadline',
     }
-    desk.advance(3000)
-    assert desk.state.pools['i1'].size == 0
-    assert not desk.state.calls.by_number
-    assert not desk.state.transactions.by_name
-    assert desk.codes(begun) == ['done']
+    harness.advance(3000)
+    assert harness.state.pools['i1'].size == 0
+    assert not harness.state.calls.by_number
+    assert not harness.state.transactions.by_name
+    assert harness.codes(begun) == ['done']
--- a/jacinthhaven/decide/transactions_test.py
+++ b/jacinthhaven/decide/transactions_test.py
@@ -5,80 +5,80 @@
 from jacinthhaven.records import backend
 
 
-def begin(desk, **fields):
+def begin(harness, **fields):
     """Begin a transaction and return its id."""
-    desk.submit(work.BEGIN, **fields)
-    desk.done()
-    return desk.answers[-1].answer.transaction
+    harness.submit(work.BEGIN, **fields)
+    harness.done()
+    return harness.answers[-1].answer.transaction
 
 
 def test_repeated_commit_is_looked_up():
     """Guards against "not run" for a commit that has already run."""
-    desk, fake = builders.serving()
-    again = desk.submit(work.COMMIT, transaction='m1~1', request_key='s/c')
-    call = desk.statements[0]
+    harness, fake = builders.serving()
+    again = harness.submit(work.COMMIT, transaction='m1~1', request_key='s/c')
+    call = harness.statements[0]
     assert call.request == backend.ResolveRequest('bids', 1, 's/c')
-    desk.done(position=3)
-    assert desk.codes(again) == ['done']
-    unused = desk.submit(work.COMMIT, transaction='m1~1', request_key='s/d')
-    desk.reply(backend.ResolveReply(False, 1, 4))
-    assert not desk.codes(unused)
+    harness.done(position=3)
+    assert harness.codes(again) == ['done']
+    unused = harness.submit(work.COMMIT, transaction='m1~1', request_key='s/d')
+    harness.reply(backend.ResolveReply(False, 1, 4))
+    assert not harness.codes(unused)
     fake.write()
-    fake.replicate(desk.now_ms)
-    desk.show(fake)
-    assert desk.codes(unused) == ['unknown_transaction']
+    fake.replicate(harness.now_ms)
+    harness.show(fake)
+    assert harness.codes(unused) == ['unknown_transaction']
 
 
 def test_commit_repeated_while_it_runs():
     """Guards against "not run" for a commit that is still running."""
-    desk, fake = builders.serving()
-    name = begin(desk)
-    first = desk.submit(work.COMMIT, transaction=name, request_key='s/c')
-    again = desk.submit(work.COMMIT, transaction=name, request_key='s/c')
-    other = desk.submit(work.COMMIT, transaction=name, request_key='s/d')
-    assert desk.codes(other) == ['bad_request']
-    desk.done(position=3)
-    desk.done(position=3)
-    assert desk.codes(first) == desk.codes(again) == ['done']
+    harness, fake = builders.serving()
+    name = begin(harness)
+    first = harness.submit(work.COMMIT, transaction=name, request_key='s/c')
+    again = harness.submit(work.COMMIT, transaction=name, request_key='s/c')
+    other = harness.submit(work.COMMIT, transaction=name, request_key='s/d')
+    assert harness.codes(other) == ['bad_request']
+    harness.done(position=3)
+    harness.done(position=3)
+    assert harness.codes(first) == harness.codes(again) == ['done']
 
 
 def test_foreign_commit_leaves_the_transaction_open():
     """Guards against ending a transaction of another session."""
-    desk, _fake = builders.serving()
-    name = begin(desk)
-    desk.submit(work.COMMIT, transaction=name, session='other')
-    desk.done(position=3)
-    step = desk.submit(work.STATEMENT, transaction=name)
-    desk.done(position=3)
-    assert desk.codes(step) == ['done']
-    assert len(desk.state.pools['i1'].busy) == 1
+    harness, _fake = builders.serving()
+    name = begin(harness)
+    harness.submit(work.COMMIT, transaction=name, session='other')
+    harness.done(position=3)
+    step = harness.submit(work.STATEMENT, transaction=name)
+    harness.done(position=3)
+    assert harness.codes(step) == ['done']
+    assert len(harness.state.pools['i1'].busy) == 1
 
 
 def test_idle_time_starts_at_the_end_of_a_step():
     """Guards against aborting a transaction after a slow begin or step."""
-    desk, _fake = builders.serving()
-    desk.submit(work.BEGIN, deadline_ms=60_000)
-    desk.now_ms += 11_000
-    desk.done(position=3)
-    name = desk.answers[-1].answer.transaction
-    desk.advance(20)
-    desk.submit(work.STATEMENT, transaction=name, deadline_ms=60_000)
-    desk.now_ms += 11_000
-    desk.done(position=3)
-    desk.advance(9_900)
-    assert list(desk.state.transactions.by_name) == [name]
-    desk.advance(200)
-    assert not desk.state.transactions.by_name
-    assert desk.state.pools['i1'].size == 0
+    harness, _fake = builders.serving()
+    harness.submit(work.BEGIN, deadline_ms=60_000)
+    harness.now_ms += 11_000
+    harness.done(position=3)
+    name = harness.answers[-1].answer.transaction
+    harness.advance(20)
+    harness.submit(work.STATEMENT, transaction=name, deadline_ms=60_000)
+    harness.now_ms += 11_000
+    harness.done(position=3)
+    harness.advance(9_900)
+    assert list(harness.state.transactions.by_name) == [name]
+    harness.advance(200)
+    assert not harness.state.transactions.by_name
+    assert harness.state.pools['i1'].size == 0
 
 
 def test_unknown_begin_closes_the_connection():
     """Guards against other statements inside a transaction left open."""
-    desk, _fake = builders.serving()
-    begun = desk.submit(work.BEGIN)
-    first = desk.statements[0].connection
-    desk.reply(failures.PROTOCOL_ERROR.because('test'))
-    assert first in desk.closed
-    assert desk.statements[0].connection != first
-    desk.done(position=3)
-    assert desk.codes(begun) == ['done']
+    harness, _fake = builders.serving()
+    begun = harness.submit(work.BEGIN)
+    first = harness.statements[0].connection
+    harness.reply(failures.PROTOCOL_ERROR.because('test'))
+    assert first in harness.closed
+    assert harness.statements[0].connection != first
+    harness.done(position=3)
+    assert harness.codes(begun) == ['done']
