--- a/jacinthhaven/decide/entry.py
+++ b/jacinthhaven/decide/entry.py
@@ -5,7 +5,6 @@
 number and attempt, so that a late answer reaches nobody else.
 """
 
-import dataclasses
 import heapq
 import itertools
 import typing
@@ -15,6 +14,7 @@
 from jacinthhaven.decide import (
     messages,
     owner_watch,
+    pending_request,
     requests,
     tokens,
     transactions,
@@ -31,53 +31,17 @@
         failures.DRAINING.code,
         failures.ISOLATED.code,
         failures.STALE_EPOCH.code,
-        failures.ISOLATED.code,
     ),
 )
 _MAX_ATTEMPTS = 6
 # Requests without a reachable owner are tried again this often.
 _RETRY_MS = 50
-# The owner's more precise answer at its deadline must arrive first.
-_ANSWER_MARGIN_MS = 30
 # Kinds that change data or a transaction; without an answer it is unknown
 # whether they ran.
 _EFFECTIVE = work.LOGGED | {work.STATEMENT, work.ROLLBACK}
 _ANSWER_DECODER = msgspec.json.Decoder(callers.Answer)
 
 
-@dataclasses.dataclass(slots=True)
-class Pending:
-    """One caller request that waits for its answer.
-
-    Attributes:
-      number: Number of the request.
-      database: Name of the database.
-      kind: Kind of the work.
-      body: Request with session and request id filled in.
-      token: Session token before this request.
-      deadline_ms: When the request is given up.
-      member: Owner that has it now; empty if none has.
-      attempt: Number of the newest attempt.
-      tried: Owners that could not execute it.
-      maybe_run: Whether an owner was lost that may have executed it.
-      strict: Whether it needs a proof of the term after its arrival.
-      retry_ms: When to look for an owner again.
-    """
-
-    number: int
-    database: str
-    kind: str
-    body: callers.StatementRequest | callers.OutcomeRequest
-    token: tokens.Token
-    deadline_ms: int
-    member: str = ''
-    attempt: int = 0
-    tried: set[str] = dataclasses.field(default_factory=set)
-    maybe_run: bool = False
-    strict: bool = False
-    retry_ms: int = 0
-
-
 class OwnerFinder(typing.Protocol):
     """Knowledge of the owners, given to the entry by the node."""
 
@@ -119,8 +83,8 @@
         self.refusal: failures.Failure | None = failures.ISOLATED.because(
             'no configuration is known yet',
         )
-        self.pending: dict[int, Pending] = {}
-        self.waiting: dict[int, Pending] = {}
+        self.pending: dict[int, pending_request.Pending] = {}
+        self.waiting: dict[int, pending_request.Pending] = {}
         self.deadlines: list[tuple[int, int]] = []
         self.watch = owner_watch.OwnerWatch(member)
         self.request_ids = itertools.count(1)
@@ -152,7 +116,7 @@
         body.session = token.session
         if body.kind in {work.WRITE, work.COMMIT} and not body.request_id:
             body.request_id = f'{message.number:x}-{next(self.request_ids)}'
-        pending = Pending(
+        pending = pending_request.Pending(
             message.number,
             message.database,
             body.kind,
@@ -177,7 +141,7 @@
         token = self._session_token(body)
         if isinstance(token, failures.Failure):
             return _refuse_now(message.number, body, token)
-        pending = Pending(
+        pending = pending_request.Pending(
             message.number,
             message.database,
             work.RESOLVE,
@@ -278,7 +242,9 @@
             return failures.BAD_TOKEN.because('token of another session')
         return token
 
-    def _accept(self, pending: Pending, now_ms: int) -> list[typing.Any]:
+    def _accept(
+        self, pending: pending_request.Pending, now_ms: int
+    ) -> list[typing.Any]:
         self.pending[pending.number] = pending
         heapq.heappush(
             self.deadlines,
@@ -289,7 +255,7 @@
 
     # Dispatch.
 
-    def _dispatch(self, pending: Pending, now_ms: int) -> None:
+    def _dispatch(self, pending: pending_request.Pending, now_ms: int) -> None:
         self.waiting.pop(pending.number, None)
         owner = self._choose(pending)
         if isinstance(owner, failures.Failure):
@@ -303,7 +269,9 @@
             pending.retry_ms = now_ms + _RETRY_MS
             self.waiting[pending.number] = pending
 
-    def _choose(self, pending: Pending) -> str | failures.Failure:
+    def _choose(
+        self, pending: pending_request.Pending
+    ) -> str | failures.Failure:
         """Return the owner to use, empty to wait, or a final failure."""
         if pending.kind in work.STEPS:
             return self._transaction_owner(pending)
@@ -322,7 +290,9 @@
             self.watch.in_flight.get(member, 0),
         )
 
-    def _transaction_owner(self, pending: Pending) -> str | failures.Failure:
+    def _transaction_owner(
+        self, pending: pending_request.Pending
+    ) -> str | failures.Failure:
         owner = transactions.owner_of(pending.body.transaction)
         if owner in pending.tried or not self.finder.alive(owner):
             return failures.UNKNOWN_TRANSACTION.because(
@@ -330,59 +300,24 @@
             )
         return owner
 
-    def _send(self, pending: Pending, owner: str, now_ms: int) -> None:
+    def _send(
+        self, pending: pending_request.Pending, owner: str, now_ms: int
+    ) -> None:
         pending.member = owner
         pending.attempt += 1
         self.watch.sent(owner, now_ms)
         payload: peers.StatementForward | peers.OutcomeForward
         if pending.kind == work.RESOLVE:
-            payload = self._outcome_forward(pending, now_ms)
+            payload = pending_request.outcome_forward(pending, now_ms)
         else:
-            payload = self._statement_forward(pending, now_ms)
+            payload = pending_request.statement_forward(pending, now_ms)
         self.outbox.append(messages.PeerSend(owner, payload))
 
-    def _statement_forward(
-        self,
-        pending: Pending,
-        now_ms: int,
-    ) -> peers.StatementForward:
-        body = msgspec.structs.replace(pending.body, token='')
-        forward = peers.StatementForward(
-            pending.number,
-            pending.database,
-            msgspec.json.encode(body),
-            _remaining_ms(pending, now_ms),
-            attempt=pending.attempt,
-            strict=pending.strict,
-        )
-        needed = pending.token.positions.get(pending.database)
-        if needed is not None:
-            forward.needed_term = needed.term
-            forward.needed_position = needed.position
-        return forward
-
-    def _outcome_forward(
-        self,
-        pending: Pending,
-        now_ms: int,
-    ) -> peers.OutcomeForward:
-        question = callers.OutcomeRequest(
-            pending.token.session,
-            pending.body.request_id,
-        )
-        return peers.OutcomeForward(
-            pending.number,
-            pending.database,
-            msgspec.json.encode(question),
-            _remaining_ms(pending, now_ms),
-            pending.attempt,
-        )
-
     # Answers.
 
     def _may_try_elsewhere(
         self,
-        pending: Pending,
+        pending: pending_request.Pending,
         forwarded: peers.ForwardAnswer,
         now_ms: int,
     ) -> bool:
@@ -397,7 +332,7 @@
         if unconfirmed:
             # The request key makes the repeat of a write safe.
             pending.maybe_run = True
-            return _remaining_ms(pending, now_ms) > _ANSWER_MARGIN_MS
+            return pending_request.has_time(pending, now_ms)
         return forwarded.failure in _ELSEWHERE
 
     def _watch_owners(self, now_ms: int) -> None:
@@ -414,7 +349,7 @@
                 if pending.member == silent and not bound:
                     self._leave(pending, now_ms)
 
-    def _leave(self, pending: Pending, now_ms: int) -> None:
+    def _leave(self, pending: pending_request.Pending, now_ms: int) -> None:
         """Take a request from an owner that will not answer it."""
         pending.tried.add(pending.member)
         pending.maybe_run = True
@@ -424,7 +359,9 @@
         else:
             self._dispatch(pending, now_ms)
 
-    def _recover_step(self, pending: Pending, now_ms: int) -> None:
+    def _recover_step(
+        self, pending: pending_request.Pending, now_ms: int
+    ) -> None:
         """Handle the loss of the owner that held a transaction."""
         if pending.kind == work.COMMIT:
             self._look_up_commit(pending, now_ms)
@@ -434,7 +371,9 @@
             )
             self._fail(pending, failure)
 
-    def _look_up_commit(self, pending: Pending, now_ms: int) -> None:
+    def _look_up_commit(
+        self, pending: pending_request.Pending, now_ms: int
+    ) -> None:
         """Ask any owner what became of a commit.
 
         The commit, or an earlier one with the same request key, may have
@@ -446,7 +385,7 @@
 
     def _complete(
         self,
-        pending: Pending,
+        pending: pending_request.Pending,
         answer: callers.Answer,
         forwarded: peers.ForwardAnswer,
     ) -> None:
@@ -466,7 +405,9 @@
             self._extend_token(pending, answer)
         self._answer(pending, answer, failure)
 
-    def _fail(self, pending: Pending, failure: failures.Failure) -> None:
+    def _fail(
+        self, pending: pending_request.Pending, failure: failures.Failure
+    ) -> None:
         if _contradicts(pending, failure):
             failure = failures.UNCONFIRMED.because(failure.reason)
         answer = callers.Answer(
@@ -476,13 +417,15 @@
         )
         self._answer(pending, answer, failure)
 
-    def _expire(self, pending: Pending) -> None:
+    def _expire(self, pending: pending_request.Pending) -> None:
         if pending.member and pending.kind in _EFFECTIVE:
             pending.maybe_run = True
         failure = failures.DEADLINE.because('deadline has passed')
         self._fail(pending, failure)
 
-    def _extend_token(self, pending: Pending, answer: callers.Answer) -> None:
+    def _extend_token(
+        self, pending: pending_request.Pending, answer: callers.Answer
+    ) -> None:
         pending.token = tokens.advance(
             pending.token,
             pending.database,
@@ -491,7 +434,7 @@
 
     def _answer(
         self,
-        pending: Pending,
+        pending: pending_request.Pending,
         answer: callers.Answer,
         failure: failures.Failure | None,
     ) -> None:
@@ -503,23 +446,19 @@
             messages.CallerAnswer(pending.number, answer, failure),
         )
 
-    def _finish(self, number: int) -> Pending | None:
+    def _finish(self, number: int) -> pending_request.Pending | None:
         pending = self.pending.pop(number, None)
         self.waiting.pop(number, None)
         if pending is not None:
             self._release(pending)
         return pending
 
-    def _release(self, pending: Pending) -> None:
+    def _release(self, pending: pending_request.Pending) -> None:
         if pending.member:
             self.watch.released(pending.member)
             pending.member = ''
 
 
-def _remaining_ms(pending: Pending, now_ms: int) -> int:
-    return max(pending.deadline_ms - now_ms - _ANSWER_MARGIN_MS, 1)
-
-
 def _refuse_now(
     number: int,
     body: callers.StatementRequest | callers.OutcomeRequest,
@@ -539,7 +478,7 @@
 
 
 def _contradicts(
-    pending: Pending,
+    pending: pending_request.Pending,
     failure: failures.Failure,
 ) -> bool:
     """Return whether a lost attempt makes "not run" unproved.
--- /dev/null
+++ b/jacinthhaven/decide/forward_answers.py
@@ -0,0 +1,46 @@
+"""Payloads that a node sends back to the entries of other members."""
+
+import msgspec
+
+from jacinthhaven.decide import messages, work
+from jacinthhaven.kernel import failures
+from jacinthhaven.records import peers
+
+
+def to_probe(
+    member: str,
+    probe: peers.Probe,
+    _now_ms: int,
+) -> list[messages.PeerSend]:
+    """Return the answer to a probe."""
+    return [messages.PeerSend(member, peers.ProbeReply(probe.number))]
+
+
+def from_owner(message: work.OwnerAnswer) -> messages.PeerSend:
+    """Return an owner's answer as a payload for its entry."""
+    origin = message.origin
+    payload = peers.ForwardAnswer(
+        origin.number,
+        origin.attempt,
+        msgspec.json.encode(message.answer),
+    )
+    if message.failure is not None:
+        payload.failure = message.failure.kind.code
+        payload.reason = message.failure.reason
+    return messages.PeerSend(origin.member, payload)
+
+
+def refusal(
+    member: str,
+    forward: peers.StatementForward | peers.OutcomeForward,
+    failure: failures.Failure,
+) -> messages.PeerSend:
+    """Return the refusal of a forward that was not given to an owner."""
+    payload = peers.ForwardAnswer(
+        forward.number,
+        forward.attempt,
+        b'{"outcome":"not_run"}',
+        failure.kind.code,
+        failure.reason,
+    )
+    return messages.PeerSend(member, payload)
--- a/jacinthhaven/decide/node.py
+++ b/jacinthhaven/decide/node.py
@@ -10,12 +10,11 @@
 import random
 import typing
 
-import msgspec
-
 from jacinthhaven.decide import (
     cluster,
     configuration,
     entry,
+    forward_answers,
     group_state,
     messages,
     operator_changes,
@@ -102,7 +101,7 @@
             peers.OutcomeForward: self._on_forward,
             peers.ForwardAnswer: self.entry.on_answer,
             peers.ForwardCancel: self._on_cancel,
-            peers.Probe: _answer_probe,
+            peers.Probe: forward_answers.to_probe,
             peers.InstanceSilence: self._on_silence,
             gossip.Exchange: self._on_exchange,
             messages.StoreReply: self._on_cluster,
@@ -214,7 +213,7 @@
         """Return what a message inside the node leads to; None if outside."""
         kind = type(message)
         if kind is work.OwnerAnswer:
-            return [_forward_answer(message)]
+            return [forward_answers.from_owner(message)]
         if kind is messages.PeerSend:
             if message.member == self.name:
                 return self._on_payload(self.name, message.payload, now_ms)
@@ -386,17 +385,15 @@
         else:
             job = requests.outcome_work(member, forward, now_ms)
         if isinstance(job, failures.Failure):
-            return [_forward_refusal(member, forward, job)]
+            return [forward_answers.refusal(member, forward, job)]
         refusal = self.entry.refusal
         if refusal is not None and job.kind not in work.ONGOING:
             # Routing it could use a preset that is not in force any more.
-            return [_forward_refusal(member, forward, refusal)]
-        if self.entry.refusal and job.kind not in work.STEPS:
-            return [_forward_refusal(member, forward, self.entry.refusal)]
+            return [forward_answers.refusal(member, forward, refusal)]
         group = self.table.group_of.get(job.database, '')
         if group not in self.owners:
             failure = failures.UNKNOWN_DATABASE.because(job.database)
-            return [_forward_refusal(member, forward, failure)]
+            return [forward_answers.refusal(member, forward, failure)]
         return self.owners[group].submit(job, now_ms)
 
     def _on_cancel(
@@ -431,39 +428,3 @@
         messages.InstanceSeen,
     ),
 )
-
-
-def _answer_probe(
-    member: str,
-    probe: peers.Probe,
-    _now_ms: int,
-) -> list[messages.PeerSend]:
-    return [messages.PeerSend(member, peers.ProbeReply(probe.number))]
-
-
-def _forward_answer(message: work.OwnerAnswer) -> messages.PeerSend:
-    origin = message.origin
-    payload = peers.ForwardAnswer(
-        origin.number,
-        origin.attempt,
-        msgspec.json.encode(message.answer),
-    )
-    if message.failure is not None:
-        payload.failure = message.failure.kind.code
-        payload.reason = message.failure.reason
-    return messages.PeerSend(origin.member, payload)
-
-
-def _forward_refusal(
-    member: str,
-    forward: peers.StatementForward | peers.OutcomeForward,
-    failure: failures.Failure,
-) -> messages.PeerSend:
-    payload = peers.ForwardAnswer(
-        forward.number,
-        forward.attempt,
-        b'{"outcome":"not_run"}',
-        failure.kind.code,
-        failure.reason,
-    )
-    return messages.PeerSend(member, payload)
--- a/scenarios/variants.py
+++ b/scenarios/variants.py
@@ -19,6 +19,7 @@
     operator,
     operator_changes,
     owner,
+    pending_request,
     positions,
     promotion_rules,
     recovery,
@@ -124,7 +125,7 @@
 
     def replaced(
         entry_part: entry.Entry,
-        pending: entry.Pending,
+        pending: pending_request.Pending,
         now_ms: int,
     ) -> typing.Any:
         pending.maybe_run = False
@@ -241,8 +242,8 @@
             _always(True),
         ),
         'forget_positions': lambda: _wrap(
-            entry.Entry,
-            '_statement_forward',
+            pending_request,
+            'statement_forward',
             _forget_positions,
         ),
         'release_strict_reads': lambda: _replace(
