Replace a primary without replicas after twice the suspicion time

Ruled out: needless promotions; slow_network passes, and no promotion happens with 60, 150 and 300 ms of added latency.

--- a/jacinthhaven/decide/promotion_rules.py
+++ b/jacinthhaven/decide/promotion_rules.py
@@ -14,6 +14,9 @@
 # Reports of silence are repeated while an instance is silent; an older
 # report may describe an instance that has answered since.
 REPORT_AGE_MS = 1000
+# Silence of the replicas about a primary that answers the owners, as a
+# multiple of the suspicion time.
+_CONTACT_FACTOR = 2
 
 
 class Phase(enum.Enum):
@@ -159,17 +162,18 @@
 ) -> bool:
     """Return whether a responding primary has no contact with a majority.
 
-    It cannot confirm any write then. The limit is that for owners without
-    contact, because a replica needs some time to connect.
+    It cannot confirm any write then. The limit is longer than that for a
+    suspected primary, because a replica needs some time to connect, and
+    short enough for a failover gap of 2 s.
     """
+    limit_ms = _CONTACT_FACTOR * situation.preset.suspect_ms
     term = primary.copies[database].term
     silent = [
         view
         for view in responding(situation.instances, database)
         if view is not primary
         and view.copies[database].term == term
-        and view.copies[database].upstream_silent_ms
-        >= situation.preset.unreachable_ms
+        and view.copies[database].upstream_silent_ms >= limit_ms
     ]
     return len(silent) >= views.majority(situation.instances)
 
