Check statement and outcome requests in one place

Both paths of the entry repeated the same sequence of field check and token check, and the node wrapped two entry methods without adding anything. Also removes a test builder that nothing uses. Behaviour is unchanged.

--- a/jacinthhaven/decide/builders.py
+++ b/jacinthhaven/decide/builders.py
@@ -43,16 +43,6 @@
     return promotion_rules.SilenceReport(report, received_ms)
 
 
-def instance_status(
-    instance: str,
-    boot: str,
-    *,
-    leaving: bool = False,
-) -> backend.InstanceStatus:
-    """Return a status response without databases."""
-    return backend.InstanceStatus(instance, boot, 1, leaving, 0, [])
-
-
 def group(owners: int = 3) -> topology.Group:
     """Return a database group with three instances."""
     instances = tuple(
--- a/jacinthhaven/decide/entry.py
+++ b/jacinthhaven/decide/entry.py
@@ -103,13 +103,8 @@
     ) -> list[typing.Any]:
         """Accept a statement request."""
         body = message.body
-        wrong = requests.problem(body)
-        if wrong:
-            failure = failures.BAD_REQUEST.because(wrong)
-            return _refuse_now(message.number, body, failure)
-        if self.refusal is not None and body.kind not in work.STEPS:
-            return _refuse_now(message.number, body, self.refusal)
-        token = self._session_token(body)
+        refusal = None if body.kind in work.STEPS else self.refusal
+        token = self._checked_token(body, requests.problem(body), refusal)
         if isinstance(token, failures.Failure):
             return _refuse_now(message.number, body, token)
         strict = not token.covers(message.database)
@@ -134,11 +129,7 @@
     ) -> list[typing.Any]:
         """Accept a question for a write's outcome."""
         body = message.body
-        wrong = requests.outcome_problem(body)
-        if wrong:
-            failure = failures.BAD_REQUEST.because(wrong)
-            return _refuse_now(message.number, body, failure)
-        token = self._session_token(body)
+        token = self._checked_token(body, requests.outcome_problem(body))
         if isinstance(token, failures.Failure):
             return _refuse_now(message.number, body, token)
         pending = pending_request.Pending(
@@ -227,6 +218,23 @@
 
     # Acceptance.
 
+    def _checked_token(
+        self,
+        body: callers.StatementRequest | callers.OutcomeRequest,
+        wrong: str,
+        refusal: failures.Failure | None = None,
+    ) -> tokens.Token | failures.Failure:
+        """Return the session's token, or why the request is refused.
+
+        Args:
+          body: The request.
+          wrong: What is wrong with its fields; empty if nothing.
+          refusal: Why new work is refused, or None.
+        """
+        if wrong:
+            return failures.BAD_REQUEST.because(wrong)
+        return refusal or self._session_token(body)
+
     def _session_token(
         self,
         body: callers.StatementRequest | callers.OutcomeRequest,
--- a/jacinthhaven/decide/node.py
+++ b/jacinthhaven/decide/node.py
@@ -89,8 +89,8 @@
         self.draining = False
         self.ticked_ms = 0
         self.steps: dict[type, typing.Callable] = {
-            messages.CallerRequest: self._on_request,
-            messages.CallerOutcome: self._on_outcome,
+            messages.CallerRequest: self.entry.on_request,
+            messages.CallerOutcome: self.entry.on_outcome,
             messages.CallerGone: self._on_gone,
             messages.BackendOpened: self._on_backend,
             messages.BackendReply: self._on_backend,
@@ -308,20 +308,6 @@
 
     # Callers.
 
-    def _on_request(
-        self,
-        message: messages.CallerRequest,
-        now_ms: int,
-    ) -> list[typing.Any]:
-        return self.entry.on_request(message, now_ms)
-
-    def _on_outcome(
-        self,
-        message: messages.CallerOutcome,
-        now_ms: int,
-    ) -> list[typing.Any]:
-        return self.entry.on_outcome(message, now_ms)
-
     def _on_gone(
         self,
         message: messages.CallerGone,
