--- a/jacinthhaven/adapters/etcd_watch.py
+++ b/jacinthhaven/adapters/etcd_watch.py
@@ -9,6 +9,7 @@
     etcd_calls,
     http_client,
     http_messages,
+    http_store,
     poller,
 )
 from jacinthhaven.records import store
@@ -18,7 +19,7 @@
 MAX_LINE_BYTES = 16_777_216
 
 
-class Watch:
+class Watch(http_store.Watch):
     """Task that owns the connection of one watch.
 
     Attributes:
--- a/jacinthhaven/adapters/http_client.py
+++ b/jacinthhaven/adapters/http_client.py
@@ -43,6 +43,10 @@
             http_messages.format_request(path, b'', headers, 'GET'),
         )
 
+    def delete(self, path: str) -> None:
+        """Send one DELETE request."""
+        self.stream.send(http_messages.format_request(path, b'', '', 'DELETE'))
+
     def close(self) -> None:
         """Close the connection; `on_lost` is not called."""
         self.stream.close()
--- /dev/null
+++ b/jacinthhaven/adapters/http_store.py
@@ -0,0 +1,254 @@
+"""Calls to a store that speaks HTTP, whatever its API looks like.
+
+Calls share a few connections, one call at a time on each. A watch has a
+connection of its own, since its answer may take long. No call is repeated
+here: only the decision code knows whether it may be.
+"""
+
+import abc
+import collections
+import functools
+import typing
+
+from jacinthhaven.adapters import http_client, http_messages, poller
+from jacinthhaven.decide import messages
+from jacinthhaven.kernel import failures
+from jacinthhaven.ports import store as store_port
+from jacinthhaven.records import store
+
+CALL_TIMEOUT_MS = 2000
+_MAX_CONNECTIONS = 4
+# All keys of one prefix arrive in one answer; one value may have 1 MB,
+# which base64 makes larger by a third.
+_MAX_ANSWER_BYTES = 16_777_216
+
+Address = tuple[str, int]
+
+
+class _Call:
+    """One call until its reply or its timeout."""
+
+    __slots__ = ('number', 'request', 'connection')
+
+    def __init__(self, message: messages.StoreCall) -> None:
+        """Remember the call; it has no connection yet."""
+        self.number = message.number
+        self.request = message.request
+        self.connection: _Connection | None = None
+
+
+class _Connection:
+    """Pooled connection and the call that it carries, if any."""
+
+    __slots__ = ('client', 'call')
+
+    def __init__(self, client: http_client.Client) -> None:
+        """Remember the HTTP client."""
+        self.client = client
+        self.call: _Call | None = None
+
+
+class MalformedAnswerError(Exception):
+    """An answer of the store cannot be decoded."""
+
+
+class Watch(abc.ABC):
+    """Task that owns the connection of one watch.
+
+    Attributes:
+      on_events: Called with the changes.
+      on_lost: Called once with the reason when the watch ends, unless the
+        owner closes it.
+    """
+
+    on_events: typing.Callable[[store.WatchEvents], None]
+    on_lost: typing.Callable[[str], None]
+
+    @abc.abstractmethod
+    def start(self, request: store.WatchRequest, timeout_ms: int) -> None:
+        """Send the request; it must be confirmed within the timeout."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """End the watch without a report."""
+
+
+class HttpStore(store_port.Store):
+    """Task that owns the connections to a store."""
+
+    def __init__(
+        self,
+        loop: poller.Poller,
+        addresses: typing.Iterable[Address],
+        deliver: typing.Callable[[messages.StoreReply], None],
+        call_timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> None:
+        """Start without connections.
+
+        Args:
+          loop: Poller of the process.
+          addresses: IP address and port of each member of the store; a
+            failed connection makes the next one go to the next member.
+          deliver: Receiver of the replies.
+          call_timeout_ms: Time until a call without a reply fails.
+        """
+        super().__init__(deliver)
+        self.poller = loop
+        self.addresses = collections.deque(addresses)
+        self.call_timeout_ms = call_timeout_ms
+        self.calls: dict[int, _Call] = {}
+        self.queue: collections.deque[_Call] = collections.deque()
+        self.connections: set[_Connection] = set()
+        self.idle: list[_Connection] = []
+        self.watches: dict[int, etcd_watch.Watch] = {}
+
+    def call(self, message: messages.StoreCall) -> None:
+        """Send a call, or queue it until a connection is free."""
+        if isinstance(message.request, store.WatchRequest):
+            self._open_watch(message)
+            return
+        call = _Call(message)
+        self.calls[call.number] = call
+        self.queue.append(call)
+        self.poller.call_later(
+            self.call_timeout_ms,
+            functools.partial(self._expire, call),
+        )
+        self._dispatch()
+
+    def cancel(self, message: messages.StoreCancel) -> None:
+        """End a watch."""
+        watch = self.watches.pop(message.number, None)
+        if watch is not None:
+            watch.close()
+
+    @abc.abstractmethod
+    def send(self, client: http_client.Client, request: store.Request) -> None:
+        """Send the request of a call."""
+
+    @abc.abstractmethod
+    def decode(
+        self,
+        request: store.Request,
+        status: int,
+        body: bytes,
+    ) -> store.Reply | failures.Failure:
+        """Return the reply in an answer.
+
+        Raises:
+          MalformedAnswerError: If the answer cannot be decoded.
+        """
+
+    @abc.abstractmethod
+    def new_watch(self, client: http_client.Client) -> Watch:
+        """Return a watch that owns a new connection."""
+
+    def _dispatch(self) -> None:
+        while self.queue:
+            connection = self._free_connection()
+            if connection is None:
+                return
+            call = self.queue.popleft()
+            call.connection = connection
+            connection.call = call
+            self.send(connection.client, call.request)
+
+    def _free_connection(self) -> _Connection | None:
+        if self.idle:
+            return self.idle.pop()
+        if len(self.connections) >= _MAX_CONNECTIONS:
+            return None
+        client = self._connect()
+        connection = _Connection(client)
+        client.on_reply = functools.partial(self._on_reply, connection)
+        client.on_lost = functools.partial(
+            self.poller.call_soon,
+            functools.partial(
+                self._drop,
+                connection,
+                'the connection was lost',
+            ),
+        )
+        self.connections.add(connection)
+        return connection
+
+    def _connect(self) -> http_client.Client:
+        client = http_client.Client(self.poller, self.addresses[0])
+        client.parser.max_body = _MAX_ANSWER_BYTES
+        return client
+
+    def _on_reply(
+        self,
+        connection: _Connection,
+        message: http_messages.Message,
+    ) -> None:
+        call = connection.call
+        if call is None:
+            self._drop(connection, 'an answer without a call')
+            return
+        try:
+            reply = self.decode(call.request, message.status, message.body)
+        except MalformedAnswerError as error:
+            self._drop(connection, f'malformed answer: {error}')
+            return
+        connection.call = None
+        if message.keep_alive:
+            self.idle.append(connection)
+        else:
+            self.connections.discard(connection)
+        self._finish(call, reply)
+        self._dispatch()
+
+    def _drop(self, connection: _Connection, reason: str) -> None:
+        if connection not in self.connections:
+            return
+        self.connections.discard(connection)
+        if connection in self.idle:
+            self.idle.remove(connection)
+        connection.client.close()
+        self.addresses.rotate(-1)
+        if connection.call is not None:
+            self._finish(
+                connection.call,
+                failures.STORE_UNAVAILABLE.because(reason),
+            )
+        self._dispatch()
+
+    def _expire(self, call: _Call) -> None:
+        if self.calls.get(call.number) is not call:
+            return
+        if call.connection is None:
+            self.queue.remove(call)
+            self._finish(
+                call,
+                failures.STORE_UNAVAILABLE.because('no connection was free'),
+            )
+        else:
+            self._drop(call.connection, 'no answer within the timeout')
+
+    def _finish(
+        self,
+        call: _Call,
+        reply: store.Reply | failures.Failure,
+    ) -> None:
+        self.calls.pop(call.number)
+        self._report(call.number, reply)
+
+    def _open_watch(self, message: messages.StoreCall) -> None:
+        watch = self.new_watch(self._connect())
+        self.watches[message.number] = watch
+        watch.on_events = functools.partial(self._report, message.number)
+        watch.on_lost = functools.partial(self._lose_watch, message.number)
+        watch.start(message.request, self.call_timeout_ms)
+
+    def _lose_watch(self, number: int, reason: str) -> None:
+        self.watches.pop(number)
+        self.addresses.rotate(-1)
+        self._report(number, failures.STORE_UNAVAILABLE.because(reason))
+
+    def _report(
+        self,
+        number: int,
+        reply: store.Reply | failures.Failure,
+    ) -> None:
+        self.deliver(messages.StoreReply(number, reply))
--- a/jacinthhaven/adapters/settings_file.py
+++ b/jacinthhaven/adapters/settings_file.py
@@ -48,13 +48,21 @@
     try:
         return settings.Settings.model_validate(document.root, context=context)
     except pydantic.ValidationError as error:
-        return sorted(
-            document.error_at(
-                detail['loc'],
-                _MESSAGES.get(detail['type'], detail['msg']),
-            )
-            for detail in error.errors(include_url=False)
+        return located_errors(document, error)
+
+
+def located_errors(
+    document: yaml_file.Document,
+    error: pydantic.ValidationError,
+) -> list[yaml_file.FileError]:
+    """Return the errors of a validation by their position in the file."""
+    return sorted(
+        document.error_at(
+            detail['loc'],
+            _MESSAGES.get(detail['type'], detail['msg']),
         )
+        for detail in error.errors(include_url=False)
+    )
 
 
 def load(
--- /dev/null
+++ b/jacinthhaven/adapters/sql_settings_file.py
@@ -0,0 +1,33 @@
+"""Loading of the settings of a SQL session proxy from a YAML file."""
+
+import pydantic
+
+from jacinthhaven.adapters import settings_file, text_file, yaml_file
+from jacinthhaven.records import sql_settings
+
+Loaded = sql_settings.SqlSettings | list[yaml_file.FileError]
+
+
+def validate(document: yaml_file.Document) -> Loaded:
+    """Return the settings in a document, or all errors by position."""
+    if document.errors:
+        return sorted(document.errors)
+    try:
+        return sql_settings.SqlSettings.model_validate(document.root)
+    except pydantic.ValidationError as error:
+        return settings_file.located_errors(document, error)
+
+
+def load(name: str) -> Loaded:
+    """Read and validate a settings file.
+
+    Raises:
+      text_file.UnreadableFileError: If the file cannot be read.
+    """
+    return validate(yaml_file.parse(text_file.read_text(name)))
+
+
+def is_sql_settings(document: yaml_file.Document) -> bool:
+    """Return whether a file holds settings of a SQL session proxy."""
+    root = document.root
+    return isinstance(root, dict) and 'promotion' in root
--- a/jacinthhaven/cli/checks.py
+++ b/jacinthhaven/cli/checks.py
@@ -10,11 +10,12 @@
 from jacinthhaven.adapters import (
     config_file,
     settings_file,
+    sql_settings_file,
     text_file,
     yaml_file,
 )
 from jacinthhaven.cli import exits
-from jacinthhaven.records import presets, settings
+from jacinthhaven.records import presets, settings, sql_settings
 
 
 def check(name: str, check_files: bool) -> list[yaml_file.FileError]:
@@ -26,6 +27,8 @@
     document = yaml_file.parse(_read(name))
     if config_file.is_configuration(document):
         loaded: typing.Any = config_file.validate(document)
+    elif sql_settings_file.is_sql_settings(document):
+        loaded = sql_settings_file.validate(document)
     else:
         loaded = settings_file.validate(
             document,
@@ -51,6 +54,22 @@
     return loaded
 
 
+def load_sql_settings(name: str) -> sql_settings.SqlSettings:
+    """Return the settings of a SQL session proxy.
+
+    Raises:
+      exits.UnusableInputError: If the file cannot be read.
+      exits.RefusedError: If the settings are invalid.
+    """
+    try:
+        loaded = sql_settings_file.load(name)
+    except text_file.UnreadableFileError as error:
+        raise exits.UnusableInputError(str(error)) from error
+    if isinstance(loaded, list):
+        raise _invalid(name, loaded)
+    return loaded
+
+
 def load_configuration(name: str) -> presets.Configuration:
     """Return a configuration document.
 
--- a/jacinthhaven/cli/main.py
+++ b/jacinthhaven/cli/main.py
@@ -65,6 +65,15 @@
         help='Settings of this proxy in YAML.',
     ),
 ]
+SqlSettingsOption = typing.Annotated[
+    str,
+    typer.Option(
+        '--settings',
+        metavar='FILE',
+        envvar='JACINTHHAVEN_NODE_FILE',
+        help='Settings of this SQL session proxy in YAML.',
+    ),
+]
 CheckedFiles = typing.Annotated[
     list[str],
     typer.Argument(
@@ -99,6 +108,18 @@
     raise typer.Exit(application.run(loaded) or 0)
 
 
+@app.command(name='sql-proxy')
+def sql_proxy(settings: SqlSettingsOption) -> None:
+    """Run a SQL session proxy until it is stopped by SIGTERM."""
+    checks = importlib.import_module('jacinthhaven.cli.checks')
+    try:
+        loaded = checks.load_sql_settings(settings)
+    except exits.CommandError as error:
+        output.fail(error, json=False)
+    application = importlib.import_module('jacinthhaven.process.sql_proxy')
+    raise typer.Exit(application.run(loaded, settings) or 0)
+
+
 @app.command()
 def check(
     files: CheckedFiles,
--- a/jacinthhaven/kernel/clock.py
+++ b/jacinthhaven/kernel/clock.py
@@ -30,6 +30,14 @@
         return time.monotonic_ns() // _NS_PER_MS
 
 
+class BootClock(Clock):
+    """Clock that also counts the time during which the VM was suspended."""
+
+    def now_ms(self) -> int:
+        """Return the milliseconds since the start of the VM."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_PER_MS
+
+
 class ManualClock(Clock):
     """Clock that moves only when told to, for tests and scenarios."""
 
--- /dev/null
+++ b/jacinthhaven/platform/plugin.py
@@ -0,0 +1,86 @@
+"""What the process needs of the platform, by the names of this product."""
+
+import itertools
+import typing
+
+from jacinthhaven.adapters import poller
+from jacinthhaven.decide import messages
+from jacinthhaven.platform import documents, duty, kv
+from jacinthhaven.records import sql_settings, store
+from jacinthhaven.sql import node, ports, records
+
+# A slow store answers within this time on bad days; a lost answer costs it.
+_CALL_TIMEOUT_MS = 900
+
+
+class PlatformDocuments(node.Documents):
+    """Documents in the platform's store."""
+
+    configuration_key = documents.CONFIGURATION_KEY
+    own_prefix = documents.OWN_PREFIX
+    watched_prefix = documents.WATCHED_PREFIX
+    registry_prefix = documents.REGISTRY_PREFIX
+
+    def configuration(self, text: str) -> records.Configuration | str:
+        """Return the configuration, or why it cannot be used."""
+        try:
+            return documents.decode_configuration(text)
+        except documents.MALFORMED as error:
+            return repr(error)
+
+    def instances(
+        self,
+        entries: node.Entries,
+        on_unusable: typing.Callable[[str, str], None],
+    ) -> list[records.Instance]:
+        """Return the usable instances."""
+        return documents.decode_instances(entries, on_unusable)
+
+
+class PlatformCalls(ports.Platform):
+    """Store calls and promotion orders with callbacks."""
+
+    def __init__(
+        self,
+        loop: poller.Poller,
+        settings: sql_settings.SqlSettings,
+    ) -> None:
+        """Create the tasks for the addresses in the settings."""
+        self.numbers = itertools.count(1)
+        self.waiting: dict[int, ports.OnStore] = {}
+        self.store = kv.PlatformStore(
+            loop,
+            [settings.store.address],
+            self._on_reply,
+            _CALL_TIMEOUT_MS,
+        )
+        self.orders = duty.PromotionOrders(
+            loop,
+            settings.promotion.address,
+            settings.node,
+        )
+
+    def call(self, request: store.Request, on_reply: ports.OnStore) -> None:
+        """Call the store; the callback gets a reply or a failure."""
+        number = next(self.numbers)
+        self.waiting[number] = on_reply
+        self.store.call(messages.StoreCall(number, request))
+
+    def promote(
+        self,
+        service: str,
+        instance: str,
+        fence: int,
+        on_result: ports.OnOrder,
+    ) -> None:
+        """Order the platform to make an instance the primary."""
+        self.orders.promote(service, instance, fence, on_result)
+
+    def _on_reply(self, message: messages.StoreReply) -> None:
+        watching = isinstance(message.reply, store.WatchEvents)
+        on_reply = self.waiting.get(message.number)
+        if on_reply is None:
+            return
+        if not watching:
+            self.waiting.pop(message.number)
+        on_reply(message.reply)
--- /dev/null
+++ b/jacinthhaven/platform/sockets.py
@@ -0,0 +1,224 @@
+"""Tasks that own the sockets of client sessions and of links."""
+
+import functools
+import itertools
+import socket
+import typing
+
+from jacinthhaven.adapters import poller, streams
+from jacinthhaven.platform import wire
+from jacinthhaven.sql import ports, records, statements
+
+# Bytes sent to a dead host are given up after this time.
+_USER_TIMEOUT_MS = 4000
+_OPENED = typing.Callable[[int, statements.Reply | None], None]
+
+
+def limit_silence(stream: streams.Stream) -> None:
+    """Let the kernel end a connection whose other end does not answer."""
+    stream.sock.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        _USER_TIMEOUT_MS,
+    )
+
+
+class _ClientConnection:
+    __slots__ = ('stream', 'reader', 'number', 'started')
+
+    def __init__(self, stream: streams.Stream, number: int) -> None:
+        self.stream = stream
+        self.reader = wire.LineReader()
+        self.number = number
+        self.started = False
+
+
+class ClientSockets(ports.Clients):
+    """Accepts client connections and sends them their answers.
+
+    Attributes:
+      on_start: Called with the number and database of a new session.
+      on_statement: Called with the number and a statement.
+      on_closed: Called with the number of a session that was closed.
+      on_malformed: Called for each connection closed for bad input.
+    """
+
+    def __init__(self, loop: poller.Poller) -> None:
+        """Start without a listener."""
+        self.poller = loop
+        self.numbers = itertools.count(1)
+        self.connections: dict[int, _ClientConnection] = {}
+        self.listener: streams.Listener | None = None
+        self.on_start: typing.Callable[[int, str], None] = _ignore
+        self.on_statement: typing.Callable[
+            [int, statements.Statement],
+            None,
+        ] = _ignore
+        self.on_closed: typing.Callable[[int], None] = _ignore
+        self.on_malformed: typing.Callable[[], None] = _ignore
+
+    def listen(self, address: tuple[str, int]) -> int:
+        """Start to accept sessions and return the port."""
+        self.listener = streams.Listener(
+            self.poller,
+            address,
+            self._on_stream,
+        )
+        return self.listener.port
+
+    def stop_accepting(self) -> None:
+        """Close the listener."""
+        if self.listener is not None:
+            self.listener.close()
+
+    def accept(self, number: int) -> None:
+        """Tell the client that its session is open."""
+        self._send(number, wire.encode_accept())
+
+    def refuse(self, number: int, code: statements.Code) -> None:
+        """Refuse the session and close the connection."""
+        connection = self.connections.pop(number, None)
+        if connection is not None:
+            connection.stream.send(wire.encode_refusal(code))
+            connection.stream.finish()
+
+    def answer(self, number: int, answer: statements.Answer) -> None:
+        """Send the answer to the statement in turn."""
+        self._send(number, wire.encode_answer(answer))
+
+    def close(self, number: int) -> None:
+        """Close an idle connection after its last answer was written."""
+        connection = self.connections.pop(number, None)
+        if connection is not None:
+            connection.stream.finish()
+
+    def _send(self, number: int, chunk: bytes) -> None:
+        connection = self.connections.get(number)
+        if connection is not None:
+            connection.stream.send(chunk)
+
+    def _on_stream(self, stream: streams.Stream) -> None:
+        limit_silence(stream)
+        number = next(self.numbers)
+        connection = _ClientConnection(stream, number)
+        self.connections[number] = connection
+        stream.on_bytes = functools.partial(self._on_bytes, connection)
+        stream.on_close = functools.partial(self._on_close, connection)
+
+    def _on_bytes(self, connection: _ClientConnection, chunk: bytes) -> None:
+        try:
+            for line in connection.reader.feed(chunk):
+                self._on_line(connection, line)
+        except wire.MalformedLineError:
+            self.on_malformed()
+            if not connection.stream.closed:
+                self.refuse(connection.number, statements.Code.MALFORMED)
+                self.on_closed(connection.number)
+
+    def _on_line(self, connection: _ClientConnection, line: str) -> None:
+        if connection.number not in self.connections:
+            return
+        if not connection.started:
+            connection.started = True
+            self.on_start(connection.number, wire.decode_start(line))
+            return
+        statement = wire.decode_query(line)
+        if statement is None:
+            connection.stream.close()
+            self._on_close(connection)
+        else:
+            self.on_statement(connection.number, statement)
+
+    def _on_close(self, connection: _ClientConnection) -> None:
+        if self.connections.pop(connection.number, None) is not None:
+            self.on_closed(connection.number)
+
+
+class _LinkConnection:
+    __slots__ = ('stream', 'lines', 'replies', 'number', 'opened')
+
+    def __init__(self, stream: streams.Stream, number: int) -> None:
+        self.stream = stream
+        self.lines = wire.LineReader()
+        self.replies = wire.ReplyReader()
+        self.number = number
+        self.opened = False
+
+
+class DatabaseSockets(ports.Databases):
+    """Connections to instances.
+
+    Attributes:
+      on_open: Called with the number and the reply to the start, or None.
+      on_reply: Called with the number and the reply to a command.
+      on_lost: Called with the number of a connection that was lost.
+    """
+
+    def __init__(self, loop: poller.Poller) -> None:
+        """Start without connections."""
+        self.poller = loop
+        self.numbers = itertools.count(1)
+        self.connections: dict[int, _LinkConnection] = {}
+        self.on_open: _OPENED = _ignore
+        self.on_reply: _OPENED = _ignore
+        self.on_lost: typing.Callable[[int], None] = _ignore
+
+    def open(self, instance: records.Instance) -> int:
+        """Start to connect and return the number of the connection."""
+        number = next(self.numbers)
+        stream = streams.connect(self.poller, instance.address)
+        limit_silence(stream)
+        connection = _LinkConnection(stream, number)
+        self.connections[number] = connection
+        stream.on_bytes = functools.partial(self._on_bytes, connection)
+        stream.on_close = functools.partial(self._on_close, connection)
+        stream.send(wire.encode_start(instance))
+        return number
+
+    def send(self, number: int, command: statements.Command) -> None:
+        """Send a command; its reply is reported later."""
+        connection = self.connections.get(number)
+        if connection is None:
+            return
+        connection.replies.wants_status = isinstance(
+            command,
+            statements.AskStatus | statements.Pause | statements.Resume,
+        )
+        connection.stream.send(wire.encode_command(command))
+
+    def close(self, number: int) -> None:
+        """Close a connection; nothing is reported about it afterwards."""
+        connection = self.connections.pop(number, None)
+        if connection is not None:
+            connection.stream.close()
+
+    def _on_bytes(self, connection: _LinkConnection, chunk: bytes) -> None:
+        try:
+            for line in connection.lines.feed(chunk):
+                self._on_line(connection, line)
+        except wire.MalformedLineError:
+            connection.stream.close()
+            self._on_close(connection)
+
+    def _on_line(self, connection: _LinkConnection, line: str) -> None:
+        reply = connection.replies.feed(line)
+        if connection.number not in self.connections:
+            return
+        if connection.opened:
+            if reply is not None:
+                self.on_reply(connection.number, reply)
+            return
+        refused = connection.replies.reply
+        if reply is None and refused.code is None:
+            return
+        # A refusal is followed by a close instead of the end of a reply.
+        connection.opened = True
+        self.on_open(connection.number, reply or refused)
+
+    def _on_close(self, connection: _LinkConnection) -> None:
+        if self.connections.pop(connection.number, None) is not None:
+            self.on_lost(connection.number)
+
+
+def _ignore(*_args: typing.Any) -> None:
+    """Do nothing; default of an unset callback."""
--- /dev/null
+++ b/jacinthhaven/process/sql_proxy.py
@@ -0,0 +1,229 @@
+"""Composition of one SQL session proxy.
+
+The circuits application runs the poller and the life cycle; the node
+decides, and the tasks of the adapters own the sockets.
+"""
+
+import logging
+import random
+import signal
+import typing
+
+import circuits
+
+from jacinthhaven.adapters import (
+    decision_log,
+    http_server,
+    poller,
+    prometheus,
+    sql_settings_file,
+)
+from jacinthhaven.decide import messages
+from jacinthhaven.kernel import clock
+from jacinthhaven.platform import plugin, sockets
+from jacinthhaven.process import ticker
+from jacinthhaven.records import settings as settings_records
+from jacinthhaven.records import sql_settings
+from jacinthhaven.sql import node, ports, statements
+
+_OK = 200
+_UNAVAILABLE = 503
+_GAUGE_MS = 1000
+
+
+class ProcessJournal(ports.Journal):
+    """Log and metrics of one process."""
+
+    def __init__(
+        self,
+        log: decision_log.DecisionLog,
+        page: prometheus.MetricsPage,
+    ) -> None:
+        """Write to a log and to a metrics page."""
+        self.log = log
+        self.page = page
+
+    def write(self, event: str, fields: ports.Fields) -> None:
+        """Write one line about a decision."""
+        self.page.count('decisions', event)
+        self.log.write(messages.DecisionLine(event, fields))
+
+    def count(self, name: str, label: str = '') -> None:
+        """Increase a counter."""
+        self.page.count(name, label)
+
+    def observe(self, name: str, label: str, spent_ms: float) -> None:
+        """Add a time to a histogram."""
+        self.page.observe(name, label, spent_ms)
+
+
+class SqlProxy(circuits.Component):
+    """One SQL session proxy process."""
+
+    channel = 'sql_proxy'
+
+    def __init__(
+        self,
+        settings: sql_settings.SqlSettings,
+        source: str = '',
+    ) -> None:
+        """Create all tasks; nothing listens before `started`.
+
+        Args:
+          settings: Checked settings.
+          source: Name of the settings file, read again on reload.
+        """
+        super().__init__()
+        self.settings = settings
+        self.source = source
+        self.clock = clock.BootClock()
+        self.poller = poller.Poller().register(self)
+        self.log = decision_log.DecisionLog(
+            settings.node,
+            settings_records.Log(),
+            self.poller,
+        )
+        logging.getLogger().addHandler(self.log.handler)
+        self.page = prometheus.MetricsPage(self.poller)
+        self.journal = ProcessJournal(self.log, self.page)
+        self.clients = sockets.ClientSockets(self.poller)
+        self.databases = sockets.DatabaseSockets(self.poller)
+        self.health = http_server.Server(self.poller, self._on_health)
+        self.platform = plugin.PlatformCalls(self.poller, settings)
+        self.node = node.Node(
+            node.Identity(settings.node, settings.zone, settings.grace_ms),
+            node.Surroundings(
+                self.databases,
+                self.clients,
+                self.platform,
+                self.journal,
+                plugin.PlatformDocuments(),
+                random.SystemRandom(),
+            ),
+        )
+        self._connect()
+        self.gauge_ms = 0
+        self.ended = False
+
+    def started(self, _component: typing.Any) -> None:
+        """Listen and start the ticks."""
+        listeners = self.settings.listeners
+        self.clients.listen(listeners.clients)
+        self.health.listen(listeners.health)
+        self.page.server.listen(listeners.metrics)
+        signal.signal(signal.SIGHUP, self._on_reload)
+        self.log.write(
+            messages.DecisionLine('started', {'zone': self.settings.zone}),
+        )
+        ticker.Ticker(self.poller, self._tick)
+
+    def signal(self, number: int, _stack: typing.Any) -> None:
+        """Start the planned stop on SIGTERM or SIGINT."""
+        if number in {signal.SIGTERM, signal.SIGINT}:
+            self.node.stop(self.clock.now_ms())
+
+    def exception(
+        self,
+        _kind: type,
+        error: BaseException,
+        _traceback: typing.Any,
+        **_context: typing.Any,
+    ) -> None:
+        """Log an unexpected error; the process goes on."""
+        self.journal.count('errors', type(error).__name__)
+        logging.getLogger(__name__).error('unexpected error', exc_info=error)
+
+    def _connect(self) -> None:
+        gateway = self.node.gateway
+        now_ms = self.clock.now_ms
+        self.clients.on_start = gateway.on_start
+        self.clients.on_statement = self._on_statement
+        self.clients.on_closed = lambda number: gateway.on_closed(
+            number,
+            now_ms(),
+        )
+        self.clients.on_malformed = lambda: self.journal.count(
+            'clients_closed',
+            'malformed',
+        )
+        self.databases.on_open = self._on_open
+        self.databases.on_reply = self._on_reply
+        self.databases.on_lost = self._on_lost
+
+    def _on_statement(
+        self,
+        number: int,
+        statement: statements.Statement,
+    ) -> None:
+        self.node.gateway.on_statement(number, statement, self.clock.now_ms())
+
+    def _on_open(self, number: int, reply: statements.Reply | None) -> None:
+        now_ms = self.clock.now_ms()
+        for group in self.node.gateway.groups.values():
+            group.on_open(number, reply, now_ms)
+
+    def _on_reply(self, number: int, reply: statements.Reply | None) -> None:
+        now_ms = self.clock.now_ms()
+        for group in self.node.gateway.groups.values():
+            group.on_reply(number, reply, now_ms)
+
+    def _on_lost(self, number: int) -> None:
+        now_ms = self.clock.now_ms()
+        for group in self.node.gateway.groups.values():
+            group.on_lost(number, now_ms)
+
+    def _on_health(self, exchange: http_server.Exchange) -> None:
+        exchange.respond(_OK if self.node.ready else _UNAVAILABLE, b'')
+
+    def _on_reload(self, _number: int, _stack: typing.Any) -> None:
+        self.poller.call_soon(self._reload)
+
+    def _reload(self) -> None:
+        """Read the settings file again and log what needs a restart."""
+        loaded = sql_settings_file.load(self.source)
+        changed = loaded != self.settings
+        valid = isinstance(loaded, sql_settings.SqlSettings)
+        self.journal.write(
+            'settings_reloaded',
+            {'valid': valid, 'needs_restart': valid and changed},
+        )
+
+    def _tick(self) -> None:
+        now_ms = self.clock.now_ms()
+        self.node.tick(now_ms)
+        if now_ms >= self.gauge_ms:
+            self.gauge_ms = now_ms + _GAUGE_MS
+            self._show_gauges()
+        if self.node.stopped and not self.ended:
+            self.ended = True
+            self._leave()
+
+    def _show_gauges(self) -> None:
+        gateway = self.node.gateway
+        self.page.gauge('sessions', len(gateway.sessions))
+        self.page.gauge('configuration_version', gateway.configuration.version)
+        self.page.gauge('members', len(self.node.members))
+        self.page.gauge('log_lines_lost', self.log.buffer.lost)
+        waiting = sum(
+            len(group.backlog.waiting) for group in gateway.groups.values()
+        )
+        self.page.gauge('waiting', waiting)
+
+    def _leave(self) -> None:
+        # The lease ends by itself where the store does not answer.
+        self.poller.call_later(_END_MS, self._end)
+        self.node.coordination.leave(self._end)
+
+    def _end(self) -> None:
+        self.log.write(messages.DecisionLine('stopped', {}))
+        self.log.close()
+        self.stop()
+
+
+# Time for the end of the lease.
+_END_MS = 300
+
+
+def run(settings: sql_settings.SqlSettings, source: str) -> None:
+    """Run a proxy until it is stopped."""
+    SqlProxy(settings, source).run()
--- a/jacinthhaven/records/store.py
+++ b/jacinthhaven/records/store.py
@@ -50,9 +50,16 @@
 
 
 class ReadRequest(msgspec.Struct, frozen=True):
-    """Linearizable read of all keys that start with a prefix."""
+    """Read of all keys that start with a prefix.
+
+    Attributes:
+      prefix: Start of the keys.
+      may_be_stale: Whether an older state will do, where the store offers
+        that at a lower cost; otherwise the read is linearizable.
+    """
 
     prefix: str
+    may_be_stale: bool = False
 
 
 class SwapRequest(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/jacinthhaven/sql/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the SQL session proxy: sessions, links, reads, promotion."""
--- /dev/null
+++ b/jacinthhaven/sql/coordination.py
@@ -0,0 +1,222 @@
+"""What this node learns from the store, and its own membership.
+
+One watch brings the operator's configuration and the keys of this product;
+the registry is read at intervals, mostly in the cheap way that may be old.
+After any failure everything is read again, so that nothing is missed.
+"""
+
+import functools
+import random
+import typing
+
+from jacinthhaven.kernel import backoff, failures
+from jacinthhaven.records import store
+from jacinthhaven.sql import ports
+
+# Intervals of registry reads: reads that may be old cost a tenth of the
+# others, which in turn bound how old the known registry can be.
+_STALE_READ_MS = 900
+_FRESH_READ_EVERY = 3
+_RETRY_FIRST_MS = 150
+_RETRY_LAST_MS = 800
+# Time to live of the node's lease and the interval of its renewal.
+LEASE_MS = 6000
+_RENEW_MS = 2000
+
+Entries = tuple[store.KeyValue, ...]
+
+
+class Listener(typing.Protocol):
+    """Receiver of what the store holds."""
+
+    def on_key(self, key: str, text: str | None, revision: int) -> None:
+        """Accept the value of a watched key, or None after its removal."""
+
+    def on_registry(self, entries: Entries, fresh: bool) -> None:
+        """Accept all entries of the registry."""
+
+
+class Coordination:
+    """Watch, registry reads and lease of one node.
+
+    Attributes:
+      known: Revision of each watched key that exists.
+      lease: Lease of this node; 0 while it has none.
+      connected: Whether the last call succeeded.
+    """
+
+    def __init__(
+        self,
+        platform: ports.Platform,
+        prefixes: tuple[str, str],
+        listener: Listener,
+        journal: ports.Journal,
+        rng: random.Random,
+    ) -> None:
+        """Prepare the calls; nothing is sent before `tick`.
+
+        Args:
+          platform: Calls to the store.
+          prefixes: Watched prefix and prefix of the registry.
+          listener: Receiver of what the store holds.
+          journal: Log and metrics.
+          rng: Source of jitter.
+        """
+        self.platform = platform
+        self.watched, self.registry = prefixes
+        self.listener = listener
+        self.journal = journal
+        self.backoff = backoff.Backoff(rng, _RETRY_FIRST_MS, _RETRY_LAST_MS)
+        self.known: dict[str, int] = {}
+        self.lease = 0
+        self.connected = False
+        self.watching = False
+        self.reading = False
+        self.renewing = False
+        self.registry_ms = 0
+        self.registry_reads = 0
+        self.renew_ms = 0
+        self.member_key = ''
+        self.member_text = ''
+        self.now_ms = 0
+
+    def join(self, key: str, text: str) -> None:
+        """Announce this node under a key bound to its lease."""
+        self.member_key = key
+        self.member_text = text
+
+    def tick(self, now_ms: int) -> None:
+        """Make the calls that are due."""
+        self.now_ms = now_ms
+        if now_ms < self.backoff.retry_ms:
+            return
+        if not self.watching:
+            self.watching = True
+            self._call(store.ReadRequest(self.watched), self._on_snapshot)
+        if now_ms >= self.registry_ms and not self.reading:
+            self._read_registry(now_ms)
+        if now_ms >= self.renew_ms and not self.renewing and self.member_key:
+            self._renew(now_ms)
+
+    def leave(self, on_left: typing.Callable[[], None]) -> None:
+        """End the lease of this node."""
+        self.member_key = ''
+        if not self.lease:
+            on_left()
+            return
+        request = store.RevokeRequest(self.lease)
+        self.platform.call(request, lambda _reply: on_left())
+
+    def _call(
+        self,
+        request: store.Request,
+        on_reply: typing.Callable[[typing.Any], None],
+    ) -> None:
+        self.journal.count('store_calls', type(request).__name__)
+        self.platform.call(request, functools.partial(self._reply, on_reply))
+
+    def _reply(
+        self,
+        on_reply: typing.Callable[[typing.Any], None],
+        reply: typing.Any,
+    ) -> None:
+        failed = isinstance(reply, failures.Failure)
+        if failed == self.connected:
+            self.connected = not failed
+            event = 'store_lost' if failed else 'store_connected'
+            reason = reply.reason if failed else ''
+            self.journal.write(event, {'reason': reason})
+        if failed:
+            self.backoff.fail(self.now_ms)
+        else:
+            self.backoff.reset()
+        on_reply(None if failed else reply)
+
+    def _on_snapshot(self, reply: store.ReadReply | None) -> None:
+        if reply is None:
+            self.watching = False
+            return
+        found = {entry.key for entry in reply.entries}
+        for key in tuple(self.known):
+            if key not in found:
+                self._remove(key, reply.revision)
+        for entry in reply.entries:
+            self._accept(entry)
+        request = store.WatchRequest(self.watched, reply.revision + 1)
+        self._call(request, self._on_events)
+
+    def _on_events(self, reply: store.WatchEvents | None) -> None:
+        if reply is None:
+            self.watching = False
+            return
+        for entry in reply.changed:
+            self._accept(entry)
+        for key in reply.deleted:
+            self._remove(key, reply.revision)
+
+    def _accept(self, entry: store.KeyValue) -> None:
+        if entry.mod_revision <= self.known.get(entry.key, 0):
+            return
+        self.known[entry.key] = entry.mod_revision
+        self.listener.on_key(entry.key, entry.value, entry.mod_revision)
+
+    def _remove(self, key: str, revision: int) -> None:
+        if self.known.pop(key, None) is not None:
+            self.listener.on_key(key, None, revision)
+
+    def _read_registry(self, now_ms: int) -> None:
+        self.reading = True
+        self.registry_ms = now_ms + _STALE_READ_MS
+        fresh = self.registry_reads % _FRESH_READ_EVERY == 0
+        self._call(
+            store.ReadRequest(self.registry, may_be_stale=not fresh),
+            functools.partial(self._on_registry, fresh),
+        )
+
+    def _on_registry(self, fresh: bool, reply: store.ReadReply | None) -> None:
+        self.reading = False
+        if reply is None:
+            self.registry_reads = 0
+            return
+        self.registry_reads += 1
+        self.listener.on_registry(reply.entries, fresh)
+
+    def _renew(self, now_ms: int) -> None:
+        self.renewing = True
+        self.renew_ms = now_ms + _RENEW_MS
+        if self.lease:
+            request = store.KeepAliveRequest(self.lease)
+            self._call(request, self._on_renewed)
+        else:
+            self._call(store.LeaseRequest(LEASE_MS), self._on_lease)
+
+    def _on_renewed(self, reply: store.LeaseReply | None) -> None:
+        self.renewing = False
+        if reply is None:
+            return
+        if not reply.ttl_ms:
+            self.lease = 0
+        if not self.lease or self.member_key not in self.known:
+            # The lease has ended, or the store has removed the key alone.
+            self.renew_ms = 0
+            self._announce_or_restart()
+
+    def _announce_or_restart(self) -> None:
+        if self.lease:
+            self._announce()
+
+    def _on_lease(self, reply: store.LeaseReply | None) -> None:
+        self.renewing = False
+        if reply is None or not reply.lease:
+            self.renew_ms = 0
+            return
+        self.lease = reply.lease
+        self._announce()
+
+    def _announce(self) -> None:
+        put = store.Put(self.member_key, self.member_text, self.lease)
+        self._call(store.SwapRequest((), (put,)), _ignore)
+
+
+def _ignore(_reply: typing.Any) -> None:
+    """Do nothing; the watch brings the effect."""
--- /dev/null
+++ b/jacinthhaven/sql/election.py
@@ -0,0 +1,338 @@
+"""When a primary is replaced, by whom and by which replica.
+
+A node that gets no answer from a primary says so in the store. If more
+than half of the nodes say the same, one of them takes the duty by
+compare-and-swap and orders the promotion; the revision of the duty's key
+is the fencing number, so each attempt has a higher one than all before.
+A primary that leaves or has left the registry is replaced in the same way
+without a vote.
+"""
+
+import functools
+import typing
+
+import msgspec
+
+from jacinthhaven.records import store
+from jacinthhaven.sql import group, ports, scripts, statements
+
+# Silence after which a node says that it does not reach the primary.
+DOUBT_MS = 700
+# A node that is not the first to act waits so long for each one before it.
+_STAGGER_MS = 700
+# Time to live of the duty; nobody else acts meanwhile.
+DUTY_MS = 3000
+# How long a replaced primary's successor is expected to take at most.
+_PROMOTE_LIMIT_MS = 4000
+_POLL_MS = 60
+# How long a planned replacement waits for its successor to catch up.
+_CATCH_UP_MS = 1500
+_CATCH_UP_STEP_MS = 100
+# Pause after an attempt that failed.
+_RETRY_MS = 700
+# First estimate of the time of a promotion.
+_FIRST_PROMOTE_MS = 1200
+
+
+class Lead(msgspec.Struct):
+    """Stored note on who leads a service, or is about to."""
+
+    instance: str
+    term: int
+    moving: bool
+
+
+class Keys:
+    """Names of the keys of this product."""
+
+    def __init__(self, prefix: str) -> None:
+        """Use names that start with a prefix."""
+        self.prefix = prefix
+
+    def member(self, node: str) -> str:
+        """Return the key of a node."""
+        return f'{self.prefix}node/{node}'
+
+    def doubt(self, service: str, node: str) -> str:
+        """Return the key under which a node doubts a primary."""
+        return f'{self.prefix}doubt/{service}/{node}'
+
+    def duty(self, service: str) -> str:
+        """Return the key of the duty to promote."""
+        return f'{self.prefix}duty/{service}'
+
+    def lead(self, service: str) -> str:
+        """Return the key that names the leader."""
+        return f'{self.prefix}lead/{service}'
+
+
+class Election:
+    """Replacement of the primary of one service.
+
+    Attributes:
+      doubts: Instance that each node does not reach.
+      duty_revision: Revision of the duty's key; 0 while nobody holds it.
+    """
+
+    def __init__(
+        self,
+        service: group.Group,
+        node: str,
+        keys: Keys,
+        perform: scripts.Perform,
+        journal: ports.Journal,
+    ) -> None:
+        """Watch one service from one node."""
+        self.service = service
+        self.node = node
+        self.keys = keys
+        self.perform = perform
+        self.journal = journal
+        self.doubts: dict[str, str] = {}
+        self.said = ''
+        self.saying = False
+        self.duty_revision = 0
+        self.duty_holder = ''
+        self.runner: scripts.Runner | None = None
+        self.cause_ms: int | None = None
+        self.retry_ms = 0
+        self.acknowledging = 0
+        self.promote_ms = _FIRST_PROMOTE_MS
+        self.now_ms = 0
+
+    def on_key(self, name: str, text: str | None, revision: int) -> None:
+        """Accept a key of this service by its name within the prefix."""
+        if name.startswith('doubt/'):
+            node = name.rpartition('/')[2]
+            if text is None:
+                self.doubts.pop(node, None)
+            else:
+                self.doubts[node] = text
+        elif name.startswith('duty/'):
+            self.duty_revision = revision if text is not None else 0
+            self.duty_holder = text or ''
+        elif text is not None:
+            self._on_lead(msgspec.json.decode(text, type=Lead))
+
+    def tick(self, members: tuple[str, ...], lease: int, now_ms: int) -> None:
+        """Say what this node sees, and act if it is its turn."""
+        self.now_ms = now_ms
+        self._say(lease)
+        cause = self._cause(members)
+        if cause is None:
+            self.cause_ms = None
+            return
+        if self.cause_ms is None:
+            self.cause_ms = now_ms
+        if self.runner is not None and self.runner.running:
+            return
+        if now_ms < self.retry_ms or now_ms < self.cause_ms + self._turn_ms(
+            members,
+        ):
+            return
+        if self.duty_revision and self.duty_holder != self.node:
+            return
+        self.retry_ms = now_ms + _RETRY_MS
+        script = self._replace(self.service.presumed_leader(), cause)
+        self.runner = scripts.Runner(script, self.perform)
+
+    def _on_lead(self, lead: Lead) -> None:
+        leadership = self.service.leadership
+        if lead.moving:
+            if lead.term >= leadership.term:
+                leadership.expected_ms = self.now_ms + self.promote_ms
+        else:
+            self.service.follow(lead.instance, lead.term, 'store')
+
+    def _turn_ms(self, members: tuple[str, ...]) -> int:
+        """Return how long this node leaves it to others to act."""
+        eligible = members
+        if self.said:
+            eligible = tuple(
+                node for node in members if self.doubts.get(node) == self.said
+            )
+        first = [node for node in sorted(eligible) if node < self.node]
+        return min(len(first), 3) * _STAGGER_MS
+
+    def _cause(self, members: tuple[str, ...]) -> str | None:
+        """Return why the primary has to be replaced, or None."""
+        name = self.service.presumed_leader()
+        state = self.service.pool.states.get(name)
+        if state is not None and state.leaving_ms is not None:
+            return 'leaving'
+        if not self.said:
+            return None
+        votes = sum(self.doubts.get(node) == self.said for node in members)
+        return 'unreachable' if 2 * votes > len(members) else None
+
+    def _say(self, lease: int) -> None:
+        """Write or remove this node's doubt about the primary."""
+        doubted = ''
+        if self.service.leader_silent_ms(self.now_ms) >= DOUBT_MS:
+            doubted = self.service.presumed_leader()
+        if doubted == self.said or self.saying or not lease:
+            return
+        key = self.keys.doubt(self.service.name, self.node)
+        change: store.Put | store.Delete = store.Delete(key)
+        if doubted:
+            change = store.Put(key, doubted, lease)
+        self.journal.write(
+            'doubt' if doubted else 'doubt_over',
+            {
+                'service': self.service.name,
+                'instance': doubted or self.said,
+                'term': self.service.leadership.term,
+            },
+        )
+        self.saying = True
+        self.perform(
+            store.SwapRequest((), (change,)),
+            functools.partial(self._on_said, doubted),
+        )
+
+    def _on_said(self, doubted: str, reply: typing.Any) -> None:
+        self.saying = False
+        if isinstance(reply, store.SwapReply) and reply.succeeded:
+            self.said = doubted
+
+    def _replace(self, old: str, cause: str) -> scripts.Script:
+        """Take the duty, choose a successor and order its promotion."""
+        service = self.service
+        fence = yield from self._take_duty()
+        if not fence:
+            return
+        term = service.leadership.term
+        chosen = yield from self._choose(old, cause, term)
+        if not chosen:
+            return
+        yield self._note(chosen, term + 1, moving=True)
+        self.journal.write(
+            'promote',
+            {
+                'service': service.name,
+                'instance': chosen,
+                'replaces': old,
+                'cause': cause,
+                'fence': fence,
+                'term': term,
+            },
+        )
+        started_ms = self.now_ms
+        order = yield scripts.Promote(service.name, chosen, fence)
+        self.journal.write(
+            'promote_result',
+            {
+                'service': service.name,
+                'instance': chosen,
+                'fence': fence,
+                'accepted': order.accepted,
+                'reason': order.reason,
+            },
+        )
+        if order.refused:
+            service.leadership.expected_ms = None
+            return
+        yield from self._await(chosen, started_ms)
+
+    def _take_duty(self) -> scripts.Script:
+        lease = yield store.LeaseRequest(DUTY_MS)
+        if not isinstance(lease, store.LeaseReply) or not lease.lease:
+            return 0
+        key = self.keys.duty(self.service.name)
+        reply = yield store.SwapRequest(
+            (store.Compare(key, self.duty_revision),),
+            (store.Put(key, self.node, lease.lease),),
+        )
+        if not isinstance(reply, store.SwapReply) or not reply.succeeded:
+            return 0
+        self.duty_revision = reply.revision
+        self.duty_holder = self.node
+        return reply.revision
+
+    def _choose(self, old: str, cause: str, term: int) -> scripts.Script:
+        """Return the replica that has received most, or ''."""
+        states = self.service.pool.states
+        replicas = tuple(
+            name
+            for name, state in states.items()
+            if name != old and state.leaving_ms is None
+        )
+        command: statements.Command = statements.AskStatus()
+        if self.acknowledging and cause != 'leaving':
+            # Stopped replicas acknowledge nothing that the chosen one lacks.
+            command = statements.Pause(term + 1)
+        found = yield scripts.AskAll(replicas, command)
+        statuses = {
+            name: status for name, status in found.items() if status is not None
+        }
+        for name, status in statuses.items():
+            if status.is_primary and status.term >= term:
+                self.service.follow(name, status.term, 'election')
+                return ''
+        if self.acknowledging and len(statuses) < len(replicas):
+            return ''
+        if cause == 'leaving':
+            yield from self._catch_up(old, statuses)
+        received = {
+            name: status.received
+            for name, status in statuses.items()
+            if status.received is not None
+        }
+        if not received:
+            return ''
+        return max(received, key=lambda name: (received[name], name))
+
+    def _catch_up(
+        self,
+        old: str,
+        statuses: dict[str, typing.Any],
+    ) -> scripts.Script:
+        """Wait until some replica has nearly all that the primary has."""
+        until_ms = self.now_ms + _CATCH_UP_MS
+        while self.now_ms < until_ms:
+            found = yield scripts.AskAll(
+                (old, *statuses),
+                statements.AskStatus(),
+            )
+            primary = found.pop(old, None)
+            statuses.update(
+                (name, status)
+                for name, status in found.items()
+                if status is not None
+            )
+            if primary is None or primary.received is None:
+                return
+            if any(
+                status.received is not None
+                and status.received >= primary.received
+                for status in statuses.values()
+            ):
+                return
+            yield scripts.Sleep(_CATCH_UP_STEP_MS)
+
+    def _await(self, chosen: str, started_ms: int) -> scripts.Script:
+        """Wait until the successor leads, and tell all nodes."""
+        until_ms = started_ms + _PROMOTE_LIMIT_MS
+        while self.now_ms < until_ms:
+            found = yield scripts.AskAll((chosen,), statements.AskStatus())
+            status = found[chosen]
+            if status is not None and status.is_primary:
+                self.promote_ms = self.now_ms - started_ms
+                self.service.follow(chosen, status.term, 'election')
+                yield self._note(chosen, status.term, moving=False)
+                if self.acknowledging:
+                    yield from self._resume(chosen)
+                return
+            yield scripts.Sleep(_POLL_MS)
+        self.service.leadership.expected_ms = None
+
+    def _resume(self, chosen: str) -> scripts.Script:
+        others = tuple(
+            name for name in self.service.pool.states if name != chosen
+        )
+        yield scripts.AskAll(others, statements.Resume())
+
+    def _note(self, instance: str, term: int, *, moving: bool) -> store.Request:
+        note = msgspec.json.encode(Lead(instance, term, moving)).decode()
+        put = store.Put(self.keys.lead(self.service.name), note)
+        return store.SwapRequest((), (put,))
--- /dev/null
+++ b/jacinthhaven/sql/execution.py
@@ -0,0 +1,544 @@
+"""Runs statements on links and answers clients.
+
+An answer that says that nothing was kept is given only if the statement
+was not sent, if the instance refused it, or if its transaction cannot be
+committed any more.
+"""
+
+import typing
+
+from jacinthhaven.sql import (
+    links,
+    placement,
+    ports,
+    records,
+    sessions,
+    statements,
+)
+
+# Questions for the proof of the lead behind one read.
+_MAX_PROOF_TRIES = 3
+# How long a replica that lagged is not offered reads.
+_BEHIND_MS = 200
+
+OnDone = typing.Callable[[sessions.Session, int], None]
+
+
+class Owner(typing.Protocol):
+    """Service as seen by the executor."""
+
+    name: str
+    pool: typing.Any
+    backlog: typing.Any
+    leadership: typing.Any
+    proofs: typing.Any
+
+    def requeue(self, work: sessions.Work, now_ms: int) -> None:
+        """Queue a statement again that has certainly not taken effect."""
+
+
+def runs_as_primary(link: links.Link, command: statements.Command) -> bool:
+    """Return whether only the primary executes a command with success."""
+    match command:
+        case statements.Begin(read_only=read_only):
+            return not read_only
+        case statements.Run(statement=statement):
+            if statement.verb is statements.Verb.COMMIT:
+                # A transaction without changes commits on any instance.
+                return False
+            work = link.work
+            if not isinstance(work, sessions.Work) or work.done:
+                return False
+            return work.needs_primary and not work.prove_lead
+    return False
+
+
+class Executor:
+    """Executes statements and sends the answers.
+
+    Attributes:
+      journal: Log and metrics.
+      on_done: Called after each answer, so that the session goes on.
+    """
+
+    def __init__(
+        self,
+        databases: ports.Databases,
+        clients: ports.Clients,
+        journal: ports.Journal,
+    ) -> None:
+        """Create an executor for all services of the process."""
+        self.databases = databases
+        self.clients = clients
+        self.journal = journal
+        self.on_done: OnDone = _ignore
+
+    def place(
+        self,
+        group: Owner,
+        work: sessions.Work,
+        choice: placement.Choice,
+        now_ms: int,
+    ) -> None:
+        """Execute a statement where the placement decided."""
+        self.journal.write(
+            'place',
+            {
+                'request': work.statement.request_id,
+                'service': group.name,
+                'instance': choice.link.instance,
+                'reason': choice.reason,
+                'after': str(choice.after),
+                'proof_age_ms': choice.age_ms,
+                'term': group.leadership.term,
+                'waited_ms': now_ms - work.arrived_ms,
+            },
+        )
+        self.journal.observe(
+            'wait_ms',
+            work.route.mode.value,
+            now_ms - work.arrived_ms,
+        )
+        transaction = work.session.transaction
+        if transaction is not None:
+            choice.link.pinned = work.session
+            transaction.link = choice.link
+        self.start(group, work, choice.link, choice.after, now_ms)
+
+    def start(
+        self,
+        group: Owner,
+        work: sessions.Work,
+        link: links.Link,
+        after: records.Position | None,
+        now_ms: int,
+    ) -> None:
+        """Plan the commands of a statement on a link and send the first."""
+        session = work.session
+        transaction = session.transaction
+        work.link = link
+        begins = transaction is not None and not transaction.begun
+        link.work = work
+        link.steps.extend(links.setup_steps(link, session, work.statement))
+        if begins:
+            read_only = not work.needs_primary
+            link.steps.append(statements.Begin(read_only, after))
+            after = None
+        link.steps.append(links.run_command(session, work.statement, after))
+        if work.prove_lead:
+            link.steps.append(statements.AskStatus())
+        self.send_next(group, link, now_ms)
+
+    def send_next(
+        self,
+        group: Owner,
+        link: links.Link,
+        now_ms: int,
+    ) -> None:
+        """Send the next command of a link, or free the link."""
+        if not link.steps:
+            self._free(link, now_ms)
+            return
+        command = link.steps.popleft()
+        link.sent = command
+        link.sent_ms = now_ms
+        work = link.work
+        if isinstance(command, statements.Run):
+            work.sent = True
+            work.started_ms = now_ms
+        self.databases.send(link.number, command)
+
+    def continue_link(
+        self,
+        group: Owner,
+        link: links.Link,
+        command: statements.Command,
+        reply: statements.Reply,
+        now_ms: int,
+    ) -> None:
+        """Go on after the reply to a command."""
+        work = link.work
+        match command:
+            case statements.Run() if work is None or work.done:
+                self._discard(group, link, reply, now_ms)
+            case statements.Run():
+                self._finish_run(group, link, reply, now_ms)
+            case statements.AskStatus() if isinstance(work, sessions.Work):
+                self._finish_proof(group, link, reply, now_ms)
+            case statements.Rollback():
+                self._finish_rollback(group, link, reply, now_ms)
+            case (
+                statements.AskStatus()
+                | statements.Pause()
+                | statements.Resume()
+            ):
+                link.work = None
+                self.send_next(group, link, now_ms)
+                if work is not None:
+                    work.on_reply(reply)
+            case _:
+                self._finish_setup(group, link, command, reply, now_ms)
+
+    def link_lost(self, group: Owner, link: links.Link, now_ms: int) -> None:
+        """Decide about the statement on a link that was lost."""
+        work = link.work
+        session = link.pinned
+        if session is not None and session.transaction is not None:
+            session.transaction.link = None
+            session.transaction.failed = True
+            session.transaction.lost = work is None
+        if work is None:
+            return
+        if not isinstance(work, sessions.Work):
+            work.on_reply(None)
+            return
+        if work.done:
+            return
+        if session is not None:
+            if work.commits and work.sent:
+                code = statements.Code.OUTCOME_UNKNOWN
+                session.transaction = None
+            else:
+                code = statements.Code.ABORTED
+            self.fail(work, code, 'link lost', now_ms)
+        elif work.sent and not work.repeatable:
+            self.fail(
+                work,
+                statements.Code.OUTCOME_UNKNOWN,
+                'link lost',
+                now_ms,
+            )
+        else:
+            work.tried.add(link.instance)
+            group.requeue(work, now_ms)
+
+    def refuse(
+        self,
+        work: sessions.Work,
+        reason: str,
+        now_ms: int,
+    ) -> None:
+        """Answer that a statement did not run."""
+        transaction = work.session.transaction
+        if transaction is not None:
+            transaction.failed = True
+        self.fail(work, statements.Code.BUSY, reason, now_ms)
+
+    def fail(
+        self,
+        work: sessions.Work,
+        code: statements.Code,
+        reason: str,
+        now_ms: int,
+    ) -> None:
+        """Answer a statement with an error."""
+        if work.statement.verb is statements.Verb.COMMIT:
+            work.session.transaction = None
+        answer = statements.Answer(code=code, detail=reason)
+        self._answer(work, answer, now_ms)
+
+    def release(
+        self,
+        group: Owner,
+        link: links.Link,
+        now_ms: int,
+    ) -> None:
+        """Roll back the transaction of a link and free it."""
+        link.pinned = None
+        link.steps.clear()
+        if link.sent is not None:
+            # The statement of the transaction still runs; only closing the
+            # connection ends it.
+            group.pool.drop(link)
+            return
+        link.work = None
+        link.steps.append(statements.Rollback())
+        self.send_next(group, link, now_ms)
+
+    def give_up(self, group: Owner, work: sessions.Work, now_ms: int) -> None:
+        """Answer a statement whose time is over."""
+        link = work.link
+        transaction = work.session.transaction
+        if link is None:
+            group.backlog.remove(work)
+            self.refuse(work, 'deadline', now_ms)
+            return
+        if transaction is not None:
+            transaction.link = None
+            transaction.failed = True
+            unknown = work.commits and work.sent
+            group.pool.drop(link)
+            code = statements.Code.ABORTED
+            if unknown:
+                code = statements.Code.OUTCOME_UNKNOWN
+        elif work.repeatable:
+            code = (
+                statements.Code.TIMEOUT if work.sent else (statements.Code.BUSY)
+            )
+        else:
+            code = statements.Code.OUTCOME_UNKNOWN
+            if not work.sent:
+                group.pool.drop(link)
+                code = statements.Code.BUSY
+        self.fail(work, code, 'deadline', now_ms)
+
+    def move(self, group: Owner, work: sessions.Work, now_ms: int) -> None:
+        """Execute a read elsewhere whose instance does not answer."""
+        link = work.link
+        link.work = None
+        link.steps.clear()
+        work.tried.add(link.instance)
+        self.journal.write(
+            'move_read',
+            {
+                'request': work.statement.request_id,
+                'service': group.name,
+                'instance': link.instance,
+                'waited_ms': now_ms - work.started_ms,
+            },
+        )
+        group.requeue(work, now_ms)
+
+    def _finish_run(
+        self,
+        group: Owner,
+        link: links.Link,
+        reply: statements.Reply,
+        now_ms: int,
+    ) -> None:
+        work = link.work
+        state = group.pool.states[link.instance]
+        if reply.code is None:
+            spent_ms = now_ms - link.sent_ms
+            state.sample_latency(spent_ms, now_ms)
+            group.backlog.sample(spent_ms)
+            if work.prove_lead:
+                work.held = reply
+                self.send_next(group, link, now_ms)
+                return
+            self._succeed(group, link, reply, now_ms)
+            return
+        self._run_failed(group, link, reply, now_ms)
+
+    def _succeed(
+        self,
+        group: Owner,
+        link: links.Link,
+        reply: statements.Reply,
+        now_ms: int,
+    ) -> None:
+        work = link.work
+        session = work.session
+        if work.commits:
+            session.committed(reply.position)
+        if work.statement.verb is statements.Verb.COMMIT:
+            session.transaction = None
+            link.pinned = None
+        link.work = None
+        answer = statements.Answer(
+            reply.rows,
+            reply.signature,
+            position=reply.position,
+        )
+        self.send_next(group, link, now_ms)
+        self._answer(work, answer, now_ms)
+
+    def _run_failed(
+        self,
+        group: Owner,
+        link: links.Link,
+        reply: statements.Reply,
+        now_ms: int,
+    ) -> None:
+        work = link.work
+        if reply.code is statements.Code.UNKNOWN_STATEMENT:
+            link.prepared.clear()
+        if work.session.transaction is not None:
+            self._transaction_failed(group, link, reply, now_ms)
+            return
+        link.work = None
+        link.steps.clear()
+        self.send_next(group, link, now_ms)
+        if reply.code in statements.NOT_RUN or (
+            reply.code is statements.Code.UNKNOWN_STATEMENT
+        ):
+            self._not_run(group, link, work, reply, now_ms)
+            return
+        self.fail(work, reply.code, reply.detail, now_ms)
+
+    def _not_run(
+        self,
+        group: Owner,
+        link: links.Link,
+        work: sessions.Work,
+        reply: statements.Reply,
+        now_ms: int,
+    ) -> None:
+        self.journal.count('refused_by_instance', reply.code.value)
+        state = group.pool.states[link.instance]
+        if reply.code is statements.Code.BEHIND:
+            state.behind_until_ms = now_ms + _BEHIND_MS
+            if link.instance == group.leadership.leader:
+                group.proofs.forget_older()
+        elif reply.code is not statements.Code.READ_ONLY:
+            work.tried.add(link.instance)
+        self.journal.write(
+            'not_run',
+            {
+                'request': work.statement.request_id,
+                'service': group.name,
+                'instance': link.instance,
+                'code': reply.code.value,
+            },
+        )
+        group.requeue(work, now_ms)
+
+    def _transaction_failed(
+        self,
+        group: Owner,
+        link: links.Link,
+        reply: statements.Reply,
+        now_ms: int,
+    ) -> None:
+        work = link.work
+        transaction = work.session.transaction
+        transaction.link = None
+        transaction.failed = True
+        code = reply.code
+        if code in statements.NOT_RUN or (
+            code is statements.Code.UNKNOWN_STATEMENT
+        ):
+            code = statements.Code.ABORTED
+        self.release(group, link, now_ms)
+        self.fail(work, code, f'{reply.code.value} {reply.detail}', now_ms)
+
+    def _finish_proof(
+        self,
+        group: Owner,
+        link: links.Link,
+        reply: statements.Reply,
+        now_ms: int,
+    ) -> None:
+        work = link.work
+        if work.done:
+            self._discard(group, link, reply, now_ms)
+            return
+        status = reply.status
+        if status is None:
+            work.proof_tries += 1
+            if work.proof_tries <= _MAX_PROOF_TRIES:
+                link.steps.append(statements.AskStatus())
+                self.send_next(group, link, now_ms)
+                return
+        elif status.is_primary:
+            self._succeed(group, link, work.held, now_ms)
+            return
+        link.work = None
+        self.send_next(group, link, now_ms)
+        group.requeue(work, now_ms)
+
+    def _finish_setup(
+        self,
+        group: Owner,
+        link: links.Link,
+        command: statements.Command,
+        reply: statements.Reply,
+        now_ms: int,
+    ) -> None:
+        work = link.work
+        if reply.code is None:
+            links.apply(link, command)
+            if isinstance(command, statements.Begin) and link.pinned:
+                link.pinned.transaction.begun = True
+            if work is None or work.done:
+                self._discard(group, link, reply, now_ms)
+            else:
+                self.send_next(group, link, now_ms)
+            return
+        transaction = work.session.transaction if work else None
+        begin = isinstance(command, statements.Begin)
+        link.steps.clear()
+        link.work = None
+        if not begin or reply.state is not statements.State.IDLE:
+            # The link is in an unknown state.
+            group.pool.drop(link)
+        elif link.pinned is not None:
+            link.pinned = None
+            self.send_next(group, link, now_ms)
+        if work is None or work.done:
+            return
+        if begin or transaction is None:
+            if transaction is not None:
+                transaction.link = None
+            self._not_run(group, link, work, reply, now_ms)
+            return
+        transaction.link = None
+        transaction.failed = True
+        self.fail(work, statements.Code.ABORTED, reply.detail, now_ms)
+
+    def _finish_rollback(
+        self,
+        group: Owner,
+        link: links.Link,
+        reply: statements.Reply,
+        now_ms: int,
+    ) -> None:
+        if reply.state is statements.State.IDLE:
+            self.send_next(group, link, now_ms)
+        else:
+            group.pool.drop(link)
+
+    def _discard(
+        self,
+        group: Owner,
+        link: links.Link,
+        reply: statements.Reply,
+        now_ms: int,
+    ) -> None:
+        """Free a link after the reply to an abandoned statement."""
+        link.work = None
+        link.steps.clear()
+        if reply.state is statements.State.IDLE:
+            link.pinned = None
+            self._free(link, now_ms)
+        else:
+            group.pool.drop(link)
+
+    def _free(self, link: links.Link, now_ms: int) -> None:
+        if link.pinned is None:
+            link.work = None
+        link.idle_ms = now_ms
+
+    def _answer(
+        self,
+        work: sessions.Work,
+        answer: statements.Answer,
+        now_ms: int,
+    ) -> None:
+        if work.done:
+            return
+        work.done = True
+        session = work.session
+        session.work = None
+        answer.state = session.state
+        outcome = answer.code.value if answer.code else 'done'
+        spent_ms = now_ms - work.arrived_ms
+        mode = work.route.mode.value
+        self.journal.count('answers', f'{mode}_{outcome}')
+        self.journal.observe('answer_ms', mode, spent_ms)
+        self.journal.write(
+            'answer',
+            {
+                'request': work.statement.request_id,
+                'outcome': outcome,
+                'reason': answer.detail,
+                'spent_ms': spent_ms,
+                'sent': work.sent,
+            },
+        )
+        self.clients.answer(session.number, answer)
+        self.on_done(session, now_ms)
+
+
+def _ignore(*_args: typing.Any) -> None:
+    """Do nothing; default of an unset callback."""
--- /dev/null
+++ b/jacinthhaven/sql/gateway.py
@@ -0,0 +1,437 @@
+"""Client sessions of one process and the statements answered locally.
+
+Session values, prepared statements and the begin of a transaction need no
+instance; they are answered at once and applied to a link when a statement
+needs one.
+"""
+
+import types
+import typing
+
+from jacinthhaven.sql import (
+    execution,
+    group,
+    ports,
+    records,
+    sessions,
+    statements,
+)
+
+# Statements that a client may send before it has its answers.
+_MAX_WAITING = 64
+
+Handler = typing.Callable[
+    [sessions.Session, statements.Statement, int],
+    None,
+]
+
+
+class Gateway:
+    """Sessions and services of one process.
+
+    Attributes:
+      sessions: Open sessions by number.
+      groups: Services by name.
+      configuration: Configuration in force.
+      draining: Whether idle sessions are closed.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        databases: ports.Databases,
+        clients: ports.Clients,
+        journal: ports.Journal,
+    ) -> None:
+        """Start without sessions and without a configuration."""
+        self.zone = zone
+        self.databases = databases
+        self.clients = clients
+        self.journal = journal
+        self.executor = execution.Executor(databases, clients, journal)
+        self.executor.on_done = self._on_done
+        self.sessions: dict[int, sessions.Session] = {}
+        self.groups: dict[str, group.Group] = {}
+        self.configuration = records.EMPTY
+        self.members = 1
+        self.draining = False
+
+    @property
+    def configured(self) -> bool:
+        """Return whether a configuration is known."""
+        return self.configuration.version >= 0
+
+    @property
+    def busy(self) -> int:
+        """Return the number of sessions with work or a transaction."""
+        return sum(
+            session.work is not None or session.transaction is not None
+            for session in self.sessions.values()
+        )
+
+    def configure(self, configuration: records.Configuration) -> None:
+        """Put a newer configuration in force."""
+        if configuration.version <= self.configuration.version:
+            return
+        self.journal.write(
+            'configuration',
+            {
+                'version': configuration.version,
+                'previous': self.configuration.version,
+                'routes': len(configuration.routes),
+            },
+        )
+        self.configuration = configuration
+        for name in configuration.services:
+            if name not in self.groups:
+                self.groups[name] = group.Group(
+                    name,
+                    self.zone,
+                    self.databases,
+                    self.executor,
+                )
+        self.set_members(self.members)
+
+    def set_members(self, members: int) -> None:
+        """Share the connections of each instance among all nodes."""
+        self.members = members
+        for name, known in self.groups.items():
+            service = self.configuration.services.get(name)
+            if service is not None:
+                # One share stays free for connections of dead nodes, which
+                # linger, and for nodes that replace them.
+                share = service.max_connections // (members + 1)
+                known.pool.share = max(share, 1)
+
+    def register(
+        self,
+        entries: typing.Sequence[records.Instance],
+        now_ms: int,
+    ) -> None:
+        """Take over the registry of instances."""
+        for name, known in self.groups.items():
+            own = [entry for entry in entries if entry.service == name]
+            known.pool.update(own, now_ms)
+
+    def on_start(self, number: int, database: str) -> None:
+        """Open a session, or refuse it if no route has its database."""
+        if database not in self.configuration.routes:
+            self.journal.write('session_refused', {'database': database})
+            self.clients.refuse(number, statements.Code.UNKNOWN_DATABASE)
+            return
+        self.sessions[number] = sessions.Session(number, database)
+        self.clients.accept(number)
+
+    def on_statement(
+        self,
+        number: int,
+        statement: statements.Statement,
+        now_ms: int,
+    ) -> None:
+        """Execute a statement after those that arrived before it."""
+        session = self.sessions.get(number)
+        if session is None:
+            return
+        if session.work is None and not session.waiting:
+            self._handle(session, statement, now_ms)
+            if self.draining:
+                self._close_if_idle(session, now_ms)
+        elif len(session.waiting) < _MAX_WAITING:
+            session.waiting.append(statement)
+        else:
+            self.journal.count('clients_closed', 'pipelined')
+            self.clients.close(number)
+            self.on_closed(number, now_ms)
+
+    def on_closed(self, number: int, now_ms: int) -> None:
+        """Forget a session; its open transaction is rolled back."""
+        session = self.sessions.pop(number, None)
+        if session is None:
+            return
+        session.waiting.clear()
+        work = session.work
+        if work is not None:
+            work.done = True
+            known = self.groups[work.route.service]
+            known.cancel(work)
+        self._end_transaction(session, now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Advance all services and end idle transactions."""
+        for known in self.groups.values():
+            known.tick(now_ms)
+        limit_ms = self.configuration.transaction_idle_ms
+        if not limit_ms:
+            return
+        for session in tuple(self.sessions.values()):
+            transaction = session.transaction
+            if transaction is None or session.work is not None:
+                continue
+            if now_ms - transaction.active_ms >= limit_ms:
+                self._expire_transaction(session, now_ms)
+
+    def drain(self, now_ms: int) -> None:
+        """Close idle sessions now and the others when they become idle."""
+        self.draining = True
+        for session in tuple(self.sessions.values()):
+            self._close_if_idle(session, now_ms)
+
+    def abort_transactions(self, now_ms: int) -> None:
+        """Roll back the transactions that are idle between statements."""
+        for session in tuple(self.sessions.values()):
+            transaction = session.transaction
+            if transaction is None or session.work is not None:
+                continue
+            if transaction.link is not None:
+                self._expire_transaction(session, now_ms)
+
+    def _on_done(self, session: sessions.Session, now_ms: int) -> None:
+        transaction = session.transaction
+        if transaction is not None:
+            transaction.active_ms = now_ms
+        while session.waiting and session.work is None:
+            self._handle(session, session.waiting.popleft(), now_ms)
+        if self.draining:
+            self._close_if_idle(session, now_ms)
+
+    def _close_if_idle(self, session: sessions.Session, now_ms: int) -> None:
+        if session.work is None and session.transaction is None:
+            if session.number in self.sessions:
+                self.clients.close(session.number)
+                self.on_closed(session.number, now_ms)
+
+    def _handle(
+        self,
+        session: sessions.Session,
+        statement: statements.Statement,
+        now_ms: int,
+    ) -> None:
+        transaction = session.transaction
+        verb = statement.verb
+        if transaction is not None:
+            transaction.active_ms = now_ms
+            ends = verb in _ENDS
+            if transaction.lost and not ends:
+                transaction.lost = False
+                self._error(
+                    session, statements.Code.ABORTED, 'transaction lost'
+                )
+                return
+            if transaction.failed:
+                self._handle_failed(session, ends, now_ms)
+                return
+        local = _LOCAL.get(verb)
+        if local is not None:
+            local(self, session, statement, now_ms)
+            return
+        self._execute(session, statement, now_ms)
+
+    def _handle_failed(
+        self,
+        session: sessions.Session,
+        ends: bool,
+        now_ms: int,
+    ) -> None:
+        if ends:
+            lost = session.transaction.lost
+            self._end_transaction(session, now_ms)
+            if lost:
+                self._error(
+                    session, statements.Code.ABORTED, 'transaction lost'
+                )
+            else:
+                self._done(session)
+        else:
+            self._error(
+                session, statements.Code.MALFORMED, 'failed transaction'
+            )
+
+    def _execute(
+        self,
+        session: sessions.Session,
+        statement: statements.Statement,
+        now_ms: int,
+    ) -> None:
+        if statement.verb is statements.Verb.EXECUTE:
+            if statement.name not in session.prepared:
+                self._error(
+                    session,
+                    statements.Code.UNKNOWN_STATEMENT,
+                    statement.name,
+                )
+                return
+        transaction = session.transaction
+        if transaction is not None:
+            route = transaction.route
+        else:
+            route = self.configuration.routes.get(session.database)
+        if route is None or route.service not in self.groups:
+            self.journal.write(
+                'no_route',
+                {
+                    'request': statement.request_id,
+                    'database': session.database,
+                    'version': self.configuration.version,
+                },
+            )
+            self._error(session, statements.Code.UNKNOWN_DATABASE, '')
+            return
+        work = sessions.Work(session, statement, route, now_ms)
+        session.work = work
+        self.groups[route.service].submit(work, now_ms)
+
+    def _begin(
+        self,
+        session: sessions.Session,
+        statement: statements.Statement,
+        now_ms: int,
+    ) -> None:
+        if session.transaction is not None:
+            self._error(
+                session, statements.Code.MALFORMED, 'nested transaction'
+            )
+            return
+        route = self.configuration.routes.get(session.database)
+        if route is None:
+            self._error(session, statements.Code.UNKNOWN_DATABASE, '')
+            return
+        read_only = (
+            statement.verb is statements.Verb.BEGIN_READ
+            and route.mode is not records.Mode.PRIMARY
+        )
+        session.transaction = sessions.Transaction(route, read_only, now_ms)
+        self._done(session)
+
+    def _rollback(
+        self,
+        session: sessions.Session,
+        statement: statements.Statement,
+        now_ms: int,
+    ) -> None:
+        self._end_transaction(session, now_ms)
+        self._done(session)
+
+    def _commit(
+        self,
+        session: sessions.Session,
+        statement: statements.Statement,
+        now_ms: int,
+    ) -> None:
+        if session.transaction is None:
+            self._error(session, statements.Code.MALFORMED, 'no transaction')
+        else:
+            self._execute(session, statement, now_ms)
+
+    def _set(
+        self,
+        session: sessions.Session,
+        statement: statements.Statement,
+        now_ms: int,
+    ) -> None:
+        session.values[statement.name] = statement.argument
+        self._done(session)
+
+    def _prepare(
+        self,
+        session: sessions.Session,
+        statement: statements.Statement,
+        now_ms: int,
+    ) -> None:
+        kind, _, shape = statement.argument.partition(' ')
+        session.prepared[statement.name] = statements.Prepared(
+            kind == statements.Verb.WRITE.value,
+            shape,
+        )
+        self._done(session)
+
+    def _deallocate(
+        self,
+        session: sessions.Session,
+        statement: statements.Statement,
+        now_ms: int,
+    ) -> None:
+        if session.prepared.pop(statement.name, None) is None:
+            self._error(
+                session,
+                statements.Code.UNKNOWN_STATEMENT,
+                statement.name,
+            )
+        else:
+            self._done(session)
+
+    def _invalid(
+        self,
+        session: sessions.Session,
+        statement: statements.Statement,
+        now_ms: int,
+    ) -> None:
+        self.journal.count('clients_invalid', 'statement')
+        self._error(session, statements.Code.MALFORMED, 'unknown statement')
+
+    def _done(self, session: sessions.Session) -> None:
+        answer = statements.Answer(state=session.state)
+        self.clients.answer(session.number, answer)
+
+    def _error(
+        self,
+        session: sessions.Session,
+        code: statements.Code,
+        detail: str,
+    ) -> None:
+        if code is statements.Code.ABORTED and session.transaction is not None:
+            session.transaction.failed = True
+        self.journal.count('local_errors', code.value)
+        answer = statements.Answer(
+            code=code,
+            detail=detail,
+            state=session.state,
+        )
+        self.clients.answer(session.number, answer)
+
+    def _end_transaction(
+        self,
+        session: sessions.Session,
+        now_ms: int,
+    ) -> None:
+        transaction = session.transaction
+        session.transaction = None
+        if transaction is None or transaction.link is None:
+            return
+        known = self.groups[transaction.route.service]
+        self.executor.release(known, transaction.link, now_ms)
+        known.dispatch(now_ms)
+
+    def _expire_transaction(
+        self,
+        session: sessions.Session,
+        now_ms: int,
+    ) -> None:
+        transaction = session.transaction
+        if transaction.link is None:
+            return
+        self.journal.write(
+            'transaction_idle',
+            {'session': session.number, 'database': session.database},
+        )
+        known = self.groups[transaction.route.service]
+        self.executor.release(known, transaction.link, now_ms)
+        transaction.link = None
+        transaction.failed = True
+        transaction.lost = True
+
+
+_ENDS = frozenset((statements.Verb.COMMIT, statements.Verb.ROLLBACK))
+_LOCAL: typing.Mapping[statements.Verb, typing.Callable] = (
+    types.MappingProxyType(
+        {
+            statements.Verb.BEGIN: Gateway._begin,
+            statements.Verb.BEGIN_READ: Gateway._begin,
+            statements.Verb.ROLLBACK: Gateway._rollback,
+            statements.Verb.COMMIT: Gateway._commit,
+            statements.Verb.SET: Gateway._set,
+            statements.Verb.PREPARE: Gateway._prepare,
+            statements.Verb.DEALLOCATE: Gateway._deallocate,
+            statements.Verb.INVALID: Gateway._invalid,
+        },
+    )
+)
--- /dev/null
+++ b/jacinthhaven/sql/group.py
@@ -0,0 +1,384 @@
+"""One service: accepts statements, finds links for them, follows its leader.
+
+All methods take the current time. Replies arrive through `on_open`,
+`on_reply` and `on_lost`; answers leave through the executor.
+"""
+
+import typing
+
+from jacinthhaven.sql import (
+    backlog,
+    execution,
+    instances,
+    leadership,
+    links,
+    placement,
+    pool,
+    ports,
+    proofs,
+    records,
+    sessions,
+    statements,
+)
+
+# Age of the newest proof at which the primary is asked for another one,
+# below the ages that routes allow in practice (1,500 ms and more).
+_REFRESH_MS = 800
+# Silence of an instance after which its reads run elsewhere; longer than
+# nearly all statements take on a busy instance.
+_MOVE_MS = 350
+# Time within which a control command must find a link.
+_QUESTION_MS = 400
+
+
+class Group:
+    """Decisions about one service.
+
+    Attributes:
+      name: Name of the service.
+      on_leader: Called with the instance and term when the leader changes.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        databases: ports.Databases,
+        executor: 'execution.Executor',
+    ) -> None:
+        """Start without instances.
+
+        Args:
+          name: Name of the service.
+          zone: Availability zone of this node.
+          databases: Connections to instances.
+          executor: Runs statements and answers clients.
+        """
+        self.name = name
+        self.zone = zone
+        self.pool = pool.Pool(databases)
+        self.proofs = proofs.Proofs()
+        self.backlog = backlog.Backlog()
+        self.leadership = leadership.Leadership()
+        self.executor = executor
+        self.journal = executor.journal
+        self.refreshing = False
+
+    @property
+    def leader_state(self) -> instances.InstanceState | None:
+        """Return the state of the leading instance, if it is known."""
+        return self.pool.states.get(self.leadership.leader or '')
+
+    def view(self, now_ms: int) -> placement.View:
+        """Return what placement decisions depend on."""
+        return placement.View(
+            self.pool.states,
+            self.leadership.leader,
+            self.proofs,
+            self.zone,
+            now_ms,
+        )
+
+    def submit(self, work: sessions.Work, now_ms: int) -> None:
+        """Execute a statement, queue it or refuse it."""
+        transaction = work.session.transaction
+        if transaction is not None and transaction.link is not None:
+            self.executor.start(self, work, transaction.link, None, now_ms)
+            return
+        if not self.backlog.accepts(work, self._links_for(work)):
+            self.executor.refuse(work, 'queue too long', now_ms)
+            return
+        self.backlog.add(work)
+        self.dispatch(now_ms)
+
+    def requeue(self, work: sessions.Work, now_ms: int) -> None:
+        """Queue a statement again that has certainly not taken effect."""
+        if work.done:
+            return
+        work.link = None
+        work.sent = False
+        work.held = None
+        if work.tried.issuperset(self.pool.states):
+            work.tried.clear()
+        self.backlog.add(work)
+
+    def cancel(self, work: sessions.Work) -> None:
+        """Forget a queued statement whose client has gone."""
+        self.backlog.remove(work)
+
+    def dispatch(self, now_ms: int) -> None:
+        """Give free links to control commands and waiting statements."""
+        for state in self.pool.states.values():
+            for link in state.free_links:
+                question = self.pool.next_question(link)
+                if question is not None:
+                    self._carry(link, question, now_ms)
+        view = self.view(now_ms)
+        for work in tuple(self.backlog.waiting):
+            choice = placement.choose(work, view)
+            if choice is not None:
+                self.backlog.remove(work)
+                self.executor.place(self, work, choice, now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Open links, give up what is overdue and refresh the proofs."""
+        for link in self.pool.overdue(now_ms):
+            if link.ready:
+                self.on_lost(link.number, now_ms)
+            else:
+                self.on_open(link.number, None, now_ms)
+        self._end_overdue(now_ms)
+        self.pool.expire_questions(now_ms)
+        self.pool.open_missing(now_ms)
+        self._refresh(now_ms)
+        self._look_for_leader(now_ms)
+        self.dispatch(now_ms)
+        expired = self.backlog.expired(
+            now_ms,
+            self.leadership.expected_ms,
+            lambda work: self._servable(work, now_ms),
+        )
+        for work in expired:
+            self.backlog.remove(work)
+            self.executor.refuse(work, 'no instance in time', now_ms)
+
+    def ask(
+        self,
+        instance: str,
+        command: statements.Command,
+        on_reply: pool.OnReply,
+        now_ms: int,
+    ) -> None:
+        """Send a control command over the next free link to an instance."""
+        until_ms = now_ms + _QUESTION_MS
+        self.pool.ask(instance, pool.Question(command, on_reply, until_ms))
+        self.pool.open_missing(now_ms)
+        self.dispatch(now_ms)
+
+    def on_open(
+        self,
+        number: int,
+        reply: statements.Reply | None,
+        now_ms: int,
+    ) -> None:
+        """Accept a link, or the failure to open it."""
+        link = self.pool.by_number.get(number)
+        if link is None:
+            return
+        if reply is None or reply.code is not None:
+            code = None if reply is None else reply.code
+            self.journal.write(
+                'link_refused',
+                {
+                    'service': self.name,
+                    'instance': link.instance,
+                    'code': code.value if code else 'unreachable',
+                },
+            )
+            self.pool.refused(link, code, now_ms)
+            return
+        self.pool.opened(link, now_ms)
+        self.dispatch(now_ms)
+
+    def on_reply(
+        self,
+        number: int,
+        reply: statements.Reply,
+        now_ms: int,
+    ) -> None:
+        """Accept the reply to the current command of a link."""
+        link = self.pool.by_number.get(number)
+        if link is None or link.sent is None:
+            return
+        command = link.sent
+        link.sent = None
+        state = self.pool.states[link.instance]
+        state.heard(now_ms)
+        self._learn(link, command, reply, now_ms)
+        self.executor.continue_link(self, link, command, reply, now_ms)
+        self.dispatch(now_ms)
+
+    def on_lost(self, number: int, now_ms: int) -> None:
+        """Accept the loss of a link."""
+        link = self.pool.by_number.get(number)
+        if link is None:
+            return
+        if not link.ready:
+            self.on_open(number, None, now_ms)
+            return
+        self.journal.write(
+            'link_lost',
+            {'service': self.name, 'instance': link.instance},
+        )
+        self.pool.drop(link)
+        self.executor.link_lost(self, link, now_ms)
+        self.dispatch(now_ms)
+
+    def follow(self, instance: str, term: int, source: str) -> None:
+        """Accept that an instance leads a term."""
+        if self.leadership.observe(instance, term):
+            self.journal.write(
+                'leader_changed',
+                {
+                    'service': self.name,
+                    'instance': instance,
+                    'term': term,
+                    'source': source,
+                },
+            )
+
+    def deny(self, instance: str, term: int, source: str) -> None:
+        """Accept that an instance does not lead."""
+        if self.leadership.deny(instance, term):
+            self.journal.write(
+                'leader_lost',
+                {
+                    'service': self.name,
+                    'instance': instance,
+                    'term': term,
+                    'source': source,
+                },
+            )
+
+    def leader_silent_ms(self, now_ms: int) -> int:
+        """Return for how long the presumed leader has not answered."""
+        state = self.pool.states.get(self.presumed_leader())
+        return state.silent_for(now_ms) if state is not None else 0
+
+    def presumed_leader(self) -> str:
+        """Return the instance that should lead, or '' if none is named."""
+        entries = [state.entry for state in self.pool.states.values()]
+        return leadership.presumed(self.leadership, entries)
+
+    def _links_for(self, work: sessions.Work) -> int:
+        if work.needs_primary:
+            state = self.leader_state
+            return len(state.links) if state is not None else 1
+        return len(self.pool.by_number)
+
+    def _end_overdue(self, now_ms: int) -> None:
+        """Answer statements out of time and move reads off silent links."""
+        for link in tuple(self.pool.by_number.values()):
+            work = link.work
+            if not isinstance(work, sessions.Work) or work.done:
+                continue
+            state = self.pool.states[link.instance]
+            if now_ms >= work.deadline_ms and link.sent is not None:
+                self.executor.give_up(self, work, now_ms)
+            elif work.repeatable and state.silent_for(now_ms) >= _MOVE_MS:
+                self.executor.move(self, work, now_ms)
+
+    def _servable(self, work: sessions.Work, now_ms: int) -> bool:
+        """Return whether a queued statement only waits for a free link."""
+        state = self.leader_state
+        if state is not None and state.reachable_at(now_ms):
+            return True
+        if work.needs_primary:
+            return False
+        return (
+            self.proofs.required(
+                work.route.max_age_ms,
+                now_ms,
+                work.session.position,
+            )
+            is not None
+        )
+
+    def _carry(
+        self,
+        link: links.Link,
+        question: pool.Question,
+        now_ms: int,
+    ) -> None:
+        link.work = question
+        link.steps.append(question.command)
+        self.executor.send_next(self, link, now_ms)
+
+    def _refresh(self, now_ms: int) -> None:
+        """Ask the primary for a proof if traffic brought none."""
+        leader = self.leadership.leader
+        if leader is None or self.refreshing:
+            return
+        age_ms = self.proofs.age_ms(now_ms)
+        if age_ms is not None and age_ms < _REFRESH_MS:
+            return
+        self.refreshing = True
+        self.ask(leader, statements.AskStatus(), self._refreshed, now_ms)
+
+    def _refreshed(self, _reply: statements.Reply | None) -> None:
+        self.refreshing = False
+
+    def _look_for_leader(self, now_ms: int) -> None:
+        if not self.leadership.should_ask(now_ms):
+            return
+        for name in tuple(self.pool.states):
+            self.ask(name, statements.AskStatus(), _ignore, now_ms)
+
+    def _learn(
+        self,
+        link: links.Link,
+        command: statements.Command,
+        reply: statements.Reply,
+        now_ms: int,
+    ) -> None:
+        """Take the evidence about leader, positions and delays."""
+        state = self.pool.states[link.instance]
+        if reply.position is not None:
+            state.applied = reply.position
+        self._learn_delay(state, reply)
+        if reply.status is not None:
+            self._learn_status(link, reply.status)
+        if reply.code is statements.Code.READ_ONLY:
+            self.deny(link.instance, 0, 'refused a write')
+        elif reply.code is None and self._proves_lead(link, command, reply):
+            self._add_proof(link, reply)
+
+    def _learn_status(
+        self,
+        link: links.Link,
+        status: records.InstanceStatus,
+    ) -> None:
+        if status.is_primary:
+            self.follow(link.instance, status.term, 'status')
+        else:
+            self.deny(link.instance, status.term, 'status')
+
+    def _learn_delay(
+        self,
+        state: instances.InstanceState,
+        reply: statements.Reply,
+    ) -> None:
+        newest = self.proofs.newest
+        if reply.position is None or newest is None:
+            return
+        if state.entry.name == self.leadership.leader:
+            return
+        passed_ms = self.proofs.time_of(reply.position)
+        lag_ms = 0 if passed_ms is None else state.heard_ms - passed_ms
+        state.sample_replication(lag_ms)
+
+    def _proves_lead(
+        self,
+        link: links.Link,
+        command: statements.Command,
+        reply: statements.Reply,
+    ) -> bool:
+        if link.instance != self.leadership.leader:
+            return False
+        if reply.status is not None:
+            return reply.status.is_primary
+        return execution.runs_as_primary(link, command)
+
+    def _add_proof(self, link: links.Link, reply: statements.Reply) -> None:
+        position = reply.position
+        if reply.status is not None and reply.status.received is not None:
+            position = reply.status.received
+        if position is None:
+            return
+        self.proofs.add(
+            proofs.Proof(link.sent_ms, self.leadership.term, position),
+        )
+
+
+def _ignore(_reply: typing.Any) -> None:
+    """Do nothing; the status is learned from every reply."""
--- /dev/null
+++ b/jacinthhaven/sql/instances.py
@@ -0,0 +1,156 @@
+"""What this node knows about one instance: links, load and reachability."""
+
+from jacinthhaven.sql import links, records
+
+# Assumed until statements were measured.
+_FIRST_LATENCY_MS = 25.0
+_FIRST_REPLICATION_MS = 120.0
+# Weight of one sample in the moving averages.
+_SAMPLE_WEIGHT = 0.15
+# An average without samples returns to the first value within this time,
+# so that a slow instance is tried again.
+_FORGET_MS = 1500
+# Added to the measured replication delay before a read is sent.
+_REPLICATION_MARGIN_MS = 30
+# A reply that is missing for longer than the slowest statements of a busy
+# instance makes it suspect.
+SUSPECT_MS = 600
+# Registry entries that expired during an outage of the store are back
+# within two seconds of its return.
+RETURN_MS = 2500
+# An instance that leaves gets no work after this time; the operators allow
+# seven seconds from their own note, which reaches a node later.
+LAST_WORK_MS = 4500
+
+
+class InstanceState:
+    """Links and measurements of one instance.
+
+    Attributes:
+      entry: Registry entry.
+      links: Open and opening links.
+      latency_ms: Moving average of the time of single statements.
+      replication_ms: Moving average of how far the instance lags.
+      applied: Newest position that the instance has shown.
+      behind_until_ms: Until when it is not offered reads after it lagged.
+      closed_until_ms: Until when no link is opened after a failure.
+      missing_ms: Since when the registry lacks it, or None.
+      leaving_ms: Since when it is known to leave or to be gone.
+      failed_ms: Since when links cannot be opened, or None.
+      heard_ms: When something was last heard.
+    """
+
+    __slots__ = (
+        'entry',
+        'links',
+        'latency_ms',
+        'sampled_ms',
+        'replication_ms',
+        'applied',
+        'behind_until_ms',
+        'closed_until_ms',
+        'missing_ms',
+        'leaving_ms',
+        'failed_ms',
+        'heard_ms',
+    )
+
+    def __init__(self, entry: records.Instance, now_ms: int) -> None:
+        """Start without links."""
+        self.entry = entry
+        self.links: list[links.Link] = []
+        self.latency_ms = _FIRST_LATENCY_MS
+        self.sampled_ms = now_ms
+        self.replication_ms = _FIRST_REPLICATION_MS
+        self.applied: records.Position | None = None
+        self.behind_until_ms = 0
+        self.closed_until_ms = 0
+        self.missing_ms: int | None = None
+        self.leaving_ms: int | None = None
+        self.failed_ms: int | None = None
+        self.heard_ms = now_ms
+
+    def usable_at(self, now_ms: int) -> bool:
+        """Return whether reads that other instances can serve may be sent."""
+        if self.entry.leaving or self.silent_for(now_ms) >= SUSPECT_MS:
+            return False
+        missing_ms = self.missing_ms
+        return missing_ms is None or now_ms - missing_ms < RETURN_MS
+
+    def reachable_at(self, now_ms: int) -> bool:
+        """Return whether the instance answers and may still get work."""
+        if self.silent_for(now_ms) >= SUSPECT_MS:
+            return False
+        leaving_ms = self.leaving_ms
+        return leaving_ms is None or now_ms - leaving_ms < LAST_WORK_MS
+
+    def describe(self, entry: records.Instance, now_ms: int) -> None:
+        """Take over a newer registry entry."""
+        self.entry = entry
+        self.missing_ms = None
+        if not entry.leaving:
+            self.leaving_ms = None
+        elif self.leaving_ms is None:
+            self.leaving_ms = now_ms
+
+    def vanish(self, now_ms: int) -> None:
+        """Note that the registry does not list the instance any more."""
+        if self.missing_ms is None:
+            self.missing_ms = now_ms
+        if self.leaving_ms is None and now_ms - self.missing_ms >= RETURN_MS:
+            self.leaving_ms = self.missing_ms
+
+    @property
+    def free_links(self) -> list[links.Link]:
+        """Return the links that can take new work."""
+        return [link for link in self.links if link.free]
+
+    def heard(self, now_ms: int) -> None:
+        """Note any sign of life."""
+        self.heard_ms = now_ms
+        self.failed_ms = None
+
+    def silent_for(self, now_ms: int) -> int:
+        """Return for how long an expected reply has been missing."""
+        since_ms = None
+        if self.failed_ms is not None:
+            since_ms = self.failed_ms
+        for link in self.links:
+            if link.sent is None and link.ready:
+                continue
+            if since_ms is None or link.sent_ms < since_ms:
+                since_ms = link.sent_ms
+        if since_ms is None:
+            return 0
+        return now_ms - max(since_ms, self.heard_ms)
+
+    def sample_latency(self, spent_ms: int, now_ms: int) -> None:
+        """Add the time of one statement."""
+        self.latency_ms += _SAMPLE_WEIGHT * (spent_ms - self.latency_ms)
+        self.sampled_ms = now_ms
+
+    def sample_replication(self, lag_ms: int) -> None:
+        """Add how far the instance was behind the primary."""
+        self.replication_ms += _SAMPLE_WEIGHT * (lag_ms - self.replication_ms)
+
+    def expected_ms(self, now_ms: int) -> float:
+        """Return the expected time of a further statement."""
+        forget = min((now_ms - self.sampled_ms) / _FORGET_MS, 1.0)
+        latency = self.latency_ms
+        if latency > _FIRST_LATENCY_MS:
+            latency -= forget * (latency - _FIRST_LATENCY_MS)
+        busy = sum(not link.free for link in self.links)
+        return latency * (1 + busy / max(self.entry.slots, 1))
+
+    def has_applied(
+        self,
+        position: records.Position,
+        age_ms: int,
+        now_ms: int,
+    ) -> bool:
+        """Return whether a position is probably applied."""
+        if self.applied is not None and self.applied >= position:
+            return True
+        if now_ms < self.behind_until_ms:
+            return False
+        return age_ms >= self.replication_ms + _REPLICATION_MARGIN_MS
--- /dev/null
+++ b/jacinthhaven/sql/links.py
@@ -0,0 +1,128 @@
+"""Links: pooled connections to instances and the steps run on them.
+
+A link carries one work item at a time. Session values and prepared
+statements are applied before a client's statement, and a transaction keeps
+its link from its first to its last statement.
+"""
+
+import collections
+import hashlib
+import typing
+
+from jacinthhaven.sql import records, sessions, statements
+
+# Prepared statements kept on a link before it is reset.
+_MAX_PREPARED = 64
+_NAME_BYTES = 6
+
+
+class Link:
+    """One connection to an instance.
+
+    Attributes:
+      number: Number of the connection within the process.
+      instance: Name of the instance.
+      ready: Whether the connection is open and accepted.
+      values: Session values that are set on it.
+      prepared: Names of the statements that are prepared on it.
+      steps: Commands that are still to be sent.
+      sent: Command whose reply is awaited.
+      work: What the steps are for, if anything.
+      pinned: Session whose transaction holds the link.
+      sent_ms: When the current command was sent.
+      idle_ms: Since when the link is free.
+    """
+
+    __slots__ = (
+        'number',
+        'instance',
+        'ready',
+        'values',
+        'prepared',
+        'steps',
+        'sent',
+        'work',
+        'pinned',
+        'sent_ms',
+        'idle_ms',
+    )
+
+    def __init__(self, number: int, instance: str, now_ms: int) -> None:
+        """Describe a connection that is being opened."""
+        self.number = number
+        self.instance = instance
+        self.ready = False
+        self.values: dict[str, str] = {}
+        self.prepared: set[str] = set()
+        self.steps: collections.deque[statements.Command] = collections.deque()
+        self.sent: statements.Command | None = None
+        self.work: typing.Any = None
+        self.pinned: sessions.Session | None = None
+        self.sent_ms = now_ms
+        self.idle_ms = now_ms
+
+    @property
+    def free(self) -> bool:
+        """Return whether the link can take new work."""
+        return self.ready and self.sent is None and self.pinned is None
+
+
+def prepared_name(prepared: statements.Prepared) -> str:
+    """Return the name under which a statement is prepared on every link."""
+    digest = hashlib.blake2b(
+        f'{prepared.writes}\0{prepared.shape}'.encode(),
+        digest_size=_NAME_BYTES,
+    )
+    return f'p{digest.hexdigest()}'
+
+
+def setup_steps(
+    link: Link,
+    session: sessions.Session,
+    statement: statements.Statement,
+) -> list[statements.Command]:
+    """Return the commands that make a link fit for a session's statement."""
+    steps: list[statements.Command] = []
+    stale = any(
+        session.values.get(name) != text for name, text in link.values.items()
+    )
+    prepared = session.prepared.get(statement.name)
+    if statement.verb is not statements.Verb.EXECUTE:
+        prepared = None
+    if stale or len(link.prepared) > _MAX_PREPARED:
+        steps.append(statements.Reset())
+    known = {} if steps else link.values
+    steps.extend(
+        statements.SetValue(name, text)
+        for name, text in session.values.items()
+        if known.get(name) != text
+    )
+    if prepared is not None:
+        name = prepared_name(prepared)
+        if name not in link.prepared or stale:
+            steps.append(statements.Prepare(name, prepared))
+    return steps
+
+
+def apply(link: Link, command: statements.Command) -> None:
+    """Note the effect of a setup command that has succeeded."""
+    match command:
+        case statements.Reset():
+            link.values.clear()
+            link.prepared.clear()
+        case statements.SetValue(name=name, text=text):
+            link.values[name] = text
+        case statements.Prepare(name=name):
+            link.prepared.add(name)
+
+
+def run_command(
+    session: sessions.Session,
+    statement: statements.Statement,
+    after: records.Position | None,
+) -> statements.Run:
+    """Return the command that executes a client's statement."""
+    if statement.verb is statements.Verb.EXECUTE:
+        prepared = session.prepared[statement.name]
+        return statements.Run(statement, after, prepared_name(prepared))
+    return statements.Run(statement, after)
--- /dev/null
+++ b/jacinthhaven/sql/placement.py
@@ -0,0 +1,140 @@
+"""Choice of the instance and link that execute a statement.
+
+The load that this answers: the slots of all instances together are barely
+enough, so reads go to whichever instance is expected to answer first. One
+free link to the primary is left for the statements that need it, because
+those have no other place to go.
+"""
+
+import dataclasses
+
+from jacinthhaven.sql import instances, links, proofs, records, sessions
+
+# Links to the primary that reads leave free.
+_RESERVED_LINKS = 1
+# Difference in expected time that does not matter; the own zone wins.
+_NEAR_MS = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """Where a statement goes.
+
+    Attributes:
+      link: Link that executes it.
+      after: Position that the instance must have applied, if any.
+      reason: Why this instance was chosen, for the log.
+      age_ms: Age of the proof behind `after`.
+    """
+
+    link: links.Link
+    after: records.Position | None
+    reason: str
+    age_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """What the choice depends on.
+
+    Attributes:
+      states: Instances of the service by name.
+      leader: Name of the leading instance, if known.
+      proofs: Proved positions of the primary.
+      zone: Availability zone of this node.
+      now_ms: Current time.
+    """
+
+    states: dict[str, instances.InstanceState]
+    leader: str | None
+    proofs: proofs.Proofs
+    zone: str
+    now_ms: int
+
+
+def choose(work: sessions.Work, view: View) -> Choice | None:
+    """Return where a statement goes now, or None if it has to wait."""
+    if work.needs_primary:
+        return _primary(work, view)
+    proof = view.proofs.required(
+        work.route.max_age_ms,
+        view.now_ms,
+        work.session.position,
+    )
+    if proof is None:
+        return None
+    age_ms = view.now_ms - proof.at_ms
+    best = None
+    best_ms = 0.0
+    for state in view.states.values():
+        if not may_read(work, view, state, proof):
+            continue
+        expected_ms = state.expected_ms(view.now_ms)
+        if state.entry.zone == view.zone:
+            expected_ms -= _NEAR_MS
+        if best is None or expected_ms < best_ms:
+            best = state
+            best_ms = expected_ms
+    if best is None:
+        return None
+    reason = 'primary' if best.entry.name == view.leader else 'replica'
+    return Choice(_pick(best, work), proof.position, reason, age_ms)
+
+
+def may_read(
+    work: sessions.Work,
+    view: View,
+    state: instances.InstanceState,
+    proof: proofs.Proof,
+) -> bool:
+    """Return whether an instance can take a read with an age now."""
+    free = state.free_links
+    name = state.entry.name
+    if not free or not state.usable_at(view.now_ms) or name in work.tried:
+        return False
+    if name == view.leader:
+        return len(free) > _RESERVED_LINKS or not _replicas_serve(
+            work,
+            view,
+            proof,
+        )
+    age_ms = view.now_ms - proof.at_ms
+    return state.has_applied(proof.position, age_ms, view.now_ms)
+
+
+def _replicas_serve(
+    work: sessions.Work,
+    view: View,
+    proof: proofs.Proof,
+) -> bool:
+    """Return whether some replica is recent enough, free or not."""
+    age_ms = view.now_ms - proof.at_ms
+    return any(
+        name != view.leader
+        and name not in work.tried
+        and state.usable_at(view.now_ms)
+        and state.has_applied(proof.position, age_ms, view.now_ms)
+        for name, state in view.states.items()
+    )
+
+
+def _primary(work: sessions.Work, view: View) -> Choice | None:
+    state = view.states.get(view.leader or '')
+    if state is None or not state.free_links:
+        return None
+    if not state.reachable_at(view.now_ms):
+        return None
+    return Choice(_pick(state, work), None, 'primary')
+
+
+def _pick(
+    state: instances.InstanceState,
+    work: sessions.Work,
+) -> links.Link:
+    """Return the free link that needs the fewest setup commands."""
+    return min(
+        state.free_links,
+        key=lambda link: len(
+            links.setup_steps(link, work.session, work.statement),
+        ),
+    )
--- /dev/null
+++ b/jacinthhaven/sql/ports.py
@@ -0,0 +1,99 @@
+"""What the decisions of the SQL proxy need from their surroundings."""
+
+import abc
+import typing
+
+from jacinthhaven.records import store
+from jacinthhaven.sql import records, statements
+
+Fields = dict[str, typing.Any]
+OnOrder = typing.Callable[['OrderResult'], None]
+OnStore = typing.Callable[[typing.Any], None]
+
+
+class Databases(abc.ABC):
+    """Connections to instances, addressed by number."""
+
+    @abc.abstractmethod
+    def open(self, instance: records.Instance) -> int:
+        """Start to connect and return the number of the connection."""
+
+    @abc.abstractmethod
+    def send(self, number: int, command: statements.Command) -> None:
+        """Send a command; its reply is reported later."""
+
+    @abc.abstractmethod
+    def close(self, number: int) -> None:
+        """Close a connection; nothing is reported about it afterwards."""
+
+
+class Clients(abc.ABC):
+    """Connections of clients, addressed by number."""
+
+    @abc.abstractmethod
+    def answer(self, number: int, answer: statements.Answer) -> None:
+        """Send the answer to the statement in turn."""
+
+    @abc.abstractmethod
+    def accept(self, number: int) -> None:
+        """Tell the client that its session is open."""
+
+    @abc.abstractmethod
+    def refuse(self, number: int, code: statements.Code) -> None:
+        """Refuse the session and close the connection."""
+
+    @abc.abstractmethod
+    def close(self, number: int) -> None:
+        """Close an idle connection."""
+
+    @abc.abstractmethod
+    def stop_accepting(self) -> None:
+        """Accept no further connections."""
+
+
+class Journal(abc.ABC):
+    """Log lines, counters and latency histograms."""
+
+    @abc.abstractmethod
+    def write(self, event: str, fields: Fields) -> None:
+        """Write one line about a decision."""
+
+    @abc.abstractmethod
+    def count(self, name: str, label: str = '') -> None:
+        """Increase a counter."""
+
+    @abc.abstractmethod
+    def observe(self, name: str, label: str, spent_ms: float) -> None:
+        """Add a time to a histogram."""
+
+
+class OrderResult(typing.NamedTuple):
+    """Result of an order to promote an instance.
+
+    Attributes:
+      accepted: Whether the platform has accepted it.
+      refused: Whether it was certainly not carried out.
+      reason: Text for the log.
+    """
+
+    accepted: bool
+    refused: bool
+    reason: str
+
+
+class Platform(abc.ABC):
+    """Store and promotion orders of the platform."""
+
+    @abc.abstractmethod
+    def call(self, request: store.Request, on_reply: OnStore) -> None:
+        """Call the store; the callback gets a reply or a failure."""
+
+    @abc.abstractmethod
+    def promote(
+        self,
+        service: str,
+        instance: str,
+        fence: int,
+        on_result: OnOrder,
+    ) -> None:
+        """Order the platform to make an instance the primary."""
--- /dev/null
+++ b/jacinthhaven/sql/records.py
@@ -0,0 +1,125 @@
+"""Routes, services, instances and log positions of the SQL proxy."""
+
+import dataclasses
+import enum
+import types
+import typing
+
+
+class Mode(enum.Enum):
+    """How recent the data of a read must be."""
+
+    PRIMARY = 'primary'
+    BOUNDED = 'bounded'
+    OWN_WRITES = 'own_writes'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Position:
+    """Place in the replicated log of a service."""
+
+    term: int
+    number: int
+
+    def __str__(self) -> str:
+        """Return the position as shown in logs."""
+        return f'{self.term}.{self.number}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Rules for the sessions of one database name.
+
+    Attributes:
+      database: Name that clients connect to.
+      service: Group of instances that holds the data.
+      mode: How recent the data of a read must be.
+      timeout_ms: Longest time of one statement.
+      target_ms: Latency that the operator wants to meet.
+      priority: Rank under overload; 0 is the most important.
+      max_age_ms: Oldest data that a read may return.
+    """
+
+    database: str
+    service: str
+    mode: Mode
+    timeout_ms: int
+    target_ms: int
+    priority: int
+    max_age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """One group of a primary and its replicas.
+
+    Attributes:
+      name: Name of the group.
+      max_connections: Limit of each instance for all its callers.
+      acknowledging_replicas: Replicas that hold a commit before its
+        acknowledgement.
+    """
+
+    name: str
+    max_connections: int
+    acknowledging_replicas: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """Operator's configuration in one version.
+
+    Attributes:
+      version: Number that only grows.
+      routes: Routes by database name.
+      services: Services by name.
+      transaction_idle_ms: Idle time after which a transaction may end.
+    """
+
+    version: int
+    routes: typing.Mapping[str, Route]
+    services: typing.Mapping[str, Service]
+    transaction_idle_ms: int
+
+
+EMPTY = Configuration(
+    -1, types.MappingProxyType({}), types.MappingProxyType({}), 0
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Instance:
+    """Registry entry of one backend server.
+
+    Attributes:
+      name: Identity that the server proves when a link opens.
+      service: Group that it belongs to.
+      address: IP address and TCP port.
+      zone: Availability zone.
+      slots: Statements that it executes at the same time.
+      leaving: Whether it is about to stop.
+      claims_primary: Whether it believes to be the primary.
+    """
+
+    name: str
+    service: str
+    address: tuple[str, int]
+    zone: str
+    slots: int
+    leaving: bool
+    claims_primary: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceStatus:
+    """What an instance says about itself.
+
+    Attributes:
+      is_primary: Whether it leads its group.
+      term: Newest term that it knows.
+      received: Last position that it has received.
+    """
+
+    is_primary: bool
+    term: int
+    received: Position | None
--- /dev/null
+++ b/jacinthhaven/sql/scripts.py
@@ -0,0 +1,78 @@
+"""Sequences of calls written as generators.
+
+A script yields a call and is resumed with its result. The caller of a
+script only needs to provide what the calls do.
+"""
+
+import dataclasses
+import typing
+
+from jacinthhaven.records import store
+from jacinthhaven.sql import statements
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sleep:
+    """Wait for a time."""
+
+    delay_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskAll:
+    """Send a command to several instances and wait for all replies.
+
+    The result maps each instance to its status, or to None.
+    """
+
+    instances: tuple[str, ...]
+    command: statements.Command
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Promote:
+    """Order a promotion; the result is an `OrderResult`."""
+
+    service: str
+    instance: str
+    fence: int
+
+
+Call = Sleep | AskAll | Promote | store.Request
+Script = typing.Generator[Call, typing.Any, typing.Any]
+Perform = typing.Callable[[Call, typing.Callable[[typing.Any], None]], None]
+
+
+class Runner:
+    """Runs one script.
+
+    Attributes:
+      running: Whether the script has not ended yet.
+    """
+
+    def __init__(self, script: Script, perform: Perform) -> None:
+        """Start a script.
+
+        Args:
+          script: Generator of calls.
+          perform: Makes a call and passes on its result later.
+        """
+        self.script = script
+        self.perform = perform
+        self.running = True
+        self._resume(None)
+
+    def cancel(self) -> None:
+        """End the script; results that still arrive are dropped."""
+        self.running = False
+        self.script.close()
+
+    def _resume(self, outcome: typing.Any) -> None:
+        if not self.running:
+            return
+        try:
+            call = self.script.send(outcome)
+        except StopIteration:
+            self.running = False
+            return
+        self.perform(call, self._resume)
--- /dev/null
+++ b/jacinthhaven/sql/statements.py
@@ -0,0 +1,200 @@
+"""Statements of clients, commands to instances and replies of instances."""
+
+import dataclasses
+import enum
+
+from jacinthhaven.sql import records
+
+
+class Verb(enum.Enum):
+    """What a client's statement asks for."""
+
+    BEGIN = 'begin'
+    BEGIN_READ = 'begin_read'
+    COMMIT = 'commit'
+    ROLLBACK = 'rollback'
+    READ = 'read'
+    WRITE = 'write'
+    SET = 'set'
+    PREPARE = 'prepare'
+    EXECUTE = 'execute'
+    DEALLOCATE = 'deallocate'
+    INVALID = 'invalid'
+
+
+class Code(enum.Enum):
+    """Reason of an error answer."""
+
+    BUSY = 'busy'
+    ABORTED = 'aborted'
+    BEHIND = 'behind'
+    READ_ONLY = 'read_only'
+    WRONG_INSTANCE = 'wrong_instance'
+    CONNECTION_LIMIT = 'connection_limit'
+    FAILED = 'failed'
+    TIMEOUT = 'timeout'
+    OUTCOME_UNKNOWN = 'outcome_unknown'
+    UNKNOWN_DATABASE = 'unknown_database'
+    UNKNOWN_STATEMENT = 'unknown_statement'
+    MALFORMED = 'malformed'
+    TOO_LARGE = 'too_large'
+
+
+NOT_RUN = frozenset(
+    (
+        Code.BUSY,
+        Code.BEHIND,
+        Code.READ_ONLY,
+        Code.WRONG_INSTANCE,
+        Code.CONNECTION_LIMIT,
+    )
+)
+
+
+class State(enum.Enum):
+    """Transaction state of a session or a link."""
+
+    IDLE = 'idle'
+    OPEN = 'open'
+    FAILED = 'failed'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Statement:
+    """One statement of a client.
+
+    Attributes:
+      request_id: Identifier that the client has chosen.
+      verb: What it asks for.
+      name: Name of a session value or a prepared statement.
+      argument: Rest of the text after the name.
+      text: Unchanged text for the instance.
+    """
+
+    request_id: str
+    verb: Verb
+    name: str = ''
+    argument: str = ''
+    text: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prepared:
+    """Prepared statement of a session."""
+
+    writes: bool
+    shape: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """Execute a client's read, write or commit with its text unchanged.
+
+    Attributes:
+      statement: The client's statement.
+      after: Position that the instance must have applied, if any.
+      prepared_name: Name of the prepared statement on the link, if any.
+    """
+
+    statement: Statement
+    after: records.Position | None = None
+    prepared_name: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Begin:
+    """Open a transaction."""
+
+    read_only: bool
+    after: records.Position | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rollback:
+    """End a transaction without its changes."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reset:
+    """Clear session values and prepared statements of a link."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetValue:
+    """Set one session value on a link."""
+
+    name: str
+    text: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prepare:
+    """Prepare a statement on a link."""
+
+    name: str
+    prepared: Prepared
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskStatus:
+    """Ask an instance for its role, term and position."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pause:
+    """Stop a replica from receiving until it is resumed or promoted."""
+
+    term: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resume:
+    """Let a paused replica receive again."""
+
+
+Command = (
+    Run
+    | Begin
+    | Rollback
+    | Reset
+    | SetValue
+    | Prepare
+    | AskStatus
+    | Pause
+    | Resume
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Reply:
+    """Complete reply of an instance to one command.
+
+    Attributes:
+      rows: Result rows.
+      signature: Proof of execution for the client.
+      code: Reason of an error, or None after a success.
+      detail: Text that comes with an error.
+      state: Transaction state of the link.
+      position: Last position that the instance has applied.
+      status: Status of the instance, if it was asked for.
+    """
+
+    rows: tuple[str, ...] = ()
+    signature: str = '-'
+    code: Code | None = None
+    detail: str = ''
+    state: State = State.IDLE
+    position: records.Position | None = None
+    status: records.InstanceStatus | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """Complete answer to one statement of a client."""
+
+    rows: tuple[str, ...] = ()
+    signature: str = '-'
+    code: Code | None = None
+    detail: str = ''
+    state: State = State.IDLE
+    position: records.Position | None = None
