--- a/jacinthhaven/adapters/decision_log.py
+++ b/jacinthhaven/adapters/decision_log.py
@@ -16,7 +16,7 @@
 
 from jacinthhaven.adapters import poller
 from jacinthhaven.decide import messages
-from jacinthhaven.records import settings
+from jacinthhaven.records import settings_base
 
 STDOUT = 'stdout'
 _STDOUT_FD = 1
@@ -201,7 +201,7 @@
     def __init__(
         self,
         node: str,
-        config: settings.Log,
+        config: settings_base.Log,
         loop: poller.Poller | None = None,
     ) -> None:
         """Open the destination.
--- a/jacinthhaven/adapters/http_store.py
+++ b/jacinthhaven/adapters/http_store.py
@@ -100,7 +100,7 @@
         self.queue: collections.deque[_Call] = collections.deque()
         self.connections: set[_Connection] = set()
         self.idle: list[_Connection] = []
-        self.watches: dict[int, etcd_watch.Watch] = {}
+        self.watches: dict[int, Watch] = {}
 
     def call(self, message: messages.StoreCall) -> None:
         """Send a call, or queue it until a connection is free."""
--- a/jacinthhaven/adapters/sql_settings_file.py
+++ b/jacinthhaven/adapters/sql_settings_file.py
@@ -2,7 +2,7 @@
 
 import pydantic
 
-from jacinthhaven.adapters import settings_file, text_file, yaml_file
+from jacinthhaven.adapters import text_file, validation, yaml_file
 from jacinthhaven.records import sql_settings
 
 Loaded = sql_settings.SqlSettings | list[yaml_file.FileError]
@@ -15,7 +15,7 @@
     try:
         return sql_settings.SqlSettings.model_validate(document.root)
     except pydantic.ValidationError as error:
-        return settings_file.located_errors(document, error)
+        return validation.located_errors(document, error)
 
 
 def load(name: str) -> Loaded:
--- a/jacinthhaven/cli/checks.py
+++ b/jacinthhaven/cli/checks.py
@@ -15,7 +15,7 @@
     yaml_file,
 )
 from jacinthhaven.cli import exits
-from jacinthhaven.records import presets, settings, sql_settings
+from jacinthhaven.records import presets, settings
 
 
 def check(name: str, check_files: bool) -> list[yaml_file.FileError]:
@@ -54,22 +54,6 @@
     return loaded
 
 
-def load_sql_settings(name: str) -> sql_settings.SqlSettings:
-    """Return the settings of a SQL session proxy.
-
-    Raises:
-      exits.UnusableInputError: If the file cannot be read.
-      exits.RefusedError: If the settings are invalid.
-    """
-    try:
-        loaded = sql_settings_file.load(name)
-    except text_file.UnreadableFileError as error:
-        raise exits.UnusableInputError(str(error)) from error
-    if isinstance(loaded, list):
-        raise _invalid(name, loaded)
-    return loaded
-
-
 def load_configuration(name: str) -> presets.Configuration:
     """Return a configuration document.
 
--- a/jacinthhaven/cli/main.py
+++ b/jacinthhaven/cli/main.py
@@ -110,14 +110,12 @@
 
 @app.command(name='sql-proxy')
 def sql_proxy(settings: SqlSettingsOption) -> None:
-    """Run a SQL session proxy until it is stopped by SIGTERM."""
-    checks = importlib.import_module('jacinthhaven.cli.checks')
-    try:
-        loaded = checks.load_sql_settings(settings)
-    except exits.CommandError as error:
-        output.fail(error, json=False)
-    application = importlib.import_module('jacinthhaven.process.sql_proxy')
-    raise typer.Exit(application.run(loaded, settings) or 0)
+    """Run a SQL session proxy until it is stopped by SIGTERM.
+
+    `python -m jacinthhaven.process` does the same and starts faster.
+    """
+    start = importlib.import_module('jacinthhaven.process.start')
+    raise typer.Exit(start.run_sql_proxy(settings))
 
 
 @app.command()
--- a/jacinthhaven/platform/sockets.py
+++ b/jacinthhaven/platform/sockets.py
@@ -152,6 +152,8 @@
       on_open: Called with the number and the reply to the start, or None.
       on_reply: Called with the number and the reply to a command.
       on_lost: Called with the number of a connection that was lost.
+      on_line: Called with each line of a reply before it is collected;
+        returns whether the line belongs to another node.
     """
 
     def __init__(self, loop: poller.Poller) -> None:
@@ -162,11 +164,19 @@
         self.on_open: _OPENED = _ignore
         self.on_reply: _OPENED = _ignore
         self.on_lost: typing.Callable[[int], None] = _ignore
+        self.on_line: typing.Callable[
+            [int, str, statements.State | None],
+            bool | None,
+        ] = _ignore
 
-    def open(self, instance: records.Instance) -> int:
+    def open(
+        self,
+        instance: records.Instance,
+        lender: records.Address | None = None,
+    ) -> int:
         """Start to connect and return the number of the connection."""
         number = next(self.numbers)
-        stream = streams.connect(self.poller, instance.address)
+        stream = streams.connect(self.poller, lender or instance.address)
         limit_silence(stream)
         connection = _LinkConnection(stream, number)
         self.connections[number] = connection
@@ -186,6 +196,12 @@
         )
         connection.stream.send(wire.encode_command(command))
 
+    def send_line(self, number: int, line: str) -> None:
+        """Send a command of another node unchanged."""
+        connection = self.connections.get(number)
+        if connection is not None:
+            connection.stream.send(wire.encode_line(line))
+
     def close(self, number: int) -> None:
         """Close a connection; nothing is reported about it afterwards."""
         connection = self.connections.pop(number, None)
@@ -201,9 +217,12 @@
             self._on_close(connection)
 
     def _on_line(self, connection: _LinkConnection, line: str) -> None:
-        reply = connection.replies.feed(line)
-        if connection.number not in self.connections:
+        number = connection.number
+        if number not in self.connections:
             return
+        if self.on_line(number, line, wire.ready_state(line)):
+            return
+        reply = connection.replies.feed(line)
         if connection.opened:
             if reply is not None:
                 self.on_reply(connection.number, reply)
@@ -220,5 +239,88 @@
             self.on_lost(connection.number)
 
 
+class BorrowerSockets(ports.Borrowers):
+    """Accepts connections of nodes that borrow links.
+
+    Attributes:
+      on_request: Called with the number, service and instance asked for.
+      on_line: Called with the number and a command.
+      on_returned: Called with the number of a closed connection.
+    """
+
+    def __init__(self, loop: poller.Poller) -> None:
+        """Start without a listener."""
+        self.poller = loop
+        self.numbers = itertools.count(1)
+        self.connections: dict[int, _ClientConnection] = {}
+        self.listener: streams.Listener | None = None
+        self.on_request: typing.Callable[[int, str, str], None] = _ignore
+        self.on_line: typing.Callable[[int, str], None] = _ignore
+        self.on_returned: typing.Callable[[int], None] = _ignore
+
+    def listen(self, address: records.Address) -> int:
+        """Start to accept nodes and return the port."""
+        self.listener = streams.Listener(
+            self.poller,
+            address,
+            self._on_stream,
+        )
+        return self.listener.port
+
+    def grant(self, number: int) -> None:
+        """Tell the borrower that it may use the link."""
+        connection = self.connections.get(number)
+        if connection is not None:
+            connection.stream.send(wire.encode_accept())
+
+    def refuse(self, number: int) -> None:
+        """Tell the borrower that no link is free and close."""
+        connection = self.connections.pop(number, None)
+        if connection is not None:
+            refusal = wire.encode_refusal(statements.Code.CONNECTION_LIMIT)
+            connection.stream.send(refusal)
+            connection.stream.finish()
+
+    def send_line(self, number: int, line: str) -> None:
+        """Pass a line of the instance on."""
+        connection = self.connections.get(number)
+        if connection is not None:
+            connection.stream.send(wire.encode_line(line))
+
+    def end(self, number: int) -> None:
+        """Close the connection after the link was lost."""
+        connection = self.connections.pop(number, None)
+        if connection is not None:
+            connection.stream.finish()
+
+    def _on_stream(self, stream: streams.Stream) -> None:
+        limit_silence(stream)
+        connection = _ClientConnection(stream, next(self.numbers))
+        self.connections[connection.number] = connection
+        stream.on_bytes = functools.partial(self._on_bytes, connection)
+        stream.on_close = functools.partial(self._on_close, connection)
+
+    def _on_bytes(self, connection: _ClientConnection, chunk: bytes) -> None:
+        try:
+            for line in connection.reader.feed(chunk):
+                self._on_text(connection, line)
+        except wire.MalformedLineError:
+            connection.stream.close()
+            self._on_close(connection)
+
+    def _on_text(self, connection: _ClientConnection, line: str) -> None:
+        if connection.number not in self.connections:
+            return
+        if connection.started:
+            self.on_line(connection.number, line)
+            return
+        connection.started = True
+        self.on_request(connection.number, *wire.decode_loan(line))
+
+    def _on_close(self, connection: _ClientConnection) -> None:
+        if self.connections.pop(connection.number, None) is not None:
+            self.on_returned(connection.number)
+
+
 def _ignore(*_args: typing.Any) -> None:
     """Do nothing; default of an unset callback."""
--- a/jacinthhaven/platform/wire.py
+++ b/jacinthhaven/platform/wire.py
@@ -108,6 +108,31 @@
     return database
 
 
+def decode_loan(line: str) -> tuple[str, str]:
+    """Return the service and instance of a node's first line.
+
+    Raises:
+      MalformedLineError: If it is something else.
+    """
+    match line.split(' '):
+        case ['START', service, _node, instance]:
+            return service, instance
+    raise MalformedLineError('expected the request of a link')
+
+
+def ready_state(line: str) -> statements.State | None:
+    """Return the state in a line that ends a reply, or None."""
+    word, _, rest = line.partition(' ')
+    if word != 'READY':
+        return None
+    return _STATES.get(rest[:1], statements.State.FAILED)
+
+
+def encode_line(line: str) -> bytes:
+    """Return the bytes of a line that is passed on unchanged."""
+    return _encode([line])
+
+
 def decode_query(line: str) -> statements.Statement | None:
     """Return the statement of a client's line, or None if it says goodbye.
 
--- a/jacinthhaven/process/sql_proxy.py
+++ b/jacinthhaven/process/sql_proxy.py
@@ -22,7 +22,6 @@
 from jacinthhaven.kernel import clock
 from jacinthhaven.platform import plugin, sockets
 from jacinthhaven.process import ticker
-from jacinthhaven.records import settings as settings_records
 from jacinthhaven.records import sql_settings
 from jacinthhaven.sql import node, ports, statements
 
@@ -80,7 +79,7 @@
         self.poller = poller.Poller().register(self)
         self.log = decision_log.DecisionLog(
             settings.node,
-            settings_records.Log(),
+            settings.log,
             self.poller,
         )
         logging.getLogger().addHandler(self.log.handler)
@@ -88,13 +87,20 @@
         self.journal = ProcessJournal(self.log, self.page)
         self.clients = sockets.ClientSockets(self.poller)
         self.databases = sockets.DatabaseSockets(self.poller)
+        self.borrowers = sockets.BorrowerSockets(self.poller)
         self.health = http_server.Server(self.poller, self._on_health)
         self.platform = plugin.PlatformCalls(self.poller, settings)
         self.node = node.Node(
-            node.Identity(settings.node, settings.zone, settings.grace_ms),
+            node.Identity(
+                settings.node,
+                settings.zone,
+                settings.grace_ms,
+                settings.listeners.peers,
+            ),
             node.Surroundings(
                 self.databases,
                 self.clients,
+                self.borrowers,
                 self.platform,
                 self.journal,
                 plugin.PlatformDocuments(),
@@ -109,6 +115,7 @@
         """Listen and start the ticks."""
         listeners = self.settings.listeners
         self.clients.listen(listeners.clients)
+        self.borrowers.listen(listeners.peers)
         self.health.listen(listeners.health)
         self.page.server.listen(listeners.metrics)
         signal.signal(signal.SIGHUP, self._on_reload)
@@ -149,6 +156,20 @@
         self.databases.on_open = self._on_open
         self.databases.on_reply = self._on_reply
         self.databases.on_lost = self._on_lost
+        lender = self.node.lender
+        self.databases.on_line = lender.on_reply_line
+        self.borrowers.on_request = lambda number, service, instance: (
+            lender.on_request(number, service, instance, now_ms())
+        )
+        self.borrowers.on_line = lambda number, line: lender.on_line(
+            number,
+            line,
+            now_ms(),
+        )
+        self.borrowers.on_returned = lambda number: lender.on_returned(
+            number,
+            now_ms(),
+        )
 
     def _on_statement(
         self,
@@ -169,6 +190,7 @@
 
     def _on_lost(self, number: int) -> None:
         now_ms = self.clock.now_ms()
+        self.node.lender.on_lost(number)
         for group in self.node.gateway.groups.values():
             group.on_lost(number, now_ms)
 
--- /dev/null
+++ b/jacinthhaven/process/start.py
@@ -0,0 +1,37 @@
+"""Start of a SQL session proxy from its settings file."""
+
+import os
+import sys
+
+from jacinthhaven.adapters import sql_settings_file, text_file
+from jacinthhaven.process import sql_proxy
+
+SETTINGS_VARIABLE = 'JACINTHHAVEN_NODE_FILE'
+# Exit codes of the command line for invalid and for unreadable files.
+_REFUSED = 1
+_UNREADABLE = 2
+
+
+def run_sql_proxy(name: str) -> int:
+    """Run a proxy until it is stopped and return the exit code."""
+    try:
+        loaded = sql_settings_file.load(name)
+    except text_file.UnreadableFileError as error:
+        return _fail(f'{error}', _UNREADABLE)
+    if isinstance(loaded, list):
+        return _fail('\n'.join(f'{name}:{error}' for error in loaded), _REFUSED)
+    sql_proxy.run(loaded, name)
+    return 0
+
+
+def main() -> int:
+    """Run a proxy with the settings that the environment names."""
+    name = os.environ.get(SETTINGS_VARIABLE)
+    if name is None:
+        return _fail(f'{SETTINGS_VARIABLE} is not set', _UNREADABLE)
+    return run_sql_proxy(name)
+
+
+def _fail(text: str, code: int) -> int:
+    sys.stderr.write(f'{text}\n')
+    return code
--- a/jacinthhaven/records/settings.py
+++ b/jacinthhaven/records/settings.py
@@ -17,7 +17,7 @@
 import pydantic
 import pydantic_core
 
-from jacinthhaven.records import topology
+from jacinthhaven.records import settings_base, topology
 
 # Each slot holder uses one connection of its share for status requests and
 # needs another one for statements.
@@ -30,16 +30,11 @@
 Loc = tuple[str | int, ...]
 
 
-def _error(code: str, message: str) -> pydantic_core.PydanticCustomError:
-    # The messages are final; braces in them are not format fields.
-    return pydantic_core.PydanticCustomError(code, '{text}', {'text': message})
-
-
 def _raise_located(located: typing.Iterable[tuple[Loc, str]]) -> None:
     """Raise one validation error that holds all located messages."""
     details = [
         pydantic_core.InitErrorDetails(
-            type=_error('cross_check', message),
+            type=settings_base.error('cross_check', message),
             loc=loc,
             input=None,
         )
@@ -66,7 +61,7 @@
     try:
         return str(ipaddress.ip_address(text))
     except ValueError as error:
-        raise _error(
+        raise settings_base.error(
             'ip_address',
             f'not an IP address: {text!r} (host names are not accepted)',
         ) from error
@@ -74,7 +69,7 @@
 
 def _reachable(text: str) -> str:
     if ipaddress.ip_address(text).is_unspecified:
-        raise _error(
+        raise settings_base.error(
             'unspecified_address',
             f'{text} is not an address that other processes can connect to',
         )
@@ -89,21 +84,12 @@
             return name
         full_name, problem = info.context['file_check'](kind, name)
         if problem:
-            raise _error('file', problem)
+            raise settings_base.error('file', problem)
         return full_name
 
     return check
 
 
-def _destination(text: str) -> str:
-    if text != 'stdout' and not text.startswith('/'):
-        raise _error(
-            'destination',
-            'destination is neither `stdout` nor an absolute file name',
-        )
-    return text
-
-
 KEY_FILE = 'key'
 PEM_FILE = 'pem'
 
@@ -128,17 +114,7 @@
 ]
 
 
-class _Model(pydantic.BaseModel):
-    """Base of all settings: unknown keys and implicit conversions fail."""
-
-    model_config = pydantic.ConfigDict(
-        extra='forbid',
-        strict=True,
-        frozen=True,
-    )
-
-
-class Address(_Model):
+class Address(settings_base.Model):
     """IP address and TCP port of another process."""
 
     host: Host
@@ -157,7 +133,7 @@
     zone: ZoneName
 
 
-class Tls(_Model):
+class Tls(settings_base.Model):
     """TLS files of a listener in PEM format.
 
     Attributes:
@@ -178,7 +154,7 @@
     ca_file: PemFile
 
 
-class CallerListener(_Model):
+class CallerListener(settings_base.Model):
     """Listener of the caller protocol; any local address may be bound."""
 
     host: BindHost
@@ -186,7 +162,7 @@
     tls: Tls | None = None
 
 
-class PeerListener(_Model):
+class PeerListener(settings_base.Model):
     """Listener of the peer protocol; the address is told to the members."""
 
     host: Host
@@ -194,7 +170,7 @@
     tls: PeerTls | None = None
 
 
-class OperatorListener(_Model):
+class OperatorListener(settings_base.Model):
     """Listener of the operator protocol.
 
     Attributes:
@@ -210,7 +186,7 @@
     tls: Tls | None = None
 
 
-class Listeners(_Model):
+class Listeners(settings_base.Model):
     """The three listeners of a proxy."""
 
     caller: CallerListener
@@ -233,7 +209,7 @@
         return self
 
 
-class Store(_Model):
+class Store(settings_base.Model):
     """Access to the platform's key-value store.
 
     Attributes:
@@ -247,7 +223,7 @@
     call_timeout_ms: int = pydantic.Field(1000, ge=50, le=30_000)
 
 
-class Instance(_Model):
+class Instance(settings_base.Model):
     """One backend server of a group."""
 
     name: Name
@@ -256,7 +232,7 @@
     zone: ZoneName
 
 
-class Group(_Model):
+class Group(settings_base.Model):
     """Database group.
 
     Attributes:
@@ -293,7 +269,7 @@
         return self
 
 
-class Statsd(_Model):
+class Statsd(settings_base.Model):
     """Destination of the metrics.
 
     Attributes:
@@ -309,23 +285,6 @@
     interval_ms: int = pydantic.Field(10_000, ge=100, le=600_000)
 
 
-class Log(_Model):
-    """Destination of the log.
-
-    Attributes:
-      level: Lowest level that is written.
-      destination: `stdout` or an absolute file name.
-      flush_ms: Longest time in milliseconds that a line stays buffered.
-    """
-
-    level: typing.Literal['debug', 'info', 'warning', 'error'] = 'info'
-    destination: typing.Annotated[
-        str,
-        pydantic.AfterValidator(_destination),
-    ] = 'stdout'
-    flush_ms: int = pydantic.Field(200, ge=1, le=10_000)
-
-
 def _check_groups(groups: list[Group]) -> list[Group]:
     # Callers address a database without its group, and log lines name an
     # instance without its group.
@@ -378,7 +337,7 @@
     return seeds
 
 
-class Settings(_Model):
+class Settings(settings_base.Model):
     """Settings of one proxy process.
 
     Attributes:
@@ -394,7 +353,7 @@
         ever reached.
       groups: Database groups.
       statsd: Metrics destination, or None to keep no metrics.
-      log: Log destination.
+      log: settings_base.Log destination.
       drain_ms: Longest time that a planned stop waits for running work.
       gossip_ms: Time between two digest exchanges.
       fanout: Peers that a new revision is pushed to.
@@ -422,7 +381,7 @@
         pydantic.AfterValidator(_check_groups),
     ]
     statsd: Statsd | None = None
-    log: Log = pydantic.Field(default_factory=Log)
+    log: settings_base.Log = pydantic.Field(default_factory=settings_base.Log)
     drain_ms: int = pydantic.Field(30_000, ge=0, le=3_600_000)
     gossip_ms: int = pydantic.Field(500, ge=50, le=10_000)
     fanout: int = pydantic.Field(3, ge=1, le=16)
--- a/jacinthhaven/records/sql_settings.py
+++ b/jacinthhaven/records/sql_settings.py
@@ -6,6 +6,8 @@
 import pydantic
 import pydantic_core
 
+from jacinthhaven.records import settings_base
+
 _MIN_LEASE_MS = 100
 _MIN_GRACE_MS = 1000
 _MAX_PORT = 65535
@@ -24,10 +26,9 @@
 
 
 def _bad_address(text: str) -> pydantic_core.PydanticCustomError:
-    return pydantic_core.PydanticCustomError(
+    return settings_base.error(
         'address',
-        '{text} is not an IP address and a port',
-        {'text': text},
+        f'{text} is not an IP address and a port',
     )
 
 
@@ -41,32 +42,29 @@
 ]
 
 
-class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
-
-
-class Listeners(_Model):
+class Listeners(settings_base.Model):
     """Addresses that the process listens on."""
 
     clients: Address
     health: Address
     metrics: Address
+    peers: Address
 
 
-class Store(_Model):
+class Store(settings_base.Model):
     """Platform's store."""
 
     address: Address
     minimum_lease_ms: int = pydantic.Field(ge=_MIN_LEASE_MS)
 
 
-class Promotion(_Model):
+class Promotion(settings_base.Model):
     """Where promotions are ordered."""
 
     address: Address
 
 
-class SqlSettings(_Model):
+class SqlSettings(settings_base.Model):
     """Settings of one process.
 
     Attributes:
@@ -75,6 +73,7 @@
       listeners: Addresses that the process listens on.
       store: Platform's store.
       promotion: Where promotions are ordered.
+      log: Destination of the log.
       grace_ms: Time between SIGTERM and SIGKILL.
     """
 
@@ -83,4 +82,5 @@
     listeners: Listeners
     store: Store
     promotion: Promotion
+    log: settings_base.Log = settings_base.Log()
     grace_ms: int = pydantic.Field(ge=_MIN_GRACE_MS)
--- /dev/null
+++ b/jacinthhaven/sql/builders.py
@@ -0,0 +1,401 @@
+"""Builders of test data: a gateway on a model of a database group."""
+
+import collections
+import random
+import typing
+
+from jacinthhaven.platform import wire
+from jacinthhaven.records import store
+from jacinthhaven.sql import gateway, ports, records, statements
+from jacinthhaven.standins import sql_group
+
+SERVICE = 'ledger'
+MEMBERS = ('db-a', 'db-b', 'db-c')
+ZONE = 'a'
+STRICT = 'strict'
+BOUNDED = 'bounded'
+OWN = 'own'
+
+Fields = dict[str, typing.Any]
+
+
+def route(
+    database: str = OWN,
+    mode: records.Mode = records.Mode.OWN_WRITES,
+    **changes: typing.Any,
+) -> records.Route:
+    """Return a route with the usual limits."""
+    fields: Fields = {
+        'database': database,
+        'service': SERVICE,
+        'mode': mode,
+        'timeout_ms': 1000,
+        'target_ms': 400,
+        'priority': 2,
+        'max_age_ms': 2500,
+    }
+    return records.Route(**(fields | changes))
+
+
+def configuration(version: int = 1, **changes: typing.Any) -> typing.Any:
+    """Return a configuration with one route of each mode."""
+    routes = (
+        route(STRICT, records.Mode.PRIMARY, priority=1, target_ms=200),
+        route(BOUNDED, records.Mode.BOUNDED, max_age_ms=1500),
+        route(OWN, records.Mode.OWN_WRITES),
+    )
+    fields: Fields = {
+        'version': version,
+        'routes': {item.database: item for item in routes},
+        'services': {SERVICE: records.Service(SERVICE, 21, 0)},
+        'transaction_idle_ms': 3000,
+    }
+    return records.Configuration(**(fields | changes))
+
+
+def instance(name: str, **changes: typing.Any) -> records.Instance:
+    """Return a registry entry."""
+    fields: Fields = {
+        'name': name,
+        'service': SERVICE,
+        'address': ('127.0.0.1', 1),
+        'zone': name[-1],
+        'slots': 3,
+        'leaving': False,
+        'claims_primary': name == MEMBERS[0],
+    }
+    return records.Instance(**(fields | changes))
+
+
+class FakeJournal(ports.Journal):
+    """Keeps lines and counts."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.lines: list[tuple[str, Fields]] = []
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def write(self, event: str, fields: ports.Fields) -> None:
+        """Keep a line."""
+        self.lines.append((event, fields))
+
+    def count(self, name: str, label: str = '') -> None:
+        """Count."""
+        self.counts[f'{name}.{label}'] += 1
+
+    def observe(self, name: str, label: str, spent_ms: float) -> None:
+        """Ignore a time."""
+
+    def events(self, name: str) -> list[Fields]:
+        """Return the fields of all lines of an event."""
+        return [fields for event, fields in self.lines if event == name]
+
+
+class FakeClients(ports.Clients):
+    """Keeps what clients were told."""
+
+    def __init__(self) -> None:
+        """Start without connections."""
+        self.answers: dict[int, list[statements.Answer]] = (
+            collections.defaultdict(list)
+        )
+        self.closed: list[int] = []
+        self.refused: dict[int, statements.Code] = {}
+        self.accepting = True
+
+    def answer(self, number: int, answer: statements.Answer) -> None:
+        """Keep an answer."""
+        self.answers[number].append(answer)
+
+    def accept(self, number: int) -> None:
+        """Accept a session."""
+
+    def refuse(self, number: int, code: statements.Code) -> None:
+        """Keep a refusal."""
+        self.refused[number] = code
+
+    def close(self, number: int) -> None:
+        """Keep a close."""
+        self.closed.append(number)
+
+    def stop_accepting(self) -> None:
+        """Note the end of accepting."""
+        self.accepting = False
+
+
+class FakeDatabases(ports.Databases):
+    """Connections to the model; replies are delivered by `deliver`.
+
+    Attributes:
+      silent: Instances that take statements and never answer.
+      cut: Instances that answer on borrowed connections only.
+      swallowed: Statements that run and whose answer is lost, by word.
+      work_ms: How long a statement takes.
+    """
+
+    def __init__(self, group: sql_group.SqlGroup) -> None:
+        """Connect to a group."""
+        self.group = group
+        self.connections: dict[int, sql_group.SqlConnection] = {}
+        self.readers: dict[int, wire.ReplyReader] = {}
+        self.pending: collections.deque = collections.deque()
+        self.silent: set[str] = set()
+        self.swallowed: set[str] = set()
+        self.before: dict[str, typing.Callable[[], None]] = {}
+        self.lenders: list[records.Address] = []
+        self.borrowed: set[int] = set()
+        self.cut: set[str] = set()
+        self.opened = 0
+        self.work_ms = 5
+        self.now_ms = 0
+
+    def open(
+        self,
+        instance: records.Instance,
+        lender: records.Address | None = None,
+    ) -> int:
+        """Open a session."""
+        if lender is not None:
+            self.lenders.append(lender)
+            self.borrowed.add(self.opened + 1)
+        self.opened += 1
+        number = self.opened
+        model = self.group.instances[instance.name]
+        self.connections[number] = sql_group.SqlConnection(model)
+        self.readers[number] = wire.ReplyReader()
+        line = wire.encode_start(instance).decode().strip()
+        self.pending.append((self.now_ms + 1, number, line, True))
+        return number
+
+    def send(self, number: int, command: statements.Command) -> None:
+        """Send a command."""
+        self.readers[number].wants_status = isinstance(
+            command,
+            statements.AskStatus | statements.Pause | statements.Resume,
+        )
+        line = wire.encode_command(command).decode().strip()
+        self.pending.append((self.now_ms + self.work_ms, number, line, False))
+
+    def send_line(self, number: int, line: str) -> None:
+        """Send a line of another node."""
+        self.pending.append((self.now_ms + self.work_ms, number, line, False))
+
+    def close(self, number: int) -> None:
+        """Close a session."""
+        self.connections.pop(number, None)
+
+
+class FakeBorrowers(ports.Borrowers):
+    """Keeps what borrowers were told."""
+
+    def __init__(self) -> None:
+        """Start without connections."""
+        self.told: dict[int, list[str]] = collections.defaultdict(list)
+
+    def grant(self, number: int) -> None:
+        """Keep a grant."""
+        self.told[number].append('granted')
+
+    def refuse(self, number: int) -> None:
+        """Keep a refusal."""
+        self.told[number].append('refused')
+
+    def send_line(self, number: int, line: str) -> None:
+        """Keep a line."""
+        self.told[number].append(line)
+
+    def end(self, number: int) -> None:
+        """Keep an end."""
+        self.told[number].append('ended')
+
+
+class Rig:
+    """Gateway on a model group, driven step by step.
+
+    Attributes:
+      lines: Statements that each instance has run, in order.
+    """
+
+    def __init__(self, members: int = 8) -> None:
+        """Start and let the links open."""
+        self.group = sql_group.SqlGroup(SERVICE, MEMBERS)
+        self.databases = FakeDatabases(self.group)
+        self.clients = FakeClients()
+        self.journal = FakeJournal()
+        self.gateway = gateway.Gateway(
+            ZONE,
+            self.databases,
+            self.clients,
+            self.journal,
+        )
+        self.now_ms = 1000
+        self.lines: list[tuple[str, str]] = []
+        self.numbers = iter(range(1, 1000))
+        self.gateway.configure(configuration(), self.now_ms)
+        self.gateway.share_links(members)
+        self.gateway.register(
+            [instance(name) for name in MEMBERS],
+            self.now_ms,
+        )
+        self.run(400)
+
+    @property
+    def service(self) -> typing.Any:
+        """Return the decisions about the only service."""
+        return self.gateway.groups[SERVICE]
+
+    def connect(self, database: str = OWN) -> int:
+        """Open a session and return its number."""
+        number = next(self.numbers)
+        self.gateway.on_start(number, database)
+        return number
+
+    def send(self, number: int, text: str, request: str = 'r1') -> None:
+        """Send a statement of a client."""
+        line = f'QUERY {request} {text}'
+        statement = wire.decode_query(line)
+        self.gateway.on_statement(number, statement, self.now_ms)
+
+    def ask(
+        self,
+        number: int,
+        text: str,
+        request: str = 'r1',
+    ) -> statements.Answer:
+        """Send a statement and return its answer."""
+        told = self.clients.answers[number]
+        before = len(told)
+        self.send(number, text, request)
+        for _step in range(600):
+            if len(told) > before:
+                return told[before]
+            self.run(5)
+        raise AssertionError(f'no answer to {text}')
+
+    def run(self, for_ms: int) -> None:
+        """Let time pass."""
+        until_ms = self.now_ms + for_ms
+        while self.now_ms < until_ms:
+            self.now_ms += 5
+            self.databases.now_ms = self.now_ms
+            self._deliver()
+            self.gateway.tick(self.now_ms)
+
+    def lose(self, name: str) -> None:
+        """Cut all links to an instance."""
+        for number, connection in tuple(self.databases.connections.items()):
+            if connection.instance.name == name:
+                self.databases.connections.pop(number)
+                self.service.on_lost(number, self.now_ms)
+
+    def _deliver(self) -> None:
+        ready = [
+            entry for entry in self.databases.pending if entry[0] <= self.now_ms
+        ]
+        for entry in ready:
+            self.databases.pending.remove(entry)
+            self._run_line(*entry[1:])
+
+    def _run_line(self, number: int, line: str, starts: bool) -> None:
+        connection = self.databases.connections.get(number)
+        if connection is None:
+            return
+        name = connection.instance.name
+        if name in self.databases.silent:
+            return
+        if name in self.databases.cut and (
+            number not in self.databases.borrowed
+        ):
+            return
+        for word, action in tuple(self.databases.before.items()):
+            if word in line:
+                self.databases.before.pop(word)
+                action()
+        if starts:
+            lines = connection.start(line, self.now_ms)
+        else:
+            self.lines.append((name, line))
+            lines = connection.handle(line, self.now_ms)
+        if any(word in line for word in self.databases.swallowed):
+            return
+        reply = None
+        for text in lines:
+            reply = self.databases.readers[number].feed(text)
+        if starts:
+            refused = self.databases.readers[number].reply
+            self.service.on_open(number, reply or refused, self.now_ms)
+        else:
+            self.service.on_reply(number, reply, self.now_ms)
+
+
+def ran(rig: Rig, text: str) -> list[str]:
+    """Return the instances that ran statements with a text."""
+    return [name for name, line in rig.lines if text in line]
+
+
+class FakePlatform(ports.Platform):
+    """Store model and promotion orders.
+
+    Attributes:
+      orders: Accepted orders as (service, instance, fence).
+      down: Whether all store calls fail.
+    """
+
+    def __init__(self, model: typing.Any, group: sql_group.SqlGroup) -> None:
+        """Share a store model and a database group."""
+        self.model = model
+        self.group = group
+        self.orders: list[tuple[str, str, int]] = []
+        self.down = False
+        self.late: collections.deque = collections.deque()
+        self.watches: list[tuple[typing.Any, ports.OnStore]] = []
+        self.now_ms = 0
+        self.promote_ms = 300
+
+    def call(self, request: store.Request, on_reply: ports.OnStore) -> None:
+        """Run a call; its reply comes with the next `run`."""
+        if isinstance(request, store.WatchRequest):
+            self.model.open_watch(id(on_reply), request)
+            self.watches.append((id(on_reply), on_reply))
+            return
+        reply = self.model.call(request, self.now_ms)
+        self.late.append((self.now_ms + 4, on_reply, reply))
+
+    def promote(
+        self,
+        service: str,
+        instance: str,
+        fence: int,
+        on_result: ports.OnOrder,
+    ) -> None:
+        """Carry out an order after the time of a promotion."""
+        if self.orders and fence < self.orders[-1][2]:
+            outcome = ports.OrderResult(False, True, 'old fence')
+        else:
+            self.orders.append((service, instance, fence))
+            outcome = ports.OrderResult(True, False, 'done')
+            self.late.append(
+                (
+                    self.now_ms + self.promote_ms,
+                    lambda _none: self.group.promote(instance),
+                    None,
+                ),
+            )
+        self.late.append((self.now_ms + 4, on_result, outcome))
+
+    def run(self, now_ms: int) -> None:
+        """Deliver replies and events that are due."""
+        self.now_ms = now_ms
+        self.model.advance(now_ms)
+        due = [entry for entry in self.late if entry[0] <= now_ms]
+        for entry in due:
+            self.late.remove(entry)
+            entry[1](entry[2])
+        for number, on_reply in tuple(self.watches):
+            for events in self.model.take_events(number):
+                on_reply(events)
+
+
+def seeded() -> random.Random:
+    """Return a source of random numbers that repeats."""
+    return random.Random(1)
--- a/jacinthhaven/sql/election.py
+++ b/jacinthhaven/sql/election.py
@@ -160,7 +160,7 @@
         state = self.service.pool.states.get(name)
         if state is not None and state.leaving_ms is not None:
             return 'leaving'
-        if not self.said:
+        if not self.said or self.said != name:
             return None
         votes = sum(self.doubts.get(node) == self.said for node in members)
         return 'unreachable' if 2 * votes > len(members) else None
--- /dev/null
+++ b/jacinthhaven/sql/election_test.py
@@ -0,0 +1,238 @@
+"""Tests of the replacement of a primary: votes, duty, choice and fences."""
+
+import functools
+
+from jacinthhaven.sql import builders, election, node, records
+from jacinthhaven.standins import sql_group, store_model
+
+_PREFIX = 'ours/'
+
+
+class _Documents(node.Documents):
+    configuration_key = 'op/config'
+    own_prefix = _PREFIX
+    watched_prefix = 'o'
+    registry_prefix = 'servers/'
+
+    def __init__(self) -> None:
+        self.listed = [builders.instance(name) for name in builders.MEMBERS]
+
+    def configuration(self, text: str) -> records.Configuration | str:
+        """Return the only configuration."""
+        return builders.configuration()
+
+    def instances(self, entries, on_unusable) -> list[records.Instance]:
+        """Return the registry."""
+        return self.listed
+
+
+class Fleet:
+    """Several nodes that share a store model and a database group."""
+
+    def __init__(self, size: int = 3) -> None:
+        """Start the nodes and let them settle."""
+        self.group = sql_group.SqlGroup(builders.SERVICE, builders.MEMBERS)
+        self.model = store_model.StoreModel()
+        self.documents = _Documents()
+        self.nodes = []
+        self.rigs = []
+        self.platforms = []
+        self.now_ms = 1000
+        for index in range(size):
+            self._add(f'n{index}')
+        self.run(3000)
+
+    def run(self, for_ms: int) -> None:
+        """Let time pass for all nodes."""
+        until_ms = self.now_ms + for_ms
+        while self.now_ms < until_ms:
+            self.now_ms += 10
+            for index, member in enumerate(self.nodes):
+                self.platforms[index].run(self.now_ms)
+                rig = self.rigs[index]
+                rig.now_ms = self.now_ms
+                rig.databases.now_ms = self.now_ms
+                rig._deliver()
+                member.tick(self.now_ms)
+
+    def orders(self) -> list[tuple[str, str, int]]:
+        """Return the promotions that were ordered."""
+        return sorted(
+            (order for platform in self.platforms for order in platform.orders),
+            key=lambda order: order[2],
+        )
+
+    def silence(self, name: str, nodes: int) -> None:
+        """Let some nodes get no more answers from an instance."""
+        for rig in self.rigs[:nodes]:
+            rig.databases.silent.add(name)
+
+    def _add(self, name: str) -> None:
+        rig = object.__new__(builders.Rig)
+        rig.group = self.group
+        rig.databases = builders.FakeDatabases(self.group)
+        rig.clients = builders.FakeClients()
+        rig.journal = builders.FakeJournal()
+        rig.lines = []
+        platform = builders.FakePlatform(self.model, self.group)
+        member = node.Node(
+            node.Identity(name, builders.ZONE, 6000, ('127.0.0.1', 1)),
+            node.Surroundings(
+                rig.databases,
+                rig.clients,
+                builders.FakeBorrowers(),
+                platform,
+                rig.journal,
+                self.documents,
+                builders.seeded(),
+            ),
+        )
+        rig.gateway = member.gateway
+        member.on_key('op/config', '{}', 1)
+        self.nodes.append(member)
+        self.rigs.append(rig)
+        self.platforms.append(platform)
+
+
+def test_calm_fleet_promotes_nobody():
+    """Guards against needless promotions."""
+    fleet = Fleet()
+    fleet.run(5000)
+    assert not fleet.orders()
+    assert fleet.nodes[0].members == ('n0', 'n1', 'n2')
+
+
+def test_lost_primary_is_replaced_once():
+    """Guards against a service without a primary, and against two orders."""
+    fleet = Fleet()
+    fleet.silence('db-a', 3)
+    fleet.run(4000)
+    assert len(fleet.orders()) == 1
+    assert fleet.group.primary != 'db-a'
+    leaders = {
+        member.gateway.groups[builders.SERVICE].leadership.leader
+        for member in fleet.nodes
+    }
+    assert leaders == {fleet.group.primary}
+
+
+def test_one_node_without_contact_does_not_promote():
+    """Guards against replacing a primary that most nodes reach."""
+    fleet = Fleet()
+    fleet.silence('db-a', 1)
+    fleet.run(4000)
+    assert not fleet.orders()
+
+
+def test_replica_that_received_most_is_chosen():
+    """Guards against losing commits that some replica holds."""
+    fleet = Fleet()
+    fleet.group.instances['db-c'].deaf = True
+    fleet.group.commit((('k', '1'),), ('w1',), fleet.now_ms)
+    fleet.silence('db-a', 3)
+    fleet.run(4000)
+    assert fleet.group.primary == 'db-b'
+    assert not fleet.group.rolled_back
+
+
+def test_leaving_primary_is_replaced():
+    """Guards against a primary that stops while it leads."""
+    fleet = Fleet()
+    fleet.documents.listed = [
+        builders.instance(name, leaving=name == 'db-a')
+        for name in builders.MEMBERS
+    ]
+    fleet.run(4000)
+    assert len(fleet.orders()) == 1
+    assert fleet.group.primary != 'db-a'
+
+
+def test_primary_missing_from_the_registry_is_replaced_later():
+    """Guards against acting on entries that are back in two seconds."""
+    fleet = Fleet()
+    listed = fleet.documents.listed
+    fleet.documents.listed = [entry for entry in listed if entry.name != 'db-a']
+    fleet.run(2000)
+    assert not fleet.orders()
+    fleet.run(6000)
+    assert len(fleet.orders()) == 1
+
+
+def test_doubts_about_the_old_primary_spare_its_successor():
+    """Guards against replacing a successor by votes against another."""
+    fleet = Fleet()
+    vote = fleet.nodes[0].elections[builders.SERVICE]
+    for member in fleet.nodes:
+        vote.doubts[member.identity.name] = 'db-a'
+    vote.said = 'db-a'
+    vote.saying = True
+    vote.service.follow('db-b', 2, 'test')
+    vote.tick(fleet.nodes[0].members, 1, fleet.now_ms + 5000)
+    assert vote.runner is None
+
+
+def test_shares_shrink_late():
+    """Guards against links that exceed the limit while leases are gone."""
+    fleet = Fleet()
+    for member in fleet.nodes:
+        member.on_key('ours/node/n1', None, 99)
+        member.on_key('ours/node/n2', None, 99)
+    fleet.run(5000)
+    assert fleet.nodes[0].gateway.members == 3
+
+
+def test_each_attempt_has_a_higher_fence():
+    """Guards against a fencing number that is used twice."""
+    fleet = Fleet()
+    fleet.silence('db-a', 3)
+    fleet.run(4000)
+    fleet.silence(fleet.group.primary, 3)
+    fleet.run(9000)
+    fences = [order[2] for order in fleet.orders()]
+    assert len(fences) >= 2
+    assert len(set(fences)) == len(fences)
+    assert fences == sorted(fences)
+
+
+def test_holder_that_stops_is_followed_by_another():
+    """Guards against a duty that nobody takes over."""
+    fleet = Fleet()
+    fleet.silence('db-a', 3)
+    broken = functools.partial(_ignore_order)
+    fleet.platforms[0].promote = broken
+    fleet.run(600)
+    fleet.run(9000)
+    assert fleet.group.primary != 'db-a'
+
+
+def test_acknowledging_replicas_are_paused_before_the_choice():
+    """Guards against acknowledgements that the chosen replica lacks."""
+    fleet = Fleet()
+    for member in fleet.nodes:
+        member.elections[builders.SERVICE].acknowledging = 1
+    fleet.silence('db-a', 3)
+    fleet.run(4000)
+    assert fleet.orders()
+    paused = [
+        line
+        for rig in fleet.rigs
+        for _name, line in rig.lines
+        if 'PAUSE' in line
+    ]
+    assert len(paused) >= 2
+
+
+def test_keys_do_not_overlap():
+    """Guards against two kinds of notes under one key."""
+    keys = election.Keys(_PREFIX)
+    names = {
+        keys.member('x'),
+        keys.doubt('x', 'x'),
+        keys.duty('x'),
+        keys.lead('x'),
+    }
+    assert len(names) == 4
+
+
+def _ignore_order(*_args: object) -> None:
+    """Take an order and never answer."""
--- a/jacinthhaven/sql/execution.py
+++ b/jacinthhaven/sql/execution.py
@@ -183,6 +183,8 @@
         """Decide about the statement on a link that was lost."""
         work = link.work
         session = link.pinned
+        if not isinstance(session, sessions.Session):
+            session = None
         if session is not None and session.transaction is not None:
             session.transaction.link = None
             session.transaction.failed = True
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -54,6 +54,9 @@
         self.groups: dict[str, group.Group] = {}
         self.configuration = records.EMPTY
         self.members = 1
+        self.entries: typing.Sequence[records.Instance] = ()
+        self.early: list[tuple[int, str]] = []
+        self.lenders: list[records.Address] = []
         self.draining = False
 
     @property
@@ -69,7 +72,11 @@
             for session in self.sessions.values()
         )
 
-    def configure(self, configuration: records.Configuration) -> None:
+    def configure(
+        self,
+        configuration: records.Configuration,
+        now_ms: int,
+    ) -> None:
         """Put a newer configuration in force."""
         if configuration.version <= self.configuration.version:
             return
@@ -89,13 +96,19 @@
                     self.zone,
                     self.databases,
                     self.executor,
+                    now_ms,
                 )
-        self.set_members(self.members)
+        self.share_links(self.members)
+        self.register(self.entries, now_ms)
+        early, self.early = self.early, []
+        for number, database in early:
+            self.on_start(number, database)
 
-    def set_members(self, members: int) -> None:
+    def share_links(self, members: int) -> None:
         """Share the connections of each instance among all nodes."""
         self.members = members
         for name, known in self.groups.items():
+            known.pool.lenders = self.lenders
             service = self.configuration.services.get(name)
             if service is not None:
                 # One share stays free for connections of dead nodes, which
@@ -103,18 +116,28 @@
                 share = service.max_connections // (members + 1)
                 known.pool.share = max(share, 1)
 
+    def borrow_from(self, lenders: list[records.Address]) -> None:
+        """Borrow links from these nodes, in this order."""
+        self.lenders = lenders
+        for known in self.groups.values():
+            known.pool.lenders = lenders
+
     def register(
         self,
         entries: typing.Sequence[records.Instance],
         now_ms: int,
     ) -> None:
         """Take over the registry of instances."""
+        self.entries = entries
         for name, known in self.groups.items():
             own = [entry for entry in entries if entry.service == name]
             known.pool.update(own, now_ms)
 
     def on_start(self, number: int, database: str) -> None:
         """Open a session, or refuse it if no route has its database."""
+        if not self.configured:
+            self.early.append((number, database))
+            return
         if database not in self.configuration.routes:
             self.journal.write('session_refused', {'database': database})
             self.clients.refuse(number, statements.Code.UNKNOWN_DATABASE)
@@ -147,6 +170,7 @@
         """Forget a session; its open transaction is rolled back."""
         session = self.sessions.pop(number, None)
         if session is None:
+            self.early = [early for early in self.early if early[0] != number]
             return
         session.waiting.clear()
         work = session.work
--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -45,6 +45,7 @@
         zone: str,
         databases: ports.Databases,
         executor: 'execution.Executor',
+        now_ms: int = 0,
     ) -> None:
         """Start without instances.
 
@@ -53,13 +54,14 @@
           zone: Availability zone of this node.
           databases: Connections to instances.
           executor: Runs statements and answers clients.
+          now_ms: Current time.
         """
         self.name = name
         self.zone = zone
         self.pool = pool.Pool(databases)
         self.proofs = proofs.Proofs()
         self.backlog = backlog.Backlog()
-        self.leadership = leadership.Leadership()
+        self.leadership = leadership.Leadership(now_ms)
         self.executor = executor
         self.journal = executor.journal
         self.refreshing = False
@@ -119,6 +121,7 @@
             if choice is not None:
                 self.backlog.remove(work)
                 self.executor.place(self, work, choice, now_ms)
+        self._want_links(now_ms)
 
     def tick(self, now_ms: int) -> None:
         """Open links, give up what is overdue and refresh the proofs."""
@@ -128,7 +131,9 @@
             else:
                 self.on_open(link.number, None, now_ms)
         self._end_overdue(now_ms)
+        self._cut_silent(now_ms)
         self.pool.expire_questions(now_ms)
+        self.pool.close_unused(now_ms)
         self.pool.open_missing(now_ms)
         self._refresh(now_ms)
         self._look_for_leader(now_ms)
@@ -268,6 +273,13 @@
             elif work.repeatable and state.silent_for(now_ms) >= _MOVE_MS:
                 self.executor.move(self, work, now_ms)
 
+    def _cut_silent(self, now_ms: int) -> None:
+        """Borrow links to instances that do not answer on own ones."""
+        for state in self.pool.states.values():
+            if state.silent_for(now_ms) >= instances.SUSPECT_MS:
+                if now_ms >= state.closed_until_ms:
+                    self.pool.cut(state, now_ms)
+
     def _servable(self, work: sessions.Work, now_ms: int) -> bool:
         """Return whether a queued statement only waits for a free link."""
         state = self.leader_state
@@ -284,6 +296,20 @@
             is not None
         )
 
+    def _want_links(self, now_ms: int) -> None:
+        """Note where one more link would let a waiting statement run."""
+        wanted = set()
+        for work in self.backlog.waiting:
+            name = self.leadership.leader
+            if not work.needs_primary:
+                name = placement.nearest(work, self.view(now_ms))
+            if name is not None:
+                wanted.add(name)
+        news = wanted - self.pool.wanted
+        self.pool.wanted = wanted
+        if news:
+            self.pool.open_missing(now_ms)
+
     def _carry(
         self,
         link: links.Link,
--- a/jacinthhaven/sql/instances.py
+++ b/jacinthhaven/sql/instances.py
@@ -34,6 +34,8 @@
       applied: Newest position that the instance has shown.
       behind_until_ms: Until when it is not offered reads after it lagged.
       closed_until_ms: Until when no link is opened after a failure.
+      borrow_until_ms: Until when links are borrowed instead of opened.
+      next_borrow_ms: When the next link may be borrowed.
       missing_ms: Since when the registry lacks it, or None.
       leaving_ms: Since when it is known to leave or to be gone.
       failed_ms: Since when links cannot be opened, or None.
@@ -49,6 +51,8 @@
         'applied',
         'behind_until_ms',
         'closed_until_ms',
+        'borrow_until_ms',
+        'next_borrow_ms',
         'missing_ms',
         'leaving_ms',
         'failed_ms',
@@ -65,6 +69,8 @@
         self.applied: records.Position | None = None
         self.behind_until_ms = 0
         self.closed_until_ms = 0
+        self.borrow_until_ms = 0
+        self.next_borrow_ms = 0
         self.missing_ms: int | None = None
         self.leaving_ms: int | None = None
         self.failed_ms: int | None = None
--- a/jacinthhaven/sql/leadership.py
+++ b/jacinthhaven/sql/leadership.py
@@ -4,6 +4,8 @@
 
 # Pause between two rounds of questions while no leader is known.
 _ASK_MS = 150
+# Time within which a new process usually knows the leader.
+_LEARN_MS = 300
 
 
 class Leadership:
@@ -16,11 +18,11 @@
       asked_ms: When the instances were last asked.
     """
 
-    def __init__(self) -> None:
-        """Know no leader."""
+    def __init__(self, now_ms: int) -> None:
+        """Know no leader, but expect to learn it soon."""
         self.leader: str | None = None
         self.term = 0
-        self.expected_ms: int | None = None
+        self.expected_ms: int | None = now_ms + _LEARN_MS
         self.asked_ms: int | None = None
 
     def observe(self, instance: str, term: int) -> bool:
--- /dev/null
+++ b/jacinthhaven/sql/lending.py
@@ -0,0 +1,167 @@
+"""Links that one node lends to another.
+
+The load that this answers: connections are fewer than nodes need, or a node
+cannot reach an instance that others reach. The borrower uses the link like
+one of its own; the lender only passes lines on. A link is lent without
+session values and taken back only if nothing runs on it; otherwise it is
+closed, which rolls back whatever was open.
+"""
+
+import typing
+
+from jacinthhaven.sql import gateway, links, pool, ports, statements
+
+
+class Loan:
+    """One link in use by another node.
+
+    Attributes:
+      number: Number of the borrower's connection.
+      service: Service of the link.
+      link: Link that is lent.
+      open_replies: Statements whose replies are still to come.
+      state: Transaction state after the last reply.
+    """
+
+    __slots__ = ('number', 'service', 'link', 'open_replies', 'state')
+
+    def __init__(self, number: int, service: str, link: links.Link) -> None:
+        """Lend a link."""
+        self.number = number
+        self.service = service
+        self.link = link
+        self.open_replies = 0
+        self.state = statements.State.IDLE
+
+
+class Lender:
+    """Lends links of the services of one node.
+
+    Attributes:
+      loans: Links in use by other nodes, by the borrower's connection.
+    """
+
+    def __init__(
+        self,
+        sessions: gateway.Gateway,
+        borrowers: ports.Borrowers,
+        journal: ports.Journal,
+    ) -> None:
+        """Lend links of a gateway's services."""
+        self.gateway = sessions
+        self.borrowers = borrowers
+        self.journal = journal
+        self.loans: dict[int, Loan] = {}
+        self.by_link: dict[int, Loan] = {}
+
+    def on_request(
+        self,
+        number: int,
+        service: str,
+        instance: str,
+        now_ms: int,
+    ) -> None:
+        """Lend a free link to an instance, or refuse at once."""
+        known = self.gateway.groups.get(service)
+        link = None
+        if known is not None and not self.gateway.draining:
+            link = _clean_link(known.pool, instance)
+        if link is None:
+            if known is not None:
+                known.pool.demand(instance)
+                known.pool.open_missing(now_ms)
+            self.journal.count('loans', 'refused')
+            self.borrowers.refuse(number)
+            return
+        loan = Loan(number, service, link)
+        link.pinned = loan
+        self.loans[number] = loan
+        self.by_link[link.number] = loan
+        self.journal.count('loans', 'granted')
+        self.borrowers.grant(number)
+
+    def on_line(self, number: int, line: str, now_ms: int) -> None:
+        """Pass a command of a borrower on."""
+        loan = self.loans.get(number)
+        if loan is None:
+            return
+        loan.open_replies += 1
+        loan.link.sent_ms = now_ms
+        self.gateway.databases.send_line(loan.link.number, line)
+
+    def on_reply_line(
+        self,
+        link_number: int,
+        line: str,
+        state: statements.State | None,
+    ) -> bool:
+        """Pass a line of an instance on, if its link is lent.
+
+        Args:
+          link_number: Number of the link's connection.
+          line: Line as received.
+          state: Transaction state, if the line ends a reply.
+
+        Returns:
+          Whether the link is lent.
+        """
+        loan = self.by_link.get(link_number)
+        if loan is None:
+            return False
+        if state is not None:
+            loan.open_replies -= 1
+            loan.state = state
+        self.borrowers.send_line(loan.number, line)
+        return True
+
+    def on_returned(self, number: int, now_ms: int) -> None:
+        """Take a link back when its borrower has closed its connection."""
+        loan = self.loans.pop(number, None)
+        if loan is None:
+            return
+        self.by_link.pop(loan.link.number, None)
+        known = self.gateway.groups[loan.service]
+        clean = not loan.open_replies and loan.state is statements.State.IDLE
+        if not clean or loan.link.number not in known.pool.by_number:
+            known.pool.drop(loan.link)
+            return
+        loan.link.pinned = None
+        loan.link.steps.append(statements.Reset())
+        self.gateway.executor.send_next(known, loan.link, now_ms)
+
+    def on_lost(self, link_number: int) -> None:
+        """Tell the borrower of a link that the instance has closed it."""
+        loan = self.by_link.pop(link_number, None)
+        if loan is not None:
+            self.loans.pop(loan.number, None)
+            self.borrowers.end(loan.number)
+
+
+def _clean_link(known: pool.Pool, instance: str) -> links.Link | None:
+    """Return a free own link without session values, if there is one."""
+    state = known.states.get(instance)
+    if state is None:
+        return None
+    for link in state.free_links:
+        if not (link.borrowed or link.values or link.prepared):
+            return link
+    return None
+
+
+def choose_lenders(
+    addresses: typing.Mapping[str, typing.Any],
+    node: str,
+    start: int,
+) -> list[typing.Any]:
+    """Return the addresses of the other nodes, beginning somewhere.
+
+    Args:
+      addresses: Peer address of each node.
+      node: Name of this node.
+      start: Number that spreads the borrowers over the lenders.
+    """
+    names = sorted(name for name in addresses if name != node)
+    if not names:
+        return []
+    first = start % len(names)
+    return [addresses[name] for name in names[first:] + names[:first]]
--- a/jacinthhaven/sql/links.py
+++ b/jacinthhaven/sql/links.py
@@ -22,13 +22,14 @@
     Attributes:
       number: Number of the connection within the process.
       instance: Name of the instance.
+      borrowed: Whether another node lends it.
       ready: Whether the connection is open and accepted.
       values: Session values that are set on it.
       prepared: Names of the statements that are prepared on it.
       steps: Commands that are still to be sent.
       sent: Command whose reply is awaited.
       work: What the steps are for, if anything.
-      pinned: Session whose transaction holds the link.
+      pinned: Session whose transaction holds the link, or its loan.
       sent_ms: When the current command was sent.
       idle_ms: Since when the link is free.
     """
@@ -36,6 +37,7 @@
     __slots__ = (
         'number',
         'instance',
+        'borrowed',
         'ready',
         'values',
         'prepared',
@@ -47,17 +49,25 @@
         'idle_ms',
     )
 
-    def __init__(self, number: int, instance: str, now_ms: int) -> None:
+    def __init__(
+        self,
+        number: int,
+        instance: str,
+        now_ms: int,
+        *,
+        borrowed: bool = False,
+    ) -> None:
         """Describe a connection that is being opened."""
         self.number = number
         self.instance = instance
+        self.borrowed = borrowed
         self.ready = False
         self.values: dict[str, str] = {}
         self.prepared: set[str] = set()
         self.steps: collections.deque[statements.Command] = collections.deque()
         self.sent: statements.Command | None = None
         self.work: typing.Any = None
-        self.pinned: sessions.Session | None = None
+        self.pinned: typing.Any = None
         self.sent_ms = now_ms
         self.idle_ms = now_ms
 
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -11,6 +11,7 @@
     coordination,
     election,
     gateway,
+    lending,
     ports,
     records,
     scripts,
@@ -25,6 +26,13 @@
 # Kept free at the end of the grace period.
 _GRACE_RESERVE_MS = 700
 
+# Time after which a smaller number of members changes the shares; longer
+# than leases last while the store is unreachable for some nodes.
+_SHRINK_MS = 20_000
+
+# Range of the random starts that spread borrowers over lenders.
+_SPREAD = 1000
+
 Entries = typing.Sequence[store.KeyValue]
 
 
@@ -63,6 +71,7 @@
     name: str
     zone: str
     grace_ms: int
+    peer_address: records.Address
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +80,7 @@
 
     databases: ports.Databases
     clients: ports.Clients
+    borrowers: ports.Borrowers
     platform: ports.Platform
     journal: ports.Journal
     documents: Documents
@@ -105,13 +115,24 @@
             around.journal,
             around.rng,
         )
-        self.coordination.join(self.keys.member(identity.name), identity.zone)
+        host, port = identity.peer_address
+        self.coordination.join(
+            self.keys.member(identity.name),
+            f'{host}:{port}',
+        )
+        self.lender = lending.Lender(
+            self.gateway,
+            around.borrowers,
+            around.journal,
+        )
+        self.peers: dict[str, records.Address] = {}
         self.elections: dict[str, election.Election] = {}
         self.members: tuple[str, ...] = ()
         self.unusable: dict[str, str] = {}
         self.sleeping: list[tuple[int, typing.Callable[[None], None]]] = []
         self.stopping_ms: int | None = None
         self.stopped = False
+        self.shrink_ms = 0
         self.now_ms = 0
 
     @property
@@ -127,6 +148,8 @@
         for vote in self.elections.values():
             vote.tick(self.members, self.coordination.lease, now_ms)
         self._wake(now_ms)
+        if now_ms >= self.shrink_ms:
+            self._share_links()
         if self.stopping_ms is not None and not self.stopped:
             self._continue_stop(now_ms)
 
@@ -150,7 +173,7 @@
         name = key.removeprefix(documents.own_prefix)
         kind, _, rest = name.partition('/')
         if kind == 'node':
-            self._member(rest, present=text is not None)
+            self._member(rest, text)
             return
         service = rest.partition('/')[0]
         vote = self.elections.get(service)
@@ -181,7 +204,7 @@
                 {'revision': revision, 'reason': loaded},
             )
             return
-        self.gateway.configure(loaded)
+        self.gateway.configure(loaded, self.now_ms)
         for name, service in self.gateway.groups.items():
             if name not in self.elections:
                 self.elections[name] = election.Election(
@@ -195,15 +218,35 @@
             vote = self.elections[name]
             vote.acknowledging = declared.acknowledging_replicas
 
-    def _member(self, node: str, *, present: bool) -> None:
-        members = set(self.members)
-        if present:
-            members.add(node)
+    def _member(self, node: str, text: str | None) -> None:
+        if text is None:
+            self.peers.pop(node, None)
         else:
-            members.discard(node)
-        self.members = tuple(sorted(members))
-        self.journal.write('members', {'member': node, 'present': present})
-        self.gateway.set_members(max(len(self.members), 1))
+            host, _, port = text.rpartition(':')
+            self.peers[node] = (host, int(port))
+        self.members = tuple(sorted(self.peers))
+        self.journal.write(
+            'members',
+            {'member': node, 'present': text is not None},
+        )
+        self.gateway.borrow_from(
+            lending.choose_lenders(
+                self.peers,
+                self.identity.name,
+                self.around.rng.randrange(_SPREAD),
+            ),
+        )
+        self._share_links()
+
+    def _share_links(self) -> None:
+        """Share connections among the largest recent number of members.
+
+        Members whose keys are missing may still hold their connections.
+        """
+        size = max(len(self.members), 1)
+        if size >= self.gateway.members or self.now_ms >= self.shrink_ms:
+            self.shrink_ms = self.now_ms + _SHRINK_MS
+            self.gateway.share_links(size)
 
     def _perform(
         self,
@@ -237,7 +280,8 @@
         if elapsed_ms >= grace_ms * _TRANSACTION_SHARE:
             self.gateway.abort_transactions(now_ms)
         over = elapsed_ms >= grace_ms - _GRACE_RESERVE_MS
-        idle = elapsed_ms >= NOTICE_MS and not self.gateway.busy
+        busy = self.gateway.busy or self.lender.loans
+        idle = elapsed_ms >= NOTICE_MS and not busy
         if over or idle:
             self.stopped = True
 
--- a/jacinthhaven/sql/placement.py
+++ b/jacinthhaven/sql/placement.py
@@ -1,19 +1,19 @@
 """Choice of the instance and link that execute a statement.
 
 The load that this answers: the slots of all instances together are barely
-enough, so reads go to whichever instance is expected to answer first. One
-free link to the primary is left for the statements that need it, because
-those have no other place to go.
+enough, so reads go to whichever instance is expected to answer first, the
+primary included at a disadvantage, since its slots are the only ones for
+statements that need it.
 """
 
 import dataclasses
 
 from jacinthhaven.sql import instances, links, proofs, records, sessions
 
-# Links to the primary that reads leave free.
-_RESERVED_LINKS = 1
 # Difference in expected time that does not matter; the own zone wins.
 _NEAR_MS = 2.0
+# Disadvantage of the primary for reads, whose slots writes need.
+_PRIMARY_MS = 8.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,6 +72,8 @@
         expected_ms = state.expected_ms(view.now_ms)
         if state.entry.zone == view.zone:
             expected_ms -= _NEAR_MS
+        if state.entry.name == view.leader:
+            expected_ms += _PRIMARY_MS
         if best is None or expected_ms < best_ms:
             best = state
             best_ms = expected_ms
@@ -88,34 +90,30 @@
     proof: proofs.Proof,
 ) -> bool:
     """Return whether an instance can take a read with an age now."""
-    free = state.free_links
     name = state.entry.name
-    if not free or not state.usable_at(view.now_ms) or name in work.tried:
+    if (
+        not state.free_links
+        or not state.usable_at(view.now_ms)
+        or name in work.tried
+    ):
         return False
     if name == view.leader:
-        return len(free) > _RESERVED_LINKS or not _replicas_serve(
-            work,
-            view,
-            proof,
-        )
+        return True
     age_ms = view.now_ms - proof.at_ms
     return state.has_applied(proof.position, age_ms, view.now_ms)
 
 
-def _replicas_serve(
-    work: sessions.Work,
-    view: View,
-    proof: proofs.Proof,
-) -> bool:
-    """Return whether some replica is recent enough, free or not."""
-    age_ms = view.now_ms - proof.at_ms
-    return any(
-        name != view.leader
-        and name not in work.tried
-        and state.usable_at(view.now_ms)
-        and state.has_applied(proof.position, age_ms, view.now_ms)
+def nearest(work: sessions.Work, view: View) -> str | None:
+    """Return the instance whose further link would help a waiting read."""
+    usable = [
+        state
         for name, state in view.states.items()
-    )
+        if state.usable_at(view.now_ms) and name not in work.tried
+    ]
+    if not usable:
+        return None
+    best = min(usable, key=lambda state: state.expected_ms(view.now_ms))
+    return best.entry.name
 
 
 def _primary(work: sessions.Work, view: View) -> Choice | None:
--- a/jacinthhaven/sql/pool.py
+++ b/jacinthhaven/sql/pool.py
@@ -13,12 +13,31 @@
 _LIMIT_RETRY_MS = 500
 # A link that does not open within this time is given up.
 OPEN_LIMIT_MS = 900
+# The same for a borrowed link, whose lender only has to look it up.
+BORROW_LIMIT_MS = 150
 # Silence after which a link is closed although a reply is due.
 DEAD_LINK_MS = 5000
 # Links that are opened at the same time to one instance, since each takes
 # one of its slots.
 _OPENING = 1
 
+# Links that stand open to each instance; more are opened while statements
+# wait, since a dead node's connections block others for three seconds.
+_STANDING = 1
+# Time without use after which a link beyond these is closed.
+_IDLE_MS = 3000
+
+# How long links are borrowed after an own one could not be opened.
+_BORROW_MS = 2000
+# Pause after a node had no link to lend.
+_BORROW_RETRY_MS = 15
+# Time without use after which a borrowed link is returned.
+_BORROW_IDLE_MS = 400
+# Borrowed links to one instance at the same time.
+_MAX_BORROWED = 2
+# Pause before own links to an instance that does not answer are tried.
+_CUT_RETRY_MS = 1000
+
 OnReply = typing.Callable[[statements.Reply | None], None]
 
 
@@ -45,6 +64,8 @@
       by_number: Links by the number of their connection.
       share: Links that this node may open to each instance.
       questions: Waiting control commands by instance.
+      lenders: Addresses of the other nodes.
+      wanted: Instances for which statements wait without a free link.
     """
 
     def __init__(self, databases: ports.Databases) -> None:
@@ -54,6 +75,9 @@
         self.by_number: dict[int, links.Link] = {}
         self.share = 1
         self.questions: dict[str, collections.deque[Question]] = {}
+        self.wanted: set[str] = set()
+        self.lenders: list[records.Address] = []
+        self.turn = 0
 
     def update(
         self,
@@ -83,15 +107,22 @@
     def open_missing(self, now_ms: int) -> None:
         """Open links where this node has fewer than its share."""
         for state in self.states.values():
-            if now_ms < state.closed_until_ms:
-                continue
-            opening = sum(not link.ready for link in state.links)
-            wanted = self._wanted(state, now_ms)
-            if opening < _OPENING and len(state.links) < wanted:
-                number = self.databases.open(state.entry)
-                link = links.Link(number, state.entry.name, now_ms)
-                state.links.append(link)
-                self.by_number[number] = link
+            self._open_own(state, now_ms)
+            if now_ms < state.borrow_until_ms:
+                self._borrow(state, now_ms)
+
+    def demand(self, instance: str) -> None:
+        """Note that another node needs a link to an instance."""
+        if instance in self.states:
+            self.wanted.add(instance)
+
+    def cut(self, state: instances.InstanceState, now_ms: int) -> None:
+        """Stop using own links to an instance that does not answer here."""
+        state.borrow_until_ms = now_ms + _BORROW_MS
+        state.closed_until_ms = now_ms + _CUT_RETRY_MS
+        for link in state.free_links:
+            if not link.borrowed:
+                self.drop(link)
 
     def opened(self, link: links.Link, now_ms: int) -> None:
         """Accept a link that the instance has accepted."""
@@ -108,6 +139,11 @@
     ) -> None:
         """Wait before the next attempt after a link did not open."""
         state = self.states[link.instance]
+        if link.borrowed:
+            state.next_borrow_ms = now_ms + _BORROW_RETRY_MS
+            self.drop(link)
+            return
+        state.borrow_until_ms = now_ms + _BORROW_MS
         if code is statements.Code.CONNECTION_LIMIT:
             state.heard(now_ms)
             state.closed_until_ms = now_ms + _LIMIT_RETRY_MS
@@ -132,7 +168,8 @@
         late = []
         for link in self.by_number.values():
             waited_ms = now_ms - link.sent_ms
-            if not link.ready and waited_ms >= OPEN_LIMIT_MS:
+            limit_ms = BORROW_LIMIT_MS if link.borrowed else OPEN_LIMIT_MS
+            if not link.ready and waited_ms >= limit_ms:
                 late.append(link)
             elif link.sent is not None and waited_ms >= DEAD_LINK_MS:
                 late.append(link)
@@ -149,13 +186,72 @@
         waiting = self.questions.get(link.instance)
         return waiting.popleft() if waiting else None
 
-    def _wanted(self, state: instances.InstanceState, now_ms: int) -> int:
-        if self.questions.get(state.entry.name):
+    def close_unused(self, now_ms: int) -> None:
+        """Close links beyond the standing ones that were not used lately."""
+        for state in self.states.values():
+            for borrowed in state.free_links:
+                idle_ms = now_ms - borrowed.idle_ms
+                if borrowed.borrowed and idle_ms >= _BORROW_IDLE_MS:
+                    self.drop(borrowed)
+            spare = len(state.links) - min(_STANDING, self.share)
+            for link in state.free_links[: max(spare, 0)]:
+                if now_ms - link.idle_ms >= _IDLE_MS:
+                    self.drop(link)
+
+    def _open_own(self, state: instances.InstanceState, now_ms: int) -> None:
+        if now_ms < state.closed_until_ms:
+            return
+        own = [link for link in state.links if not link.borrowed]
+        opening = sum(not link.ready for link in own)
+        if opening < _OPENING and len(own) < self._target(state, own, now_ms):
+            self._add(state, None, now_ms)
+
+    def _borrow(self, state: instances.InstanceState, now_ms: int) -> None:
+        """Borrow a link for what waits, from one node after the other."""
+        name = state.entry.name
+        needed = name in self.wanted or self.questions.get(name)
+        if not needed or not self.lenders or now_ms < state.next_borrow_ms:
+            return
+        borrowed = [link for link in state.links if link.borrowed]
+        if len(borrowed) >= _MAX_BORROWED:
+            return
+        if all(link.ready for link in borrowed):
+            self.turn += 1
+            self._add(
+                state, self.lenders[self.turn % len(self.lenders)], now_ms
+            )
+
+    def _add(
+        self,
+        state: instances.InstanceState,
+        lender: records.Address | None,
+        now_ms: int,
+    ) -> None:
+        number = self.databases.open(state.entry, lender)
+        link = links.Link(
+            number,
+            state.entry.name,
+            now_ms,
+            borrowed=lender is not None,
+        )
+        state.links.append(link)
+        self.by_number[number] = link
+
+    def _target(
+        self,
+        state: instances.InstanceState,
+        own: list[links.Link],
+        now_ms: int,
+    ) -> int:
+        """Return how many own links to an instance there should be."""
+        name = state.entry.name
+        if self.questions.get(name):
             # A control command must not wait for a transaction to end.
             free = any(link.free for link in state.links)
-            return len(state.links) + (not free)
-        return (
-            self.share
-            if state.reachable_at(now_ms) or (state.leaving_ms is None)
-            else 0
-        )
+            return len(own) + (not free)
+        if state.leaving_ms is not None and not state.reachable_at(now_ms):
+            return 0
+        standing = min(_STANDING, self.share)
+        if name not in self.wanted:
+            return standing
+        return min(max(len(own) + 1, standing), self.share)
--- a/jacinthhaven/sql/ports.py
+++ b/jacinthhaven/sql/ports.py
@@ -15,18 +15,51 @@
     """Connections to instances, addressed by number."""
 
     @abc.abstractmethod
-    def open(self, instance: records.Instance) -> int:
-        """Start to connect and return the number of the connection."""
+    def open(
+        self,
+        instance: records.Instance,
+        lender: records.Address | None = None,
+    ) -> int:
+        """Start to connect and return the number of the connection.
+
+        Args:
+          instance: Instance to connect to.
+          lender: Address of a node that lends a connection, or None.
+        """
 
     @abc.abstractmethod
     def send(self, number: int, command: statements.Command) -> None:
         """Send a command; its reply is reported later."""
 
+    @abc.abstractmethod
+    def send_line(self, number: int, line: str) -> None:
+        """Send a command of another node unchanged."""
+
     @abc.abstractmethod
     def close(self, number: int) -> None:
         """Close a connection; nothing is reported about it afterwards."""
 
 
+class Borrowers(abc.ABC):
+    """Connections of nodes that borrow links, addressed by number."""
+
+    @abc.abstractmethod
+    def grant(self, number: int) -> None:
+        """Tell the borrower that it may use the link."""
+
+    @abc.abstractmethod
+    def refuse(self, number: int) -> None:
+        """Tell the borrower that no link is free and close."""
+
+    @abc.abstractmethod
+    def send_line(self, number: int, line: str) -> None:
+        """Pass a line of the instance on."""
+
+    @abc.abstractmethod
+    def end(self, number: int) -> None:
+        """Close the connection after the link was lost."""
+
+
 class Clients(abc.ABC):
     """Connections of clients, addressed by number."""
 
--- /dev/null
+++ b/jacinthhaven/sql/reads_test.py
@@ -0,0 +1,149 @@
+"""Tests of reads: placement, age of the data and proof of the lead."""
+
+from jacinthhaven.sql import builders, proofs, records, statements
+
+
+def position(number: int, term: int = 1) -> records.Position:
+    """Return a position in the log."""
+    return records.Position(term, number)
+
+
+def test_reads_with_an_age_use_replicas():
+    """Guards against loading the primary with reads of others."""
+    rig = builders.Rig()
+    rig.ask(rig.connect(builders.OWN), 'READ k')
+    assert builders.ran(rig, 'READ k')[0] != rig.group.primary
+
+
+def test_own_write_is_read_back():
+    """Guards against a replica that lacks the session's last commit."""
+    rig = builders.Rig()
+    for replica in ('db-b', 'db-c'):
+        rig.group.instances[replica].lag_ms = 5000
+    number = rig.connect(builders.OWN)
+    rig.ask(number, 'WRITE k new')
+    assert rig.ask(number, 'READ k', 'r2').rows == ('new',)
+
+
+def test_read_is_bounded_by_the_age_of_the_route():
+    """Guards against data older than the route allows."""
+    rig = builders.Rig()
+    writer = rig.connect(builders.STRICT)
+    rig.ask(writer, 'WRITE k old')
+    for replica in ('db-b', 'db-c'):
+        rig.group.instances[replica].lag_ms = 60_000
+    rig.ask(writer, 'WRITE k new', 'r2')
+    rig.run(1600)
+    reader = rig.connect(builders.BOUNDED)
+    assert rig.ask(reader, 'READ k', 'r3').rows == ('new',)
+
+
+def test_strict_read_needs_a_later_proof_of_the_lead():
+    """Guards against the answer of a primary that was replaced meanwhile.
+
+    The old primary still answers plain reads as a replica would.
+    """
+    rig = builders.Rig()
+    number = rig.connect(builders.STRICT)
+    rig.ask(number, 'WRITE k old')
+
+    def replace() -> None:
+        rig.group.promote('db-b')
+        rig.group.instances['db-a'].deaf = True
+        rig.group.commit((('k', 'new'),), ('other',), rig.now_ms)
+
+    rig.databases.before['READ k'] = replace
+    assert rig.ask(number, 'READ k', 'r2').rows == ('new',)
+
+
+def test_position_of_a_lost_term_is_not_awaited():
+    """Guards against waiting for a commit that a promotion rolled back."""
+    history = proofs.Proofs()
+    history.add(proofs.Proof(100, 2, position(50, 1)))
+    own = position(52, 1)
+    found = history.required(2500, 200, own)
+    assert found.position == position(50, 1)
+
+
+def test_oldest_sufficient_proof_is_required():
+    """Guards against asking replicas for more than the route needs."""
+    history = proofs.Proofs()
+    for step in range(20):
+        history.add(proofs.Proof(step * 100, 1, position(step)))
+    found = history.required(1000, 1900, None)
+    assert found.at_ms == 1100
+
+
+def test_no_proof_no_read():
+    """Guards against reads of an unknown age."""
+    history = proofs.Proofs()
+    history.add(proofs.Proof(100, 1, position(1)))
+    assert history.required(1500, 1700, None) is None
+
+
+def test_proof_of_an_older_term_is_dropped():
+    """Guards against positions of a replaced primary."""
+    history = proofs.Proofs()
+    history.add(proofs.Proof(100, 2, position(5, 2)))
+    history.add(proofs.Proof(200, 1, position(9, 1)))
+    assert history.newest.term == 2
+
+
+def test_read_moves_off_a_silent_instance():
+    """Guards against reads that wait for an instance without an answer."""
+    rig = builders.Rig()
+    rig.databases.silent.update({'db-b', 'db-c'})
+    answer = rig.ask(rig.connect(builders.OWN), 'READ k')
+    assert answer.code is None
+    assert rig.journal.events('move_read')
+
+
+def test_lagging_replica_is_left_alone_for_a_while():
+    """Guards against repeated refusals by a replica that lags."""
+    rig = builders.Rig()
+    writer = rig.connect(builders.STRICT)
+    rig.ask(writer, 'WRITE k a')
+    for replica in ('db-b', 'db-c'):
+        rig.group.instances[replica].lag_ms = 60_000
+    reader = rig.connect(builders.OWN)
+    rig.ask(reader, 'WRITE k b', 'r2')
+    for step in range(10):
+        rig.ask(reader, 'READ k', f'q{step}')
+    refused = rig.journal.counts['refused_by_instance.behind']
+    assert refused <= 4
+
+
+def test_leaving_replica_gets_no_reads():
+    """Guards against new work for an instance that is about to stop."""
+    rig = builders.Rig()
+    entries = [
+        builders.instance(name, leaving=name == 'db-b')
+        for name in builders.MEMBERS
+    ]
+    rig.gateway.register(entries, rig.now_ms)
+    number = rig.connect(builders.OWN)
+    for step in range(8):
+        rig.ask(number, f'READ k{step}', f'q{step}')
+    assert 'db-b' not in builders.ran(rig, ' READ ')
+
+
+def test_snapshot_of_codes():
+    """Guards against a promise for a code that says nothing about a run."""
+    assert statements.Code.OUTCOME_UNKNOWN not in statements.NOT_RUN
+    assert statements.Code.TIMEOUT not in statements.NOT_RUN
+    assert statements.Code.FAILED not in statements.NOT_RUN
+
+
+def test_few_links_stand_and_more_open_on_demand():
+    """Guards against links that block others after a loss of power."""
+    rig = builders.Rig()
+    assert len(rig.service.pool.by_number) == len(builders.MEMBERS)
+    rig.databases.work_ms = 100
+    numbers = [rig.connect(builders.STRICT) for _step in range(6)]
+    for number in numbers:
+        rig.send(number, f'WRITE k{number} 1', f'w{number}')
+    rig.run(600)
+    state = rig.service.pool.states['db-a']
+    assert len(state.links) == rig.service.pool.share
+    rig.run(4000)
+    assert len(state.links) == 1
--- a/jacinthhaven/sql/records.py
+++ b/jacinthhaven/sql/records.py
@@ -1,10 +1,14 @@
 """Routes, services, instances and log positions of the SQL proxy."""
 
-import dataclasses
 import enum
 import types
 import typing
 
+import msgspec
+
+
+Address = tuple[str, int]
+
 
 class Mode(enum.Enum):
     """How recent the data of a read must be."""
@@ -14,8 +18,7 @@
     OWN_WRITES = 'own_writes'
 
 
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
-class Position:
+class Position(msgspec.Struct, frozen=True, order=True):
     """Place in the replicated log of a service."""
 
     term: int
@@ -26,8 +29,7 @@
         return f'{self.term}.{self.number}'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """Rules for the sessions of one database name.
 
     Attributes:
@@ -49,8 +51,7 @@
     max_age_ms: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Service:
+class Service(msgspec.Struct, frozen=True):
     """One group of a primary and its replicas.
 
     Attributes:
@@ -65,8 +66,7 @@
     acknowledging_replicas: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Configuration:
+class Configuration(msgspec.Struct, frozen=True):
     """Operator's configuration in one version.
 
     Attributes:
@@ -87,8 +87,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Instance:
+class Instance(msgspec.Struct, frozen=True):
     """Registry entry of one backend server.
 
     Attributes:
@@ -103,15 +102,14 @@
 
     name: str
     service: str
-    address: tuple[str, int]
+    address: Address
     zone: str
     slots: int
     leaving: bool
     claims_primary: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class InstanceStatus:
+class InstanceStatus(msgspec.Struct, frozen=True):
     """What an instance says about itself.
 
     Attributes:
--- /dev/null
+++ b/jacinthhaven/sql/sessions_test.py
@@ -0,0 +1,218 @@
+"""Tests of sessions: values, prepared statements and transactions."""
+
+from jacinthhaven.sql import builders, statements
+
+
+def test_values_of_one_session_do_not_reach_another():
+    """Guards against a pooled link with values of another client."""
+    rig = builders.Rig(members=20)
+    first = rig.connect()
+    second = rig.connect()
+    rig.ask(first, 'SET tz utc')
+    rig.ask(first, 'READ a')
+    rig.ask(second, 'READ b')
+    for connection in rig.databases.connections.values():
+        handled = [line.split(' ', 2)[2] for line in connection.handled]
+        for index, text in enumerate(handled):
+            if 'READ b' in text and 'SET tz utc' in handled[:index]:
+                assert 'RESET' in handled[:index]
+
+
+def test_values_follow_the_session():
+    """Guards against a statement without its session's values."""
+    rig = builders.Rig()
+    number = rig.connect()
+    rig.ask(number, 'SET tz utc')
+    for step in range(6):
+        rig.ask(number, f'READ a{step}', f'q{step}')
+    for connection in rig.databases.connections.values():
+        if any('READ a' in line for line in connection.handled):
+            assert connection.values == {'tz': 'utc'}
+
+
+def test_prepared_names_of_two_sessions_do_not_collide():
+    """Guards against running another client's prepared statement."""
+    rig = builders.Rig(members=20)
+    first = rig.connect()
+    second = rig.connect()
+    rig.ask(first, 'PREPARE s WRITE q1')
+    rig.ask(second, 'PREPARE s READ q2')
+    rig.ask(first, 'EXECUTE s k v1', 'w1')
+    answer = rig.ask(second, 'EXECUTE s k', 'w2')
+    assert answer.code is None
+    assert rig.group.committed == {'w1': 1}
+
+
+def test_unknown_prepared_name():
+    """Guards against executing what was never prepared."""
+    rig = builders.Rig()
+    answer = rig.ask(rig.connect(), 'EXECUTE s k')
+    assert answer.code is statements.Code.UNKNOWN_STATEMENT
+
+
+def test_transaction_keeps_its_link():
+    """Guards against statements of one transaction on two links."""
+    rig = builders.Rig()
+    number = rig.connect(builders.STRICT)
+    rig.ask(number, 'BEGIN')
+    rig.ask(number, 'WRITE k 1', 'w1')
+    other = rig.connect(builders.STRICT)
+    rig.ask(other, 'READ k', 'x')
+    rig.ask(number, 'WRITE k 2', 'w2')
+    answer = rig.ask(number, 'COMMIT', 'c')
+    assert answer.code is None
+    assert answer.state is statements.State.IDLE
+    used = [
+        connection
+        for connection in rig.databases.connections.values()
+        if any('WRITE' in line for line in connection.handled)
+    ]
+    assert len(used) == 1
+    assert not any('QUERY x' in line for line in used[0].handled)
+
+
+def test_lost_answer_of_a_write_is_never_sent_again():
+    """Guards against a write that takes effect twice."""
+    rig = builders.Rig()
+    number = rig.connect()
+    rig.databases.swallowed.add('WRITE k')
+    answer = rig.ask(number, 'WRITE k 1', 'w1')
+    assert answer.code is statements.Code.OUTCOME_UNKNOWN
+    assert rig.group.committed == {'w1': 1}
+
+
+def test_lost_link_before_the_commit_aborts():
+    """Guards against a promise that does not hold, and against hanging."""
+    rig = builders.Rig()
+    number = rig.connect()
+    rig.ask(number, 'BEGIN')
+    rig.ask(number, 'WRITE k 1', 'w1')
+    rig.lose('db-a')
+    answer = rig.ask(number, 'WRITE k 2', 'w2')
+    assert answer.code is statements.Code.ABORTED
+    assert answer.state is statements.State.FAILED
+    ended = rig.ask(number, 'ROLLBACK')
+    assert ended.state is statements.State.IDLE
+    assert not rig.group.committed
+
+
+def test_lost_link_during_the_commit_is_in_doubt():
+    """Guards against a promise about a commit whose answer was lost."""
+    rig = builders.Rig()
+    number = rig.connect()
+    rig.ask(number, 'BEGIN')
+    rig.ask(number, 'WRITE k 1', 'w1')
+    rig.databases.swallowed.add('COMMIT')
+    rig.send(number, 'COMMIT', 'c')
+    rig.run(20)
+    rig.lose('db-a')
+    answer = rig.clients.answers[number][-1]
+    assert answer.code is statements.Code.OUTCOME_UNKNOWN
+    assert answer.state is statements.State.IDLE
+
+
+def test_commit_at_a_replaced_primary_aborts():
+    """Guards against an acknowledgement by a primary that was replaced."""
+    rig = builders.Rig()
+    number = rig.connect()
+    rig.ask(number, 'BEGIN')
+    rig.ask(number, 'WRITE k 1', 'w1')
+    rig.group.promote('db-b')
+    answer = rig.ask(number, 'COMMIT', 'c')
+    assert answer.code is statements.Code.ABORTED
+    assert not rig.group.committed
+
+
+def test_write_refused_by_a_replica_finds_the_new_primary():
+    """Guards against failing writes that certainly did not run."""
+    rig = builders.Rig()
+    rig.group.promote('db-c')
+    answer = rig.ask(rig.connect(), 'WRITE k 1', 'w1')
+    assert answer.code is None
+    assert rig.group.committed == {'w1': 1}
+
+
+def test_client_that_leaves_rolls_back():
+    """Guards against a transaction that survives its client."""
+    rig = builders.Rig()
+    number = rig.connect()
+    rig.ask(number, 'BEGIN')
+    rig.ask(number, 'WRITE k 1', 'w1')
+    rig.gateway.on_closed(number, rig.now_ms)
+    rig.run(100)
+    assert not rig.group.committed
+    assert all(link.free for link in rig.service.pool.by_number.values())
+
+
+def test_idle_transaction_ends():
+    """Guards against clients that hold a link for ever."""
+    rig = builders.Rig()
+    number = rig.connect()
+    rig.ask(number, 'BEGIN')
+    rig.ask(number, 'WRITE k 1', 'w1')
+    rig.run(3200)
+    links = rig.service.pool.by_number.values()
+    assert not any(link.pinned for link in links)
+    answer = rig.ask(number, 'WRITE k 2', 'w2')
+    assert answer.code is statements.Code.ABORTED
+
+
+def test_commit_of_an_empty_transaction_runs_at_an_instance():
+    """Guards against a success without the signature of an instance."""
+    rig = builders.Rig()
+    number = rig.connect()
+    rig.ask(number, 'BEGIN')
+    answer = rig.ask(number, 'COMMIT', 'c')
+    assert answer.signature.endswith('.c')
+
+
+def test_failed_transaction_accepts_only_its_end():
+    """Guards against statements outside their transaction."""
+    rig = builders.Rig()
+    number = rig.connect()
+    rig.ask(number, 'BEGIN')
+    rig.ask(number, 'WRITE k 1', 'w1')
+    rig.lose('db-a')
+    rig.ask(number, 'WRITE k 2', 'w2')
+    answer = rig.ask(number, 'WRITE k 3', 'w3')
+    assert answer.code is statements.Code.MALFORMED
+    assert not builders.ran(rig, 'WRITE k 3')
+
+
+def test_unknown_database_is_refused():
+    """Guards against sessions without a route."""
+    rig = builders.Rig()
+    number = rig.connect('nowhere')
+    assert rig.clients.refused[number] is statements.Code.UNKNOWN_DATABASE
+
+
+def test_configuration_never_goes_back():
+    """Guards against an older configuration that arrives late."""
+    rig = builders.Rig()
+    rig.gateway.configure(builders.configuration(7), 1)
+    rig.gateway.configure(builders.configuration(5, routes={}), 1)
+    assert rig.gateway.configuration.version == 7
+    assert rig.gateway.configuration.routes
+
+
+def test_removed_route_applies_to_the_next_statement():
+    """Guards against serving a database that was removed."""
+    rig = builders.Rig()
+    number = rig.connect()
+    rig.gateway.configure(builders.configuration(2, routes={}), 1)
+    answer = rig.ask(number, 'READ k')
+    assert answer.code is statements.Code.UNKNOWN_DATABASE
+
+
+def test_planned_stop_finishes_what_runs():
+    """Guards against cutting a request during a planned stop."""
+    rig = builders.Rig()
+    busy = rig.connect()
+    idle = rig.connect()
+    rig.databases.work_ms = 300
+    rig.send(busy, 'WRITE k 1', 'w1')
+    rig.gateway.drain(rig.now_ms)
+    assert rig.clients.closed == [idle]
+    rig.run(400)
+    assert rig.clients.answers[busy][0].code is None
+    assert rig.clients.closed == [idle, busy]
--- a/jacinthhaven/sql/statements.py
+++ b/jacinthhaven/sql/statements.py
@@ -1,8 +1,9 @@
 """Statements of clients, commands to instances and replies of instances."""
 
-import dataclasses
 import enum
 
+import msgspec
+
 from jacinthhaven.sql import records
 
 
@@ -59,8 +60,7 @@
     FAILED = 'failed'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Statement:
+class Statement(msgspec.Struct, frozen=True):
     """One statement of a client.
 
     Attributes:
@@ -78,16 +78,14 @@
     text: str = ''
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Prepared:
+class Prepared(msgspec.Struct, frozen=True):
     """Prepared statement of a session."""
 
     writes: bool
     shape: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Run:
+class Run(msgspec.Struct, frozen=True):
     """Execute a client's read, write or commit with its text unchanged.
 
     Attributes:
@@ -101,54 +99,46 @@
     prepared_name: str = ''
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Begin:
+class Begin(msgspec.Struct, frozen=True):
     """Open a transaction."""
 
     read_only: bool
     after: records.Position | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Rollback:
+class Rollback(msgspec.Struct, frozen=True):
     """End a transaction without its changes."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reset:
+class Reset(msgspec.Struct, frozen=True):
     """Clear session values and prepared statements of a link."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SetValue:
+class SetValue(msgspec.Struct, frozen=True):
     """Set one session value on a link."""
 
     name: str
     text: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Prepare:
+class Prepare(msgspec.Struct, frozen=True):
     """Prepare a statement on a link."""
 
     name: str
     prepared: Prepared
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AskStatus:
+class AskStatus(msgspec.Struct, frozen=True):
     """Ask an instance for its role, term and position."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Pause:
+class Pause(msgspec.Struct, frozen=True):
     """Stop a replica from receiving until it is resumed or promoted."""
 
     term: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Resume:
+class Resume(msgspec.Struct, frozen=True):
     """Let a paused replica receive again."""
 
 
@@ -165,8 +155,7 @@
 )
 
 
-@dataclasses.dataclass(slots=True)
-class Reply:
+class Reply(msgspec.Struct):
     """Complete reply of an instance to one command.
 
     Attributes:
@@ -188,8 +177,7 @@
     status: records.InstanceStatus | None = None
 
 
-@dataclasses.dataclass(slots=True)
-class Answer:
+class Answer(msgspec.Struct):
     """Complete answer to one statement of a client."""
 
     rows: tuple[str, ...] = ()
--- /dev/null
+++ b/jacinthhaven/standins/sql_group.py
@@ -0,0 +1,370 @@
+"""Model of a group of SQL instances that replicate asynchronously.
+
+The model speaks in lines, so that decision tests and socket tests run the
+same codec. Time passes only through `now_ms`.
+"""
+
+import dataclasses
+import itertools
+
+from jacinthhaven.sql import records
+
+_LAG_MS = 60
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """One committed transaction.
+
+    Attributes:
+      position: Place in the log.
+      writes: Written values by item.
+      requests: Identifiers of the client statements that wrote.
+      at_ms: When the primary committed it.
+    """
+
+    position: records.Position
+    writes: tuple[tuple[str, str], ...]
+    requests: tuple[str, ...]
+    at_ms: int
+
+
+class SqlInstance:
+    """One copy of the data.
+
+    Attributes:
+      log: Entries that it has received.
+      lag_ms: Delay between receiving and applying an entry.
+      deaf: Whether it receives nothing.
+      paused: Term of the last pause; 0 if it is not paused.
+      down: Whether it has crashed.
+    """
+
+    def __init__(self, name: str, group: 'SqlGroup') -> None:
+        """Start an empty replica."""
+        self.name = name
+        self.group = group
+        self.log: list[Entry] = []
+        self.term = 1
+        self.lag_ms = _LAG_MS
+        self.deaf = False
+        self.paused = 0
+        self.down = False
+
+    @property
+    def leads(self) -> bool:
+        """Return whether this instance is the primary."""
+        return self.group.primary == self.name
+
+    @property
+    def received(self) -> records.Position:
+        """Return the position of the last received entry."""
+        return self.log[-1].position if self.log else _START
+
+    def applied(self, now_ms: int) -> list[Entry]:
+        """Return the entries that a read sees."""
+        if self.leads:
+            return self.log
+        return [
+            entry for entry in self.log if entry.at_ms + self.lag_ms <= now_ms
+        ]
+
+    def position(self, now_ms: int) -> records.Position:
+        """Return the position of the last applied entry."""
+        applied = self.applied(now_ms)
+        return applied[-1].position if applied else _START
+
+    def read(self, key: str, now_ms: int) -> str:
+        """Return the newest applied value of an item."""
+        for entry in reversed(self.applied(now_ms)):
+            for name, text in reversed(entry.writes):
+                if name == key:
+                    return text
+        return 'none'
+
+
+class SqlGroup:
+    """A primary and its replicas.
+
+    Attributes:
+      instances: Instances by name.
+      primary: Name of the primary.
+      rolled_back: Entries that a promotion has removed.
+      committed: Number of commits by client statement.
+      violations: What a client or proxy did against the protocol.
+    """
+
+    def __init__(self, name: str, members: tuple[str, ...]) -> None:
+        """Start with the first member as primary of term 1."""
+        self.name = name
+        self.instances = {
+            member: SqlInstance(member, self) for member in members
+        }
+        self.primary = members[0]
+        self.term = 1
+        self.rolled_back: list[Entry] = []
+        self.committed: dict[str, int] = {}
+        self.violations: list[str] = []
+
+    def commit(
+        self,
+        writes: tuple[tuple[str, str], ...],
+        requests: tuple[str, ...],
+        now_ms: int,
+    ) -> Entry:
+        """Append a transaction at the primary and replicate it."""
+        leader = self.instances[self.primary]
+        position = records.Position(self.term, leader.received.number + 1)
+        entry = Entry(position, writes, requests, now_ms)
+        for instance in self.instances.values():
+            if instance.leads or not (
+                instance.deaf or instance.paused or instance.down
+            ):
+                instance.log.append(entry)
+        for request in requests:
+            self.committed[request] = self.committed.get(request, 0) + 1
+        return entry
+
+    def promote(self, name: str) -> None:
+        """Make an instance the primary with what it has received."""
+        if name == self.primary:
+            return
+        self.term += 1
+        self.primary = name
+        kept = self.instances[name].log
+        lost = {
+            entry.position: entry
+            for instance in self.instances.values()
+            for entry in instance.log
+            if entry not in kept
+        }
+        self.rolled_back.extend(lost.values())
+        for entry in lost.values():
+            for request in entry.requests:
+                self.committed[request] -= 1
+        for instance in self.instances.values():
+            instance.log = list(kept)
+            instance.term = self.term
+            instance.paused = 0
+
+
+class SqlConnection:
+    """Session of a proxy at one instance.
+
+    Attributes:
+      lose_answers: Whether replies to statements are swallowed.
+      handled: Lines that arrived, for assertions.
+    """
+
+    def __init__(self, instance: SqlInstance) -> None:
+        """Open a session."""
+        self.instance = instance
+        self.group = instance.group
+        self.state = 'I'
+        self.read_only = False
+        self.writes: list[tuple[str, str]] = []
+        self.requests: list[str] = []
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, tuple[str, str]] = {}
+        self.numbers = itertools.count(1)
+        self.handled: list[str] = []
+
+    def start(self, line: str, now_ms: int) -> list[str]:
+        """Return the reply to the first line."""
+        _word, service, _caller, expected = line.split(' ')
+        if service != self.group.name or expected != self.instance.name:
+            return [f'ERROR MISROUTED {self.instance.name}']
+        return [self._ready(now_ms)]
+
+    def handle(self, line: str, now_ms: int) -> list[str]:
+        """Return the reply to one statement."""
+        self.handled.append(line)
+        _word, request, text = line.split(' ', 2)
+        after = None
+        if text.startswith('WAITPOS '):
+            _word, after, text = text.split(' ', 2)
+        lines = self._run(request, text, after, now_ms)
+        return [*lines, self._ready(now_ms)]
+
+    def _ready(self, now_ms: int) -> str:
+        return f'READY {self.state} {self.instance.position(now_ms)}'
+
+    def _run(
+        self,
+        request: str,
+        text: str,
+        after: str | None,
+        now_ms: int,
+    ) -> list[str]:
+        if after is not None:
+            term, number = map(int, after.split('.'))
+            wanted = records.Position(term, number)
+            if self.instance.position(now_ms) < wanted:
+                return ['ERROR LAGGING -']
+        words = text.split(' ')
+        method = getattr(self, f'_on_{words[0].lower()}', None)
+        if method is None:
+            self.group.violations.append(f'unknown statement {text}')
+            return ['ERROR MALFORMED -']
+        return method(request, words[1:], now_ms)
+
+    def _done(self, request: str, *rows: str) -> list[str]:
+        signature = f'{self.instance.name}.{request}'
+        return [*(f'DATAROW {row}' for row in rows), f'COMPLETE {signature}']
+
+    def _refuse(self) -> list[str]:
+        if self.state == 'T':
+            self.state = 'E'
+        return [f'ERROR READONLY {self.instance.name}']
+
+    def _lost_lead(self) -> bool:
+        return (
+            self.state == 'T' and not self.read_only and not self.instance.leads
+        )
+
+    def _on_begin(
+        self,
+        _request: str,
+        words: list[str],
+        _now_ms: int,
+    ) -> list[str]:
+        self.read_only = words == ['READ']
+        if not self.read_only and not self.instance.leads:
+            return self._refuse()
+        self.state = 'T'
+        return ['COMPLETE -']
+
+    def _on_read(
+        self,
+        request: str,
+        words: list[str],
+        now_ms: int,
+    ) -> list[str]:
+        if self._lost_lead():
+            return self._refuse()
+        for key, text in reversed(self.writes):
+            if key == words[0]:
+                return self._done(request, text)
+        return self._done(request, self.instance.read(words[0], now_ms))
+
+    def _on_write(
+        self,
+        request: str,
+        words: list[str],
+        now_ms: int,
+    ) -> list[str]:
+        if not self.instance.leads or self.state == 'T' and self.read_only:
+            return self._refuse()
+        write = (words[0], ' '.join(words[1:]))
+        if self.state == 'T':
+            self.writes.append(write)
+            self.requests.append(request)
+        else:
+            self.group.commit((write,), (request,), now_ms)
+        return self._done(request)
+
+    def _on_commit(
+        self,
+        request: str,
+        _words: list[str],
+        now_ms: int,
+    ) -> list[str]:
+        if self.state != 'T':
+            return ['ERROR MALFORMED -']
+        if self.writes and not self.instance.leads:
+            return self._refuse()
+        if self.writes:
+            self.group.commit(
+                tuple(self.writes),
+                tuple(self.requests),
+                now_ms,
+            )
+        self._end()
+        return self._done(request)
+
+    def _on_rollback(
+        self,
+        _request: str,
+        _words: list[str],
+        _now_ms: int,
+    ) -> list[str]:
+        self._end()
+        return ['COMPLETE -']
+
+    def _end(self) -> None:
+        self.state = 'I'
+        self.writes.clear()
+        self.requests.clear()
+
+    def _on_set(
+        self,
+        _request: str,
+        words: list[str],
+        _now_ms: int,
+    ) -> list[str]:
+        self.values[words[0]] = ' '.join(words[1:])
+        return ['COMPLETE -']
+
+    def _on_reset(
+        self,
+        _request: str,
+        _words: list[str],
+        _now_ms: int,
+    ) -> list[str]:
+        self.values.clear()
+        self.prepared.clear()
+        return ['COMPLETE -']
+
+    def _on_prepare(
+        self,
+        _request: str,
+        words: list[str],
+        _now_ms: int,
+    ) -> list[str]:
+        self.prepared[words[0]] = (words[1], words[2])
+        return ['COMPLETE -']
+
+    def _on_execute(
+        self,
+        request: str,
+        words: list[str],
+        now_ms: int,
+    ) -> list[str]:
+        known = self.prepared.get(words[0])
+        if known is None:
+            return ['ERROR NOSTMT -']
+        if known[0] == 'WRITE':
+            return self._on_write(request, words[1:], now_ms)
+        return self._on_read(request, words[1:], now_ms)
+
+    def _on_status(
+        self,
+        _request: str,
+        _words: list[str],
+        now_ms: int,
+    ) -> list[str]:
+        instance = self.instance
+        role = 'primary' if instance.leads else 'replica'
+        row = f'{role} {instance.term} {instance.received}'
+        return [f'DATAROW {row} {instance.paused} 0 0 1', 'COMPLETE -']
+
+    def _on_pause(
+        self,
+        request: str,
+        words: list[str],
+        now_ms: int,
+    ) -> list[str]:
+        self.instance.paused = int(words[0])
+        return self._on_status(request, words, now_ms)
+
+    def _on_resume(
+        self,
+        request: str,
+        words: list[str],
+        now_ms: int,
+    ) -> list[str]:
+        self.instance.paused = 0
+        return self._on_status(request, words, now_ms)
+
+
+_START = records.Position(1, 0)
