--- a/jacinthhaven/adapters/decision_log.py
+++ b/jacinthhaven/adapters/decision_log.py
@@ -16,7 +16,6 @@
 
 from jacinthhaven.adapters import poller
 from jacinthhaven.decide import messages
-from jacinthhaven.records import settings_base
 
 STDOUT = 'stdout'
 _STDOUT_FD = 1
@@ -31,6 +30,20 @@
 _ENCODING_ERRORS = (TypeError, ValueError, OverflowError)
 
 
+class Output(typing.Protocol):
+    """Settings of a log, whichever kind of process they belong to.
+
+    Attributes:
+      level: Lowest level that is written.
+      destination: `stdout` or an absolute file name.
+      flush_ms: Longest time in milliseconds that a line stays buffered.
+    """
+
+    level: str
+    destination: str
+    flush_ms: int
+
+
 class UtcTime:
     """Wall-clock time as text; log lines of several nodes are compared."""
 
@@ -201,7 +214,7 @@
     def __init__(
         self,
         node: str,
-        config: settings_base.Log,
+        config: Output,
         loop: poller.Poller | None = None,
     ) -> None:
         """Open the destination.
--- a/jacinthhaven/adapters/decision_log_test.py
+++ b/jacinthhaven/adapters/decision_log_test.py
@@ -10,7 +10,7 @@
 
 from jacinthhaven.adapters import decision_log
 from jacinthhaven.decide import messages
-from jacinthhaven.records import settings_base
+from jacinthhaven.records import settings
 
 ROUTE = messages.DecisionLine('route', {'database': 'lots', 'term': 3})
 
@@ -32,7 +32,7 @@
 
 @pytest.fixture(name='opened')
 def _opened(tmp_path, loop):
-    config = settings_base.Log(destination=str(tmp_path / 'log'))
+    config = settings.Log(destination=str(tmp_path / 'log'))
     log = decision_log.DecisionLog('macon-1', config, loop)
     yield log
     log.close()
@@ -100,9 +100,7 @@
 
 def test_level_hides_decision_lines(tmp_path):
     """Guards against a level setting without effect."""
-    config = settings_base.Log(
-        destination=str(tmp_path / 'log'), level='warning'
-    )
+    config = settings.Log(destination=str(tmp_path / 'log'), level='warning')
     log = decision_log.DecisionLog('macon-1', config)
     log.write(ROUTE)
     log.close()
@@ -154,8 +152,8 @@
         'import sys\n'
         'from jacinthhaven.adapters import decision_log\n'
         'from jacinthhaven.decide import messages\n'
-        'from jacinthhaven.records import settings_base\n'
-        f'config = settings_base.Log(destination={str(tmp_path / "log")!r})\n'
+        'from jacinthhaven.records import settings\n'
+        f'config = settings.Log(destination={str(tmp_path / "log")!r})\n'
         'log = decision_log.DecisionLog("n", config)\n'
         'for number in range(2000):\n'
         '    log.write(messages.DecisionLine("route", {"number": number}))\n'
--- a/jacinthhaven/adapters/prometheus.py
+++ b/jacinthhaven/adapters/prometheus.py
@@ -1,8 +1,9 @@
 """Counters and latency histograms served as text over HTTP."""
 
+import functools
 import http
-
-import prometheus_client
+import importlib
+import typing
 
 from jacinthhaven.adapters import http_server, poller
 
@@ -12,26 +13,54 @@
 _PREFIX = 'jacinthhaven'
 
 
+# The library takes long to import; a restarted process serves first.
+_LOAD_MS = 1500
+_MAX_EARLY = 100_000
+
+
 class MetricsPage:
     """Metrics of one process and the page that shows them.
 
     Attributes:
-      registry: Registry of the metrics of this process.
+      library: Metrics library, once it is loaded.
+      early: Updates from before that.
     """
 
     def __init__(self, loop: poller.Poller) -> None:
         """Create an empty page."""
-        self.registry = prometheus_client.CollectorRegistry()
-        self.counters: dict[str, prometheus_client.Counter] = {}
-        self.histograms: dict[str, prometheus_client.Histogram] = {}
-        self.gauges: dict[str, prometheus_client.Gauge] = {}
+        self.library: typing.Any = None
+        self.registry: typing.Any = None
+        self.early: list[typing.Callable[[], None]] = []
+        self.counters: dict[str, typing.Any] = {}
+        self.histograms: dict[str, typing.Any] = {}
+        self.gauges: dict[str, typing.Any] = {}
         self.server = http_server.Server(loop, self._on_request)
+        loop.call_later(_LOAD_MS, self.load)
+
+    def load(self) -> None:
+        """Load the library and make the early updates."""
+        if self.library is not None:
+            return
+        self.library = importlib.import_module('prometheus_client')
+        self.registry = self.library.CollectorRegistry()
+        early, self.early = self.early, []
+        for update in early:
+            update()
+
+    def _postpone(self, update: typing.Callable[[], None]) -> bool:
+        if self.library is not None:
+            return False
+        if len(self.early) < _MAX_EARLY:
+            self.early.append(update)
+        return True
 
     def count(self, name: str, label: str) -> None:
         """Increase a counter."""
+        if self._postpone(functools.partial(self.count, name, label)):
+            return
         counter = self.counters.get(name)
         if counter is None:
-            counter = prometheus_client.Counter(
+            counter = self.library.Counter(
                 f'{_PREFIX}_{name}',
                 name,
                 ['kind'],
@@ -42,9 +71,13 @@
 
     def observe(self, name: str, label: str, spent_ms: float) -> None:
         """Add a time to a histogram."""
+        if self._postpone(
+            functools.partial(self.observe, name, label, spent_ms),
+        ):
+            return
         histogram = self.histograms.get(name)
         if histogram is None:
-            histogram = prometheus_client.Histogram(
+            histogram = self.library.Histogram(
                 f'{_PREFIX}_{name}',
                 name,
                 ['kind'],
@@ -56,9 +89,11 @@
 
     def gauge(self, name: str, level: float) -> None:
         """Set a gauge."""
+        if self._postpone(functools.partial(self.gauge, name, level)):
+            return
         gauge = self.gauges.get(name)
         if gauge is None:
-            gauge = prometheus_client.Gauge(
+            gauge = self.library.Gauge(
                 f'{_PREFIX}_{name}',
                 name,
                 registry=self.registry,
@@ -67,5 +102,6 @@
         gauge.set(level)
 
     def _on_request(self, exchange: http_server.Exchange) -> None:
-        page = prometheus_client.generate_latest(self.registry)
+        self.load()
+        page = self.library.generate_latest(self.registry)
         exchange.respond(http.HTTPStatus.OK, page)
--- a/jacinthhaven/adapters/sql_settings_file.py
+++ b/jacinthhaven/adapters/sql_settings_file.py
@@ -1,8 +1,6 @@
 """Loading of the settings of a SQL session proxy from a YAML file."""
 
-import pydantic
-
-from jacinthhaven.adapters import text_file, validation, yaml_file
+from jacinthhaven.adapters import text_file, yaml_file
 from jacinthhaven.records import sql_settings
 
 Loaded = sql_settings.SqlSettings | list[yaml_file.FileError]
@@ -12,10 +10,12 @@
     """Return the settings in a document, or all errors by position."""
     if document.errors:
         return sorted(document.errors)
-    try:
-        return sql_settings.SqlSettings.model_validate(document.root)
-    except pydantic.ValidationError as error:
-        return validation.located_errors(document, error)
+    located = sql_settings.check(document.root)
+    if located:
+        return sorted(
+            document.error_at(path, message) for path, message in located
+        )
+    return sql_settings.convert(document.root)
 
 
 def load(name: str) -> Loaded:
--- a/jacinthhaven/process/start.py
+++ b/jacinthhaven/process/start.py
@@ -3,8 +3,15 @@
 import os
 import sys
 
-from jacinthhaven.adapters import sql_settings_file, text_file
-from jacinthhaven.process import sql_proxy
+# circuits imports this only to declare a namespace package, which takes a
+# third of the start of a restarted proxy.
+sys.modules.setdefault('pkg_resources', None)
+
+from jacinthhaven.adapters import (  # noqa: E402
+    sql_settings_file,
+    text_file,
+)
+from jacinthhaven.process import sql_proxy  # noqa: E402
 
 SETTINGS_VARIABLE = 'JACINTHHAVEN_NODE_FILE'
 # Exit codes of the command line for invalid and for unreadable files.
--- a/jacinthhaven/records/settings.py
+++ b/jacinthhaven/records/settings.py
@@ -17,7 +17,7 @@
 import pydantic
 import pydantic_core
 
-from jacinthhaven.records import settings_base, topology
+from jacinthhaven.records import topology
 
 # Each slot holder uses one connection of its share for status requests and
 # needs another one for statements.
@@ -30,11 +30,16 @@
 Loc = tuple[str | int, ...]
 
 
+def _error(code: str, message: str) -> pydantic_core.PydanticCustomError:
+    # The messages are final; braces in them are not format fields.
+    return pydantic_core.PydanticCustomError(code, '{text}', {'text': message})
+
+
 def _raise_located(located: typing.Iterable[tuple[Loc, str]]) -> None:
     """Raise one validation error that holds all located messages."""
     details = [
         pydantic_core.InitErrorDetails(
-            type=settings_base.error('cross_check', message),
+            type=_error('cross_check', message),
             loc=loc,
             input=None,
         )
@@ -61,7 +66,7 @@
     try:
         return str(ipaddress.ip_address(text))
     except ValueError as error:
-        raise settings_base.error(
+        raise _error(
             'ip_address',
             f'not an IP address: {text!r} (host names are not accepted)',
         ) from error
@@ -69,7 +74,7 @@
 
 def _reachable(text: str) -> str:
     if ipaddress.ip_address(text).is_unspecified:
-        raise settings_base.error(
+        raise _error(
             'unspecified_address',
             f'{text} is not an address that other processes can connect to',
         )
@@ -84,12 +89,21 @@
             return name
         full_name, problem = info.context['file_check'](kind, name)
         if problem:
-            raise settings_base.error('file', problem)
+            raise _error('file', problem)
         return full_name
 
     return check
 
 
+def _destination(text: str) -> str:
+    if text != 'stdout' and not text.startswith('/'):
+        raise _error(
+            'destination',
+            'destination is neither `stdout` nor an absolute file name',
+        )
+    return text
+
+
 KEY_FILE = 'key'
 PEM_FILE = 'pem'
 
@@ -114,7 +128,17 @@
 ]
 
 
-class Address(settings_base.Model):
+class _Model(pydantic.BaseModel):
+    """Base of all settings: unknown keys and implicit conversions fail."""
+
+    model_config = pydantic.ConfigDict(
+        extra='forbid',
+        strict=True,
+        frozen=True,
+    )
+
+
+class Address(_Model):
     """IP address and TCP port of another process."""
 
     host: Host
@@ -133,7 +157,7 @@
     zone: ZoneName
 
 
-class Tls(settings_base.Model):
+class Tls(_Model):
     """TLS files of a listener in PEM format.
 
     Attributes:
@@ -154,7 +178,7 @@
     ca_file: PemFile
 
 
-class CallerListener(settings_base.Model):
+class CallerListener(_Model):
     """Listener of the caller protocol; any local address may be bound."""
 
     host: BindHost
@@ -162,7 +186,7 @@
     tls: Tls | None = None
 
 
-class PeerListener(settings_base.Model):
+class PeerListener(_Model):
     """Listener of the peer protocol; the address is told to the members."""
 
     host: Host
@@ -170,7 +194,7 @@
     tls: PeerTls | None = None
 
 
-class OperatorListener(settings_base.Model):
+class OperatorListener(_Model):
     """Listener of the operator protocol.
 
     Attributes:
@@ -186,7 +210,7 @@
     tls: Tls | None = None
 
 
-class Listeners(settings_base.Model):
+class Listeners(_Model):
     """The three listeners of a proxy."""
 
     caller: CallerListener
@@ -209,7 +233,7 @@
         return self
 
 
-class Store(settings_base.Model):
+class Store(_Model):
     """Access to the platform's key-value store.
 
     Attributes:
@@ -223,7 +247,7 @@
     call_timeout_ms: int = pydantic.Field(1000, ge=50, le=30_000)
 
 
-class Instance(settings_base.Model):
+class Instance(_Model):
     """One backend server of a group."""
 
     name: Name
@@ -232,7 +256,7 @@
     zone: ZoneName
 
 
-class Group(settings_base.Model):
+class Group(_Model):
     """Database group.
 
     Attributes:
@@ -269,7 +293,7 @@
         return self
 
 
-class Statsd(settings_base.Model):
+class Statsd(_Model):
     """Destination of the metrics.
 
     Attributes:
@@ -285,6 +309,23 @@
     interval_ms: int = pydantic.Field(10_000, ge=100, le=600_000)
 
 
+class Log(_Model):
+    """Destination of the log.
+
+    Attributes:
+      level: Lowest level that is written.
+      destination: `stdout` or an absolute file name.
+      flush_ms: Longest time in milliseconds that a line stays buffered.
+    """
+
+    level: typing.Literal['debug', 'info', 'warning', 'error'] = 'info'
+    destination: typing.Annotated[
+        str,
+        pydantic.AfterValidator(_destination),
+    ] = 'stdout'
+    flush_ms: int = pydantic.Field(200, ge=1, le=10_000)
+
+
 def _check_groups(groups: list[Group]) -> list[Group]:
     # Callers address a database without its group, and log lines name an
     # instance without its group.
@@ -337,7 +378,7 @@
     return seeds
 
 
-class Settings(settings_base.Model):
+class Settings(_Model):
     """Settings of one proxy process.
 
     Attributes:
@@ -353,7 +394,7 @@
         ever reached.
       groups: Database groups.
       statsd: Metrics destination, or None to keep no metrics.
-      log: settings_base.Log destination.
+      log: Log destination.
       drain_ms: Longest time that a planned stop waits for running work.
       gossip_ms: Time between two digest exchanges.
       fanout: Peers that a new revision is pushed to.
@@ -381,7 +422,7 @@
         pydantic.AfterValidator(_check_groups),
     ]
     statsd: Statsd | None = None
-    log: settings_base.Log = pydantic.Field(default_factory=settings_base.Log)
+    log: Log = pydantic.Field(default_factory=Log)
     drain_ms: int = pydantic.Field(30_000, ge=0, le=3_600_000)
     gossip_ms: int = pydantic.Field(500, ge=50, le=10_000)
     fanout: int = pydantic.Field(3, ge=1, le=16)
--- a/jacinthhaven/records/sql_settings.py
+++ b/jacinthhaven/records/sql_settings.py
@@ -1,48 +1,41 @@
-"""Settings of one SQL session proxy, read when it starts and on reload."""
+"""Settings of one SQL session proxy, read when it starts and on reload.
+
+They are checked without the models of the other settings, whose library
+takes longer to import than a restarted proxy may take to serve again.
+"""
 
 import ipaddress
 import typing
 
-import pydantic
-import pydantic_core
+import msgspec
 
-from jacinthhaven.records import settings_base
+Loc = tuple[str | int, ...]
+Located = list[tuple[Loc, str]]
 
-_MIN_LEASE_MS = 100
-_MIN_GRACE_MS = 1000
 _MAX_PORT = 65535
+_MISSING = 'required key is missing'
+_UNKNOWN = 'unknown key'
+_NOT_A_MAPPING = 'must be a mapping'
 
 
-def _address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(':')
-    try:
-        ipaddress.ip_address(host)
-        number = int(port)
-    except ValueError as error:
-        raise _bad_address(text) from error
-    if not 0 < number <= _MAX_PORT:
-        raise _bad_address(text)
-    return host, number
-
+class Address(tuple):
+    """IP address and TCP port, as sockets take them."""
 
-def _bad_address(text: str) -> pydantic_core.PydanticCustomError:
-    return settings_base.error(
-        'address',
-        f'{text} is not an IP address and a port',
-    )
+    __slots__ = ()
 
 
-def _parse_address(source: typing.Any) -> tuple[str, int]:
-    return _address(str(source))
+Lease = typing.Annotated[int, msgspec.Meta(ge=100)]
+Grace = typing.Annotated[int, msgspec.Meta(ge=1000)]
+Name = typing.Annotated[str, msgspec.Meta(min_length=1)]
+FlushTime = typing.Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+Level = typing.Literal['debug', 'info', 'warning', 'error']
 
 
-Address = typing.Annotated[
-    tuple[str, int],
-    pydantic.BeforeValidator(_parse_address),
-]
+class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Part of the settings; unknown keys are errors."""
 
 
-class Listeners(settings_base.Model):
+class Listeners(_Section, frozen=True):
     """Addresses that the process listens on."""
 
     clients: Address
@@ -51,20 +44,34 @@
     peers: Address
 
 
-class Store(settings_base.Model):
+class Store(_Section, frozen=True):
     """Platform's store."""
 
     address: Address
-    minimum_lease_ms: int = pydantic.Field(ge=_MIN_LEASE_MS)
+    minimum_lease_ms: Lease
 
 
-class Promotion(settings_base.Model):
+class Promotion(_Section, frozen=True):
     """Where promotions are ordered."""
 
     address: Address
 
 
-class SqlSettings(settings_base.Model):
+class Log(_Section, frozen=True):
+    """Destination of the log.
+
+    Attributes:
+      level: Lowest level that is written.
+      destination: `stdout` or a file name.
+      flush_ms: Longest time in milliseconds that a line stays buffered.
+    """
+
+    level: Level = 'info'
+    destination: Name = 'stdout'
+    flush_ms: FlushTime = 200
+
+
+class SqlSettings(_Section, frozen=True):
     """Settings of one process.
 
     Attributes:
@@ -73,14 +80,75 @@
       listeners: Addresses that the process listens on.
       store: Platform's store.
       promotion: Where promotions are ordered.
-      log: Destination of the log.
       grace_ms: Time between SIGTERM and SIGKILL.
+      log: Destination of the log.
     """
 
-    node: str = pydantic.Field(min_length=1)
-    zone: str = pydantic.Field(min_length=1)
+    node: Name
+    zone: Name
     listeners: Listeners
     store: Store
     promotion: Promotion
-    log: settings_base.Log = settings_base.Log()
-    grace_ms: int = pydantic.Field(ge=_MIN_GRACE_MS)
+    grace_ms: Grace
+    log: Log = Log()
+
+
+def check(document: typing.Any) -> Located:
+    """Return the path and the message of each error in a document."""
+    return _check(document, SqlSettings, ())
+
+
+def convert(document: typing.Any) -> SqlSettings:
+    """Return a checked document as settings.
+
+    Raises:
+      msgspec.ValidationError: If `check` reports an error.
+    """
+    return msgspec.convert(document, SqlSettings, dec_hook=_decode)
+
+
+def _check(document: typing.Any, section: type, path: Loc) -> Located:
+    if not isinstance(document, dict):
+        return [(path, _NOT_A_MAPPING)]
+    fields = {field.name: field for field in msgspec.structs.fields(section)}
+    located: Located = [
+        ((*path, str(key)), _UNKNOWN) for key in document if key not in fields
+    ]
+    for name, field in fields.items():
+        place = (*path, name)
+        if name in document:
+            located.extend(_check_field(document[name], field.type, place))
+        elif field.required:
+            located.append((place, _MISSING))
+    return located
+
+
+def _check_field(found: typing.Any, kind: typing.Any, path: Loc) -> Located:
+    if isinstance(kind, type) and issubclass(kind, _Section):
+        return _check(found, kind, path)
+    try:
+        if kind is Address:
+            _parse_address(found)
+        else:
+            msgspec.convert(found, kind)
+    except ValueError as error:
+        return [(path, str(error))]
+    return []
+
+
+def _parse_address(text: typing.Any) -> Address:
+    host, _, port = str(text).rpartition(':')
+    try:
+        ipaddress.ip_address(host)
+        number = int(port)
+    except ValueError as error:
+        raise ValueError(f'{text} is not an IP address and a port') from error
+    if not 0 < number <= _MAX_PORT:
+        raise ValueError(f'{number} is not a TCP port')
+    return Address((host, number))
+
+
+def _decode(kind: type, found: typing.Any) -> Address:
+    if kind is Address:
+        return _parse_address(found)
+    raise NotImplementedError(kind)
