Execute sessions of a large fleet at a few owners

Cause: at 90 nodes each node has little traffic and less than one connection to an instance; each would need proofs of its own. Change: two owners for each service and zone, on the largest VMs; other nodes relay sessions to them and answer truthfully when an owner is lost. Members are read instead of watched. Only reads count for the expected time of an instance, since short statements made the primary look faster.

--- a/jacinthhaven/platform/documents.py
+++ b/jacinthhaven/platform/documents.py
@@ -18,6 +18,8 @@
 # that one watch covers both.
 OWN_PREFIX = 'ours/'
 WATCHED_PREFIX = 'o'
+# The keys of the nodes change too often for a watch of all nodes.
+MEMBER_PREFIX = 'nodes/'
 
 _MODES = types.MappingProxyType(
     {
--- a/jacinthhaven/platform/kv.py
+++ b/jacinthhaven/platform/kv.py
@@ -19,7 +19,7 @@
 
 # One waiting watch counts as a call, so a longer wait is cheaper; a watch
 # whose connection went silent is noticed that much later.
-WATCH_WAIT_MS = 1500
+_WATCH_WAIT_MS = 1500
 # Time for an answer beyond the wait.
 _WATCH_SLACK_MS = 700
 _MAX_ANSWER_BYTES = 4_194_304
@@ -153,7 +153,13 @@
 
 @plugins.register(plugins.STORE_KIND, 'platform')
 class PlatformStore(http_store.HttpStore):
-    """Task that owns the connections to the platform's store."""
+    """Task that owns the connections to the platform's store.
+
+    Attributes:
+      watch_wait_ms: How long a watch without changes waits.
+    """
+
+    watch_wait_ms = _WATCH_WAIT_MS
 
     def send(self, client: http_client.Client, request: store.Request) -> None:
         """Send the request of a call."""
@@ -180,15 +186,21 @@
 
     def new_watch(self, client: http_client.Client) -> http_store.Watch:
         """Return a watch that owns a new connection."""
-        return _LongPoll(self.poller, client)
+        return _LongPoll(self.poller, client, self.watch_wait_ms)
 
 
 class _LongPoll(http_store.Watch):
     """Watch that asks again after each answer."""
 
-    def __init__(self, loop: poller.Poller, client: http_client.Client) -> None:
+    def __init__(
+        self,
+        loop: poller.Poller,
+        client: http_client.Client,
+        wait_ms: int,
+    ) -> None:
         """Take ownership of a new connection."""
         self.poller = loop
+        self.wait_ms = wait_ms
         self.client = client
         client.parser.max_body = _MAX_ANSWER_BYTES
         self.on_events = _ignore
@@ -219,10 +231,10 @@
         self.round += 1
         self.client.get(
             f'/kv-watch?prefix={self.prefix}&after={self.revision}'
-            f'&waitMs={WATCH_WAIT_MS}',
+            f'&waitMs={self.wait_ms}',
         )
         self.poller.call_later(
-            WATCH_WAIT_MS + _WATCH_SLACK_MS,
+            self.wait_ms + _WATCH_SLACK_MS,
             functools.partial(self._check, self.round),
         )
 
--- a/jacinthhaven/platform/plugin.py
+++ b/jacinthhaven/platform/plugin.py
@@ -20,6 +20,7 @@
     own_prefix = documents.OWN_PREFIX
     watched_prefix = documents.WATCHED_PREFIX
     registry_prefix = documents.REGISTRY_PREFIX
+    member_prefix = documents.MEMBER_PREFIX
 
     def configuration(self, text: str) -> records.Configuration | str:
         """Return the configuration, or why it cannot be used."""
@@ -54,6 +55,7 @@
             self._on_reply,
             _CALL_TIMEOUT_MS,
         )
+        self.store.watch_wait_ms = settings.store.watch_wait_ms
         self.orders = duty.PromotionOrders(
             loop,
             settings.promotion.address,
--- a/jacinthhaven/platform/sockets.py
+++ b/jacinthhaven/platform/sockets.py
@@ -66,6 +66,23 @@
         )
         return self.listener.port
 
+    def adopt(self, stream: streams.Stream) -> int:
+        """Treat a connection of another node as a session.
+
+        Args:
+          stream: Connection whose first line was read.
+
+        Returns:
+          Number of the session.
+        """
+        connection = self._add(stream)
+        connection.started = True
+        return connection.number
+
+    def send_line(self, number: int, line: str) -> None:
+        """Pass a line of an owner on."""
+        self._send(number, wire.encode_line(line))
+
     def stop_accepting(self) -> None:
         """Close the listener."""
         if self.listener is not None:
@@ -99,11 +116,15 @@
 
     def _on_stream(self, stream: streams.Stream) -> None:
         limit_silence(stream)
+        self._add(stream)
+
+    def _add(self, stream: streams.Stream) -> _ClientConnection:
         number = next(self.numbers)
         connection = _ClientConnection(stream, number)
         self.connections[number] = connection
         stream.on_bytes = functools.partial(self._on_bytes, connection)
         stream.on_close = functools.partial(self._on_close, connection)
+        return connection
 
     def _on_bytes(self, connection: _ClientConnection, chunk: bytes) -> None:
         try:
@@ -122,6 +143,9 @@
             connection.started = True
             self.on_start(connection.number, wire.decode_start(line))
             return
+        if line == wire.PING:
+            connection.stream.send(wire.encode_line(wire.PONG))
+            return
         statement = wire.decode_query(line)
         if statement is None:
             connection.stream.close()
@@ -246,6 +270,8 @@
       on_request: Called with the number, service and instance asked for.
       on_line: Called with the number and a command.
       on_returned: Called with the number of a closed connection.
+      on_relayed: Called with the connection of a relayed session, the
+        version of its configuration and its database.
     """
 
     def __init__(self, loop: poller.Poller) -> None:
@@ -257,6 +283,10 @@
         self.on_request: typing.Callable[[int, str, str], None] = _ignore
         self.on_line: typing.Callable[[int, str], None] = _ignore
         self.on_returned: typing.Callable[[int], None] = _ignore
+        self.on_relayed: typing.Callable[
+            [streams.Stream, int, str],
+            None,
+        ] = _ignore
 
     def listen(self, address: records.Address) -> int:
         """Start to accept nodes and return the port."""
@@ -315,12 +345,103 @@
             self.on_line(connection.number, line)
             return
         connection.started = True
-        self.on_request(connection.number, *wire.decode_loan(line))
+        relayed = wire.decode_relayed(line)
+        if relayed is None:
+            self.on_request(connection.number, *wire.decode_loan(line))
+            return
+        self.connections.pop(connection.number)
+        self.on_relayed(connection.stream, *relayed)
 
     def _on_close(self, connection: _ClientConnection) -> None:
         if self.connections.pop(connection.number, None) is not None:
             self.on_returned(connection.number)
 
 
+class _RelayConnection:
+    __slots__ = ('stream', 'reader', 'number')
+
+    def __init__(self, stream: streams.Stream, number: int) -> None:
+        self.stream = stream
+        self.reader = wire.LineReader()
+        self.number = number
+
+
+class RelaySockets(ports.Relays):
+    """Connections to owners that execute sessions.
+
+    Attributes:
+      on_line: Called with the number, a line and the state that it holds.
+      on_alive: Called with the number when the owner's process answers.
+      on_lost: Called with the number of a connection that was lost.
+    """
+
+    def __init__(self, loop: poller.Poller) -> None:
+        """Start without connections."""
+        self.poller = loop
+        self.numbers = itertools.count(1)
+        self.connections: dict[int, _RelayConnection] = {}
+        self.on_line: typing.Callable[
+            [int, str, statements.State | None],
+            None,
+        ] = _ignore
+        self.on_alive: typing.Callable[[int], None] = _ignore
+        self.on_lost: typing.Callable[[int], None] = _ignore
+
+    def open(
+        self,
+        address: records.Address,
+        database: str,
+        version: int,
+    ) -> int:
+        """Ask an owner to execute a session."""
+        number = next(self.numbers)
+        stream = streams.connect(self.poller, address)
+        limit_silence(stream)
+        connection = _RelayConnection(stream, number)
+        self.connections[number] = connection
+        stream.on_bytes = functools.partial(self._on_bytes, connection)
+        stream.on_close = functools.partial(self._on_close, connection)
+        stream.send(wire.encode_relayed(database, version))
+        return number
+
+    def send(self, number: int, statement: statements.Statement) -> None:
+        """Pass a statement on."""
+        self._send(number, wire.encode_query(statement))
+
+    def ping(self, number: int) -> None:
+        """Ask whether the owner's process lives."""
+        self._send(number, wire.encode_line(wire.PING))
+
+    def close(self, number: int) -> None:
+        """Close a connection; nothing is reported about it afterwards."""
+        connection = self.connections.pop(number, None)
+        if connection is not None:
+            connection.stream.close()
+
+    def _send(self, number: int, chunk: bytes) -> None:
+        connection = self.connections.get(number)
+        if connection is not None:
+            connection.stream.send(chunk)
+
+    def _on_bytes(self, connection: _RelayConnection, chunk: bytes) -> None:
+        try:
+            lines = connection.reader.feed(chunk)
+        except wire.MalformedLineError:
+            connection.stream.close()
+            self._on_close(connection)
+            return
+        for line in lines:
+            if connection.number not in self.connections:
+                return
+            if line == wire.PONG:
+                self.on_alive(connection.number)
+            else:
+                self.on_line(connection.number, line, wire.ready_state(line))
+
+    def _on_close(self, connection: _RelayConnection) -> None:
+        if self.connections.pop(connection.number, None) is not None:
+            self.on_lost(connection.number)
+
+
 def _ignore(*_args: typing.Any) -> None:
     """Do nothing; default of an unset callback."""
--- a/jacinthhaven/platform/wire.py
+++ b/jacinthhaven/platform/wire.py
@@ -108,6 +108,29 @@
     return database
 
 
+PING = 'PING'
+PONG = 'PONG'
+_RELAYED = 'SESSION'
+
+
+def encode_relayed(database: str, version: int) -> bytes:
+    """Return the first line to an owner, which executes a session."""
+    return _encode([f'{_RELAYED} {version} {database}'])
+
+
+def decode_relayed(line: str) -> tuple[int, str] | None:
+    """Return the version and database of a relayed session, or None."""
+    match line.split(' '):
+        case [word, version, database] if word == _RELAYED:
+            return int(version), database
+    return None
+
+
+def encode_query(statement: statements.Statement) -> bytes:
+    """Return the line of a client's statement."""
+    return _encode([f'QUERY {statement.request_id} {statement.text}'])
+
+
 def decode_loan(line: str) -> tuple[str, str]:
     """Return the service and instance of a node's first line.
 
--- a/jacinthhaven/process/sql_proxy.py
+++ b/jacinthhaven/process/sql_proxy.py
@@ -17,13 +17,14 @@
     poller,
     prometheus,
     sql_settings_file,
+    streams,
 )
 from jacinthhaven.decide import messages
 from jacinthhaven.kernel import clock
 from jacinthhaven.platform import plugin, sockets
 from jacinthhaven.process import ticker
 from jacinthhaven.records import sql_settings
-from jacinthhaven.sql import node, ports, statements
+from jacinthhaven.sql import node, ownership, ports, statements
 
 _OK = 200
 _UNAVAILABLE = 503
@@ -88,19 +89,24 @@
         self.clients = sockets.ClientSockets(self.poller)
         self.databases = sockets.DatabaseSockets(self.poller)
         self.borrowers = sockets.BorrowerSockets(self.poller)
+        self.relays = sockets.RelaySockets(self.poller)
         self.health = http_server.Server(self.poller, self._on_health)
         self.platform = plugin.PlatformCalls(self.poller, settings)
         self.node = node.Node(
             node.Identity(
                 settings.node,
-                settings.zone,
                 settings.grace_ms,
-                settings.listeners.peers,
+                ownership.Peer(
+                    settings.listeners.peers,
+                    settings.zone,
+                    settings.processor.capacity,
+                ),
             ),
             node.Surroundings(
                 self.databases,
                 self.clients,
                 self.borrowers,
+                self.relays,
                 self.platform,
                 self.journal,
                 plugin.PlatformDocuments(),
@@ -141,42 +147,50 @@
         logging.getLogger(__name__).error('unexpected error', exc_info=error)
 
     def _connect(self) -> None:
-        gateway = self.node.gateway
-        now_ms = self.clock.now_ms
-        self.clients.on_start = gateway.on_start
-        self.clients.on_statement = self._on_statement
-        self.clients.on_closed = lambda number: gateway.on_closed(
-            number,
-            now_ms(),
-        )
-        self.clients.on_malformed = lambda: self.journal.count(
-            'clients_closed',
-            'malformed',
-        )
+        self._connect_clients()
+        self._connect_nodes()
         self.databases.on_open = self._on_open
         self.databases.on_reply = self._on_reply
         self.databases.on_lost = self._on_lost
+        self.databases.on_line = self.node.lender.on_reply_line
+
+    def _connect_clients(self) -> None:
+        relay = self.node.relay
+        self.clients.on_start = self._timed(relay.on_start)
+        self.clients.on_statement = self._timed(relay.on_statement)
+        self.clients.on_closed = self._timed(relay.on_closed)
+        self.clients.on_malformed = self._on_malformed
+
+    def _connect_nodes(self) -> None:
         lender = self.node.lender
-        self.databases.on_line = lender.on_reply_line
-        self.borrowers.on_request = lambda number, service, instance: (
-            lender.on_request(number, service, instance, now_ms())
-        )
-        self.borrowers.on_line = lambda number, line: lender.on_line(
-            number,
-            line,
-            now_ms(),
-        )
-        self.borrowers.on_returned = lambda number: lender.on_returned(
-            number,
-            now_ms(),
-        )
+        relay = self.node.relay
+        self.borrowers.on_request = self._timed(lender.on_request)
+        self.borrowers.on_line = self._timed(lender.on_line)
+        self.borrowers.on_returned = self._timed(lender.on_returned)
+        self.borrowers.on_relayed = self._on_relayed
+        self.relays.on_line = self._timed(relay.on_line)
+        self.relays.on_alive = relay.on_alive
+        self.relays.on_lost = self._timed(relay.on_lost)
+
+    def _timed(self, handler: typing.Callable) -> typing.Callable:
+        """Return a handler that adds the current time to its arguments."""
 
-    def _on_statement(
+        def call(*args: typing.Any) -> None:  # noqa: WPS430
+            handler(*args, self.clock.now_ms())
+
+        return call
+
+    def _on_relayed(
         self,
-        number: int,
-        statement: statements.Statement,
+        stream: streams.Stream,
+        version: int,
+        database: str,
     ) -> None:
-        self.node.gateway.on_statement(number, statement, self.clock.now_ms())
+        number = self.clients.adopt(stream)
+        self.node.gateway.on_relayed(number, database, version)
+
+    def _on_malformed(self) -> None:
+        self.journal.count('clients_closed', 'malformed')
 
     def _on_open(self, number: int, reply: statements.Reply | None) -> None:
         now_ms = self.clock.now_ms()
--- a/jacinthhaven/records/sql_settings.py
+++ b/jacinthhaven/records/sql_settings.py
@@ -25,7 +25,9 @@
 
 
 Lease = typing.Annotated[int, msgspec.Meta(ge=100)]
+Wait = typing.Annotated[int, msgspec.Meta(ge=100, le=30_000)]
 Grace = typing.Annotated[int, msgspec.Meta(ge=1000)]
+Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
 Name = typing.Annotated[str, msgspec.Meta(min_length=1)]
 FlushTime = typing.Annotated[int, msgspec.Meta(ge=1, le=10_000)]
 Level = typing.Literal['debug', 'info', 'warning', 'error']
@@ -45,10 +47,17 @@
 
 
 class Store(_Section, frozen=True):
-    """Platform's store."""
+    """Platform's store.
+
+    Attributes:
+      address: Where it listens.
+      minimum_lease_ms: Shortest lease that it grants.
+      watch_wait_ms: How long a watch without changes waits for an answer.
+    """
 
     address: Address
     minimum_lease_ms: Lease
+    watch_wait_ms: Wait = 1500
 
 
 class Promotion(_Section, frozen=True):
@@ -57,6 +66,23 @@
     address: Address
 
 
+class Processor(_Section, frozen=True):
+    """Processor of the VM.
+
+    Attributes:
+      share: Share of a core.
+      speed: How many times as fast as one core it is.
+    """
+
+    share: Positive = 1.0
+    speed: Positive = 1.0
+
+    @property
+    def capacity(self) -> float:
+        """Return how many cores it is worth."""
+        return self.share * self.speed
+
+
 class Log(_Section, frozen=True):
     """Destination of the log.
 
@@ -82,6 +108,7 @@
       promotion: Where promotions are ordered.
       grace_ms: Time between SIGTERM and SIGKILL.
       log: Destination of the log.
+      processor: Processor of the VM.
     """
 
     node: Name
@@ -91,6 +118,7 @@
     promotion: Promotion
     grace_ms: Grace
     log: Log = Log()
+    processor: Processor = Processor()
 
 
 def check(document: typing.Any) -> Located:
--- a/jacinthhaven/sql/builders.py
+++ b/jacinthhaven/sql/builders.py
@@ -99,6 +99,7 @@
         self.answers: dict[int, list[statements.Answer]] = (
             collections.defaultdict(list)
         )
+        self.lines: dict[int, list[str]] = collections.defaultdict(list)
         self.closed: list[int] = []
         self.refused: dict[int, statements.Code] = {}
         self.accepting = True
@@ -107,6 +108,10 @@
         """Keep an answer."""
         self.answers[number].append(answer)
 
+    def send_line(self, number: int, line: str) -> None:
+        """Keep a line of an owner."""
+        self.lines[number].append(line)
+
     def accept(self, number: int) -> None:
         """Accept a session."""
 
@@ -185,6 +190,38 @@
         self.connections.pop(number, None)
 
 
+class FakeRelays(ports.Relays):
+    """Keeps what owners were sent."""
+
+    def __init__(self) -> None:
+        """Start without connections."""
+        self.opened: list[tuple[records.Address, str]] = []
+        self.sent: dict[int, list[str]] = collections.defaultdict(list)
+        self.closed: set[int] = set()
+
+    def open(
+        self,
+        address: records.Address,
+        database: str,
+        version: int,
+    ) -> int:
+        """Keep an opening."""
+        self.opened.append((address, database))
+        return len(self.opened)
+
+    def send(self, number: int, statement: statements.Statement) -> None:
+        """Keep a statement."""
+        self.sent[number].append(statement.text)
+
+    def ping(self, number: int) -> None:
+        """Keep a question."""
+        self.sent[number].append('ping')
+
+    def close(self, number: int) -> None:
+        """Keep a close."""
+        self.closed.add(number)
+
+
 class FakeBorrowers(ports.Borrowers):
     """Keeps what borrowers were told."""
 
--- a/jacinthhaven/sql/coordination.py
+++ b/jacinthhaven/sql/coordination.py
@@ -19,6 +19,15 @@
 _FRESH_READ_EVERY = 3
 _RETRY_FIRST_MS = 150
 _RETRY_LAST_MS = 800
+# Intervals of reads of the members: soon after the start, in a small fleet,
+# and in a large one, where each read is longer.
+_FIRST_MEMBERS_MS = 400
+_FIRST_MEMBERS_FOR_MS = 4000
+_SMALL_MEMBERS_MS = 2000
+_LARGE_MEMBERS_MS = 6000
+_LARGE_FLEET = 16
+# A node that owns no service needs the registry only to help out.
+_IDLE_REGISTRY_FACTOR = 5
 # Time to live of the node's lease and the interval of its renewal.
 LEASE_MS = 6000
 _RENEW_MS = 2000
@@ -35,6 +44,9 @@
     def on_registry(self, entries: Entries, fresh: bool) -> None:
         """Accept all entries of the registry."""
 
+    def on_members(self, entries: Entries) -> None:
+        """Accept the keys of all nodes."""
+
 
 class Coordination:
     """Watch, registry reads and lease of one node.
@@ -48,7 +60,7 @@
     def __init__(
         self,
         platform: ports.Platform,
-        prefixes: tuple[str, str],
+        prefixes: tuple[str, str, str],
         listener: Listener,
         journal: ports.Journal,
         rng: random.Random,
@@ -57,13 +69,14 @@
 
         Args:
           platform: Calls to the store.
-          prefixes: Watched prefix and prefix of the registry.
+          prefixes: Watched prefix, prefix of the registry and prefix of
+            the members.
           listener: Receiver of what the store holds.
           journal: Log and metrics.
           rng: Source of jitter.
         """
         self.platform = platform
-        self.watched, self.registry = prefixes
+        self.prefixes = prefixes
         self.listener = listener
         self.journal = journal
         self.backoff = backoff.Backoff(rng, _RETRY_FIRST_MS, _RETRY_LAST_MS)
@@ -74,6 +87,10 @@
         self.reading = False
         self.renewing = False
         self.registry_ms = 0
+        self.members_ms = 0
+        self.started_ms: int | None = None
+        self.listed: set[str] = set()
+        self.owns_service = True
         self.registry_reads = 0
         self.renew_ms = 0
         self.member_key = ''
@@ -88,13 +105,17 @@
     def tick(self, now_ms: int) -> None:
         """Make the calls that are due."""
         self.now_ms = now_ms
+        if self.started_ms is None:
+            self.started_ms = now_ms
         if now_ms < self.backoff.retry_ms:
             return
         if not self.watching:
             self.watching = True
-            self._call(store.ReadRequest(self.watched), self._on_snapshot)
+            self._call(store.ReadRequest(self.prefixes[0]), self._on_snapshot)
         if now_ms >= self.registry_ms and not self.reading:
             self._read_registry(now_ms)
+        if now_ms >= self.members_ms:
+            self._read_members(now_ms)
         if now_ms >= self.renew_ms and not self.renewing and self.member_key:
             self._renew(now_ms)
 
@@ -142,7 +163,7 @@
                 self._remove(key, reply.revision)
         for entry in reply.entries:
             self._accept(entry)
-        request = store.WatchRequest(self.watched, reply.revision + 1)
+        request = store.WatchRequest(self.prefixes[0], reply.revision + 1)
         self._call(request, self._on_events)
 
     def _on_events(self, reply: store.WatchEvents | None) -> None:
@@ -166,10 +187,11 @@
 
     def _read_registry(self, now_ms: int) -> None:
         self.reading = True
-        self.registry_ms = now_ms + _STALE_READ_MS
+        factor = 1 if self.owns_service else _IDLE_REGISTRY_FACTOR
+        self.registry_ms = now_ms + _STALE_READ_MS * factor
         fresh = self.registry_reads % _FRESH_READ_EVERY == 0
         self._call(
-            store.ReadRequest(self.registry, may_be_stale=not fresh),
+            store.ReadRequest(self.prefixes[1], may_be_stale=not fresh),
             functools.partial(self._on_registry, fresh),
         )
 
@@ -181,6 +203,22 @@
         self.registry_reads += 1
         self.listener.on_registry(reply.entries, fresh)
 
+    def _read_members(self, now_ms: int) -> None:
+        interval_ms = _SMALL_MEMBERS_MS
+        if now_ms - self.started_ms < _FIRST_MEMBERS_FOR_MS:
+            interval_ms = _FIRST_MEMBERS_MS
+        elif len(self.listed) > _LARGE_FLEET:
+            interval_ms = _LARGE_MEMBERS_MS
+        self.members_ms = now_ms + interval_ms
+        request = store.ReadRequest(self.prefixes[2], may_be_stale=True)
+        self._call(request, self._on_members)
+
+    def _on_members(self, reply: store.ReadReply | None) -> None:
+        if reply is None:
+            return
+        self.listed = {entry.key for entry in reply.entries}
+        self.listener.on_members(reply.entries)
+
     def _renew(self, now_ms: int) -> None:
         self.renewing = True
         self.renew_ms = now_ms + _RENEW_MS
@@ -196,7 +234,7 @@
             return
         if not reply.ttl_ms:
             self.lease = 0
-        if not self.lease or self.member_key not in self.known:
+        if not self.lease or self.member_key not in self.listed:
             # The lease has ended, or the store has removed the key alone.
             self.renew_ms = 0
             self._announce_or_restart()
--- a/jacinthhaven/sql/election.py
+++ b/jacinthhaven/sql/election.py
@@ -49,10 +49,6 @@
         """Use names that start with a prefix."""
         self.prefix = prefix
 
-    def member(self, node: str) -> str:
-        """Return the key of a node."""
-        return f'{self.prefix}node/{node}'
-
     def doubt(self, service: str, node: str) -> str:
         """Return the key under which a node doubts a primary."""
         return f'{self.prefix}doubt/{service}/{node}'
--- a/jacinthhaven/sql/election_test.py
+++ b/jacinthhaven/sql/election_test.py
@@ -2,7 +2,8 @@
 
 import functools
 
-from jacinthhaven.sql import builders, election, node, records
+from jacinthhaven.records import store
+from jacinthhaven.sql import builders, election, node, ownership, records
 from jacinthhaven.standins import sql_group, store_model
 
 _PREFIX = 'ours/'
@@ -13,6 +14,7 @@
     own_prefix = _PREFIX
     watched_prefix = 'o'
     registry_prefix = 'servers/'
+    member_prefix = 'nodes/'
 
     def __init__(self) -> None:
         self.listed = [builders.instance(name) for name in builders.MEMBERS]
@@ -76,11 +78,16 @@
         rig.lines = []
         platform = builders.FakePlatform(self.model, self.group)
         member = node.Node(
-            node.Identity(name, builders.ZONE, 6000, ('127.0.0.1', 1)),
+            node.Identity(
+                name,
+                6000,
+                ownership.Peer(('127.0.0.1', 1), builders.ZONE, 1.0),
+            ),
             node.Surroundings(
                 rig.databases,
                 rig.clients,
                 builders.FakeBorrowers(),
+                builders.FakeRelays(),
                 platform,
                 rig.journal,
                 self.documents,
@@ -174,9 +181,9 @@
 def test_shares_shrink_late():
     """Guards against links that exceed the limit while leases are gone."""
     fleet = Fleet()
-    for member in fleet.nodes:
-        member.on_key('ours/node/n1', None, 99)
-        member.on_key('ours/node/n2', None, 99)
+    for key in ('nodes/n1', 'nodes/n2'):
+        fleet.model.call(store.SwapRequest((), (store.Delete(key),)), 0)
+    fleet.nodes = fleet.nodes[:1]
     fleet.run(5000)
     assert fleet.nodes[0].gateway.members == 3
 
@@ -226,12 +233,11 @@
     """Guards against two kinds of notes under one key."""
     keys = election.Keys(_PREFIX)
     names = {
-        keys.member('x'),
         keys.doubt('x', 'x'),
         keys.duty('x'),
         keys.lead('x'),
     }
-    assert len(names) == 4
+    assert len(names) == 3
 
 
 def _ignore_order(*_args: object) -> None:
--- a/jacinthhaven/sql/execution.py
+++ b/jacinthhaven/sql/execution.py
@@ -312,7 +312,10 @@
         state = group.pool.states[link.instance]
         if reply.code is None:
             spent_ms = now_ms - link.sent_ms
-            state.sample_latency(spent_ms, now_ms)
+            if not work.needs_primary:
+                # Other statements are shorter and only run at the primary,
+                # which they would make look faster than its replicas.
+                state.sample_latency(spent_ms, now_ms)
             group.backlog.sample(spent_ms)
             if work.prove_lead:
                 work.held = reply
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -54,9 +54,9 @@
         self.groups: dict[str, group.Group] = {}
         self.configuration = records.EMPTY
         self.members = 1
+        self.owned: typing.Container[str] | None = None
         self.entries: typing.Sequence[records.Instance] = ()
         self.early: list[tuple[int, str]] = []
-        self.lenders: list[records.Address] = []
         self.draining = False
 
     @property
@@ -98,29 +98,35 @@
                     self.executor,
                     now_ms,
                 )
-        self.share_links(self.members)
+        self.share_links(self.members, self.owned)
         self.register(self.entries, now_ms)
         early, self.early = self.early, []
         for number, database in early:
             self.on_start(number, database)
 
-    def share_links(self, members: int) -> None:
-        """Share the connections of each instance among all nodes."""
+    def share_links(
+        self,
+        members: int,
+        owned: typing.Container[str] | None = None,
+    ) -> None:
+        """Share the connections of each instance among the owners.
+
+        Args:
+          members: Number of owners of each service.
+          owned: Services that this node owns; None for all.
+        """
         self.members = members
+        self.owned = owned
         for name, known in self.groups.items():
-            known.pool.lenders = self.lenders
             service = self.configuration.services.get(name)
-            if service is not None:
-                # One share stays free for connections of dead nodes, which
-                # linger, and for nodes that replace them.
-                share = service.max_connections // (members + 1)
-                known.pool.share = max(share, 1)
-
-    def borrow_from(self, lenders: list[records.Address]) -> None:
-        """Borrow links from these nodes, in this order."""
-        self.lenders = lenders
-        for known in self.groups.values():
-            known.pool.lenders = lenders
+            if service is None:
+                continue
+            known.owned = owned is None or name in owned
+            # One share stays free for connections of dead nodes, which
+            # linger, and for nodes that replace them.
+            share = service.max_connections // (members + 1)
+            known.pool.share = max(share, 1) if known.owned else 1
+            known.pool.standing = int(known.owned)
 
     def register(
         self,
@@ -145,6 +151,15 @@
         self.sessions[number] = sessions.Session(number, database)
         self.clients.accept(number)
 
+    def on_relayed(self, number: int, database: str, version: int) -> None:
+        """Open a session for another node, or refuse it at once."""
+        behind = self.configuration.version < version
+        if self.draining or behind or not self.configured:
+            self.journal.count('relays', 'refused')
+            self.clients.refuse(number, statements.Code.BUSY)
+            return
+        self.on_start(number, database)
+
     def on_statement(
         self,
         number: int,
--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -36,7 +36,7 @@
 
     Attributes:
       name: Name of the service.
-      on_leader: Called with the instance and term when the leader changes.
+      owned: Whether this node executes statements of all nodes.
     """
 
     def __init__(
@@ -65,6 +65,12 @@
         self.executor = executor
         self.journal = executor.journal
         self.refreshing = False
+        self.owned = True
+
+    @property
+    def active(self) -> bool:
+        """Return whether this node executes statements of the service."""
+        return self.owned or bool(self.backlog.waiting or self.pool.by_number)
 
     @property
     def leader_state(self) -> instances.InstanceState | None:
@@ -323,7 +329,7 @@
     def _refresh(self, now_ms: int) -> None:
         """Ask the primary for a proof if traffic brought none."""
         leader = self.leadership.leader
-        if leader is None or self.refreshing:
+        if leader is None or self.refreshing or not self.active:
             return
         age_ms = self.proofs.age_ms(now_ms)
         if age_ms is not None and age_ms < _REFRESH_MS:
@@ -335,7 +341,7 @@
         self.refreshing = False
 
     def _look_for_leader(self, now_ms: int) -> None:
-        if not self.leadership.should_ask(now_ms):
+        if not self.active or not self.leadership.should_ask(now_ms):
             return
         for name in tuple(self.pool.states):
             self.ask(name, statements.AskStatus(), _ignore, now_ms)
--- a/jacinthhaven/sql/lending.py
+++ b/jacinthhaven/sql/lending.py
@@ -7,8 +7,6 @@
 closed, which rolls back whatever was open.
 """
 
-import typing
-
 from jacinthhaven.sql import gateway, links, pool, ports, statements
 
 
@@ -146,22 +144,3 @@
         if not (link.borrowed or link.values or link.prepared):
             return link
     return None
-
-
-def choose_lenders(
-    addresses: typing.Mapping[str, typing.Any],
-    node: str,
-    start: int,
-) -> list[typing.Any]:
-    """Return the addresses of the other nodes, beginning somewhere.
-
-    Args:
-      addresses: Peer address of each node.
-      node: Name of this node.
-      start: Number that spreads the borrowers over the lenders.
-    """
-    names = sorted(name for name in addresses if name != node)
-    if not names:
-        return []
-    first = start % len(names)
-    return [addresses[name] for name in names[first:] + names[:first]]
--- a/jacinthhaven/sql/lending_test.py
+++ b/jacinthhaven/sql/lending_test.py
@@ -81,7 +81,7 @@
 def test_unreachable_primary_is_reached_through_another_node():
     """Guards against failing while other nodes reach the primary."""
     rig = builders.Rig()
-    rig.gateway.borrow_from([('127.0.0.1', 9)])
+    rig.service.pool.lenders = [('127.0.0.1', 9)]
     rig.databases.cut = {'db-a'}
     number = rig.connect(builders.STRICT)
     rig.ask(number, 'READ k', 'r1')
@@ -89,10 +89,3 @@
     answer = rig.ask(number, 'WRITE k 1', 'w1')
     assert answer.code is None
     assert rig.databases.lenders
-
-
-def test_lenders_start_at_different_places():
-    """Guards against borrowers that all ask the same node."""
-    addresses = {name: name for name in 'abc'}
-    assert lending.choose_lenders(addresses, 'a', 0) == ['b', 'c']
-    assert lending.choose_lenders(addresses, 'a', 1) == ['c', 'b']
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -6,14 +6,18 @@
 import random
 import typing
 
+import msgspec
+
 from jacinthhaven.records import store
 from jacinthhaven.sql import (
     coordination,
     election,
     gateway,
     lending,
+    ownership,
     ports,
     records,
+    relaying,
     scripts,
     statements,
 )
@@ -44,12 +48,14 @@
       own_prefix: Prefix of the keys of this product.
       watched_prefix: Prefix of both.
       registry_prefix: Prefix of the registry.
+      member_prefix: Prefix of the keys of the nodes, which is not watched.
     """
 
     configuration_key: str
     own_prefix: str
     watched_prefix: str
     registry_prefix: str
+    member_prefix: str
 
     @abc.abstractmethod
     def configuration(self, text: str) -> records.Configuration | str:
@@ -69,9 +75,8 @@
     """Who this node is."""
 
     name: str
-    zone: str
     grace_ms: int
-    peer_address: records.Address
+    peer: ownership.Peer
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,6 +86,7 @@
     databases: ports.Databases
     clients: ports.Clients
     borrowers: ports.Borrowers
+    relays: ports.Relays
     platform: ports.Platform
     journal: ports.Journal
     documents: Documents
@@ -101,7 +107,7 @@
         self.around = around
         self.journal = around.journal
         self.gateway = gateway.Gateway(
-            identity.zone,
+            identity.peer.zone,
             around.databases,
             around.clients,
             around.journal,
@@ -110,22 +116,31 @@
         self.keys = election.Keys(documents.own_prefix)
         self.coordination = coordination.Coordination(
             around.platform,
-            (documents.watched_prefix, documents.registry_prefix),
+            (
+                documents.watched_prefix,
+                documents.registry_prefix,
+                documents.member_prefix,
+            ),
             self,
             around.journal,
             around.rng,
         )
-        host, port = identity.peer_address
         self.coordination.join(
-            self.keys.member(identity.name),
-            f'{host}:{port}',
+            f'{documents.member_prefix}{identity.name}',
+            ownership.encode(identity.peer),
+        )
+        self.relay = relaying.Relay(
+            identity.name,
+            self.gateway,
+            around.relays,
+            around.rng,
         )
         self.lender = lending.Lender(
             self.gateway,
             around.borrowers,
             around.journal,
         )
-        self.peers: dict[str, records.Address] = {}
+        self.peers: dict[str, ownership.Peer] = {}
         self.elections: dict[str, election.Election] = {}
         self.members: tuple[str, ...] = ()
         self.unusable: dict[str, str] = {}
@@ -145,8 +160,11 @@
         self.now_ms = now_ms
         self.coordination.tick(now_ms)
         self.gateway.tick(now_ms)
-        for vote in self.elections.values():
-            vote.tick(self.members, self.coordination.lease, now_ms)
+        self.relay.tick(now_ms)
+        for name, vote in self.elections.items():
+            owners = ownership.owners(name, self.peers)
+            if self.identity.name in owners:
+                vote.tick(owners, self.coordination.lease, now_ms)
         self._wake(now_ms)
         if now_ms >= self.shrink_ms:
             self._share_links()
@@ -162,6 +180,7 @@
                 {'sessions': len(self.gateway.sessions)},
             )
             self.gateway.drain(now_ms)
+            self.relay.drain()
 
     def on_key(self, key: str, text: str | None, revision: int) -> None:
         """Accept a watched key."""
@@ -171,10 +190,7 @@
                 self._configure(text, revision)
             return
         name = key.removeprefix(documents.own_prefix)
-        kind, _, rest = name.partition('/')
-        if kind == 'node':
-            self._member(rest, text)
-            return
+        rest = name.partition('/')[2]
         service = rest.partition('/')[0]
         vote = self.elections.get(service)
         if vote is not None:
@@ -217,36 +233,68 @@
         for name, declared in loaded.services.items():
             vote = self.elections[name]
             vote.acknowledging = declared.acknowledging_replicas
+        self._choose_lenders()
+        self._share_links()
 
-    def _member(self, node: str, text: str | None) -> None:
-        if text is None:
-            self.peers.pop(node, None)
-        else:
-            host, _, port = text.rpartition(':')
-            self.peers[node] = (host, int(port))
-        self.members = tuple(sorted(self.peers))
-        self.journal.write(
-            'members',
-            {'member': node, 'present': text is not None},
-        )
-        self.gateway.borrow_from(
-            lending.choose_lenders(
-                self.peers,
-                self.identity.name,
-                self.around.rng.randrange(_SPREAD),
-            ),
-        )
+    def on_members(self, entries: Entries) -> None:
+        """Accept the keys of all nodes."""
+        peers = {}
+        prefix = self.around.documents.member_prefix
+        for entry in entries:
+            name = entry.key.removeprefix(prefix)
+            try:
+                peers[name] = ownership.decode(entry.value)
+            except msgspec.DecodeError as error:
+                self.journal.write(
+                    'member_unusable',
+                    {'member': name, 'reason': str(error)},
+                )
+        for name in peers.keys() ^ self.peers.keys():
+            self.journal.write(
+                'members',
+                {'member': name, 'present': name in peers},
+            )
+        if peers == self.peers:
+            return
+        self.peers = peers
+        self.relay.peers = peers
+        self.members = tuple(sorted(peers))
+        self._choose_lenders()
         self._share_links()
 
+    def _choose_lenders(self) -> None:
+        """Borrow from the other owners, beginning at a random one."""
+        start = self.around.rng.randrange(_SPREAD)
+        for name, known in self.gateway.groups.items():
+            known.pool.lenders = [
+                self.peers[owner].address
+                for owner in ownership.preferred(
+                    name,
+                    self.peers,
+                    self.identity.peer.zone,
+                    start,
+                )
+                if owner != self.identity.name
+            ]
+
     def _share_links(self) -> None:
-        """Share connections among the largest recent number of members.
+        """Share connections among the largest recent number of owners.
 
-        Members whose keys are missing may still hold their connections.
+        Owners whose keys are missing may still hold their connections.
         """
-        size = max(len(self.members), 1)
+        size = 1
+        owned = set()
+        for name in self.gateway.groups:
+            owners = ownership.owners(name, self.peers)
+            size = max(size, len(owners))
+            if not owners or self.identity.name in owners:
+                owned.add(name)
+        self.coordination.owns_service = bool(owned)
         if size >= self.gateway.members or self.now_ms >= self.shrink_ms:
             self.shrink_ms = self.now_ms + _SHRINK_MS
-            self.gateway.share_links(size)
+            self.gateway.share_links(size, owned)
+        else:
+            self.gateway.share_links(self.gateway.members, owned)
 
     def _perform(
         self,
--- /dev/null
+++ b/jacinthhaven/sql/ownership.py
@@ -0,0 +1,92 @@
+"""Which nodes execute the statements of a service in a large fleet.
+
+The load that this answers: many nodes with few connections and little
+traffic each. If each of them sent statements by itself, none would know the
+queues at the instances, and each would need proofs of its own. A few owners
+for each service, spread over the zones and on the largest VMs, know both.
+In a small fleet every node is an owner.
+"""
+
+import typing
+
+import msgspec
+
+from jacinthhaven.kernel import ranking
+from jacinthhaven.sql import records
+
+# Up to this size every node is an owner.
+_SMALL_FLEET = 9
+# Owners of one service in each zone of a large fleet.
+_PER_ZONE = 2
+
+
+class Peer(msgspec.Struct, frozen=True):
+    """Another node as announced in the store.
+
+    Attributes:
+      address: Where it accepts other nodes.
+      zone: Availability zone.
+      capacity: Processor cores that it may use.
+    """
+
+    address: records.Address
+    zone: str
+    capacity: float
+
+
+Peers = typing.Mapping[str, Peer]
+
+
+def encode(peer: Peer) -> str:
+    """Return what a node announces about itself."""
+    return msgspec.json.encode(peer).decode()
+
+
+def decode(text: str) -> Peer:
+    """Return what a node has announced.
+
+    Raises:
+      msgspec.DecodeError: If the text is something else.
+    """
+    return msgspec.json.decode(text, type=Peer)
+
+
+def owners(service: str, peers: Peers) -> tuple[str, ...]:
+    """Return the owners of a service, sorted by name."""
+    if len(peers) <= _SMALL_FLEET:
+        return tuple(sorted(peers))
+    chosen: list[str] = []
+    for zone in {peer.zone for peer in peers.values()}:
+        local = [name for name, peer in peers.items() if peer.zone == zone]
+        ranked = ranking.ranked(service, local)
+        # Sorting is stable, so equals stay in the order of the ranking.
+        ranked.sort(key=lambda name: -peers[name].capacity)
+        chosen.extend(ranked[:_PER_ZONE])
+    return tuple(sorted(chosen))
+
+
+def preferred(
+    service: str,
+    peers: Peers,
+    zone: str,
+    start: int,
+) -> list[str]:
+    """Return the owners in the order in which a session tries them.
+
+    Args:
+      service: Service of the session.
+      peers: All known nodes.
+      zone: Zone whose owners come first.
+      start: Number that spreads the sessions over the owners.
+    """
+    known = owners(service, peers)
+    near = [name for name in known if peers[name].zone == zone]
+    far = [name for name in known if peers[name].zone != zone]
+    return _rotated(near, start) + _rotated(far, start)
+
+
+def _rotated(names: list[str], start: int) -> list[str]:
+    if not names:
+        return names
+    first = start % len(names)
+    return names[first:] + names[:first]
--- a/jacinthhaven/sql/pool.py
+++ b/jacinthhaven/sql/pool.py
@@ -21,9 +21,6 @@
 # one of its slots.
 _OPENING = 1
 
-# Links that stand open to each instance; more are opened while statements
-# wait, since a dead node's connections block others for three seconds.
-_STANDING = 1
 # Time without use after which a link beyond these is closed.
 _IDLE_MS = 3000
 
@@ -63,6 +60,9 @@
       states: Instances by name.
       by_number: Links by the number of their connection.
       share: Links that this node may open to each instance.
+      standing: Links that stand open to each instance; more are opened
+        while statements wait, since connections of a dead node block
+        others for three seconds.
       questions: Waiting control commands by instance.
       lenders: Addresses of the other nodes.
       wanted: Instances for which statements wait without a free link.
@@ -74,6 +74,7 @@
         self.states: dict[str, instances.InstanceState] = {}
         self.by_number: dict[int, links.Link] = {}
         self.share = 1
+        self.standing = 1
         self.questions: dict[str, collections.deque[Question]] = {}
         self.wanted: set[str] = set()
         self.lenders: list[records.Address] = []
@@ -193,7 +194,7 @@
                 idle_ms = now_ms - borrowed.idle_ms
                 if borrowed.borrowed and idle_ms >= _BORROW_IDLE_MS:
                     self.drop(borrowed)
-            spare = len(state.links) - min(_STANDING, self.share)
+            spare = len(state.links) - min(self.standing, self.share)
             for link in state.free_links[: max(spare, 0)]:
                 if now_ms - link.idle_ms >= _IDLE_MS:
                     self.drop(link)
@@ -251,7 +252,7 @@
             return len(own) + (not free)
         if state.leaving_ms is not None and not state.reachable_at(now_ms):
             return 0
-        standing = min(_STANDING, self.share)
+        standing = min(self.standing, self.share)
         if name not in self.wanted:
             return standing
         return min(max(len(own) + 1, standing), self.share)
--- a/jacinthhaven/sql/ports.py
+++ b/jacinthhaven/sql/ports.py
@@ -40,6 +40,40 @@
         """Close a connection; nothing is reported about it afterwards."""
 
 
+class Relays(abc.ABC):
+    """Connections to owners that execute sessions, addressed by number."""
+
+    @abc.abstractmethod
+    def open(
+        self,
+        address: records.Address,
+        database: str,
+        version: int,
+    ) -> int:
+        """Ask an owner to execute a session.
+
+        Args:
+          address: Where the owner accepts other nodes.
+          database: Database that the client asked for.
+          version: Configuration that the owner must have at least.
+
+        Returns:
+          Number of the connection.
+        """
+
+    @abc.abstractmethod
+    def send(self, number: int, statement: statements.Statement) -> None:
+        """Pass a statement on."""
+
+    @abc.abstractmethod
+    def ping(self, number: int) -> None:
+        """Ask whether the owner's process lives."""
+
+    @abc.abstractmethod
+    def close(self, number: int) -> None:
+        """Close a connection; nothing is reported about it afterwards."""
+
+
 class Borrowers(abc.ABC):
     """Connections of nodes that borrow links, addressed by number."""
 
@@ -67,6 +101,10 @@
     def answer(self, number: int, answer: statements.Answer) -> None:
         """Send the answer to the statement in turn."""
 
+    @abc.abstractmethod
+    def send_line(self, number: int, line: str) -> None:
+        """Pass a line of an owner on."""
+
     @abc.abstractmethod
     def accept(self, number: int) -> None:
         """Tell the client that its session is open."""
--- /dev/null
+++ b/jacinthhaven/sql/relaying.py
@@ -0,0 +1,295 @@
+"""Sessions whose statements another node executes.
+
+The node that a client has reached only passes lines on and remembers what
+is unanswered, so that it can tell the client the truth if the owner is
+lost: nothing of a read or of an unfinished transaction is kept, while the
+outcome of a commit or a single write is unknown.
+"""
+
+import random
+
+from jacinthhaven.sql import gateway, ownership, ports, statements
+
+# Silence after which the owner's process is asked whether it lives.
+_PING_MS = 300
+# Silence after the question that proves that it does not.
+_PONG_MS = 300
+# How long an owner that did not answer is left out.
+_AVOID_MS = 1000
+# Time to reach an owner before the next one is tried.
+_OPEN_MS = 150
+# Owners that a session tries before it is served here.
+_MAX_TRIES = 3
+
+_READS = frozenset((statements.Verb.READ, statements.Verb.BEGIN_READ))
+_HARMLESS = frozenset(
+    (
+        statements.Verb.BEGIN,
+        statements.Verb.ROLLBACK,
+        statements.Verb.SET,
+        statements.Verb.PREPARE,
+        statements.Verb.DEALLOCATE,
+        statements.Verb.INVALID,
+    ),
+)
+
+
+class RelayedSession:
+    """Session of a client that is executed at an owner.
+
+    Attributes:
+      number: Number of the client's connection.
+      database: Database that the client asked for.
+      candidates: Owners that were not tried yet.
+      owner: Owner that executes it or is being reached.
+      relay: Number of the connection to the owner.
+      accepted: Whether the owner has accepted it.
+      state: Transaction state after the last answer.
+      unanswered: Statements without an answer, oldest first.
+      asked_ms: When the oldest of them was sent, or the owner was asked.
+      pinged: Whether the owner was asked whether it lives.
+    """
+
+    __slots__ = (
+        'number',
+        'database',
+        'candidates',
+        'owner',
+        'relay',
+        'accepted',
+        'state',
+        'unanswered',
+        'asked_ms',
+        'pinged',
+    )
+
+    def __init__(self, number: int, database: str, owners: list[str]) -> None:
+        """Start to look for an owner."""
+        self.number = number
+        self.database = database
+        self.candidates = owners
+        self.owner = ''
+        self.relay = 0
+        self.accepted = False
+        self.state = statements.State.IDLE
+        self.unanswered: list[statements.Statement] = []
+        self.asked_ms = 0
+        self.pinged = False
+
+    @property
+    def idle(self) -> bool:
+        """Return whether the session may be closed without harm."""
+        return self.state is statements.State.IDLE and not self.unanswered
+
+
+class Relay:
+    """Relayed sessions of one node.
+
+    Attributes:
+      sessions: Sessions by the number of the client's connection.
+      avoided: Until when an owner is left out, by name.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        local: gateway.Gateway,
+        relays: ports.Relays,
+        rng: random.Random,
+    ) -> None:
+        """Relay the sessions of a node that owns nothing yet."""
+        self.node = node
+        self.local = local
+        self.relays = relays
+        self.rng = rng
+        self.journal = local.journal
+        self.peers: dict[str, ownership.Peer] = {}
+        self.sessions: dict[int, RelayedSession] = {}
+        self.by_relay: dict[int, RelayedSession] = {}
+        self.avoided: dict[str, int] = {}
+
+    def on_start(self, number: int, database: str, now_ms: int) -> None:
+        """Find out who executes a new session."""
+        route = self.local.configuration.routes.get(database)
+        owners = [] if route is None else self._owners(route.service, now_ms)
+        if not owners or self.node in owners:
+            self.local.on_start(number, database)
+            return
+        session = RelayedSession(number, database, owners[:_MAX_TRIES])
+        self.sessions[number] = session
+        self._try_next(session, now_ms)
+
+    def on_statement(
+        self,
+        number: int,
+        statement: statements.Statement,
+        now_ms: int,
+    ) -> None:
+        """Pass a statement on, or hand it to the local gateway."""
+        session = self.sessions.get(number)
+        if session is None:
+            self.local.on_statement(number, statement, now_ms)
+            return
+        routes = self.local.configuration.routes
+        if session.idle and session.database not in routes:
+            answer = statements.Answer(code=statements.Code.UNKNOWN_DATABASE)
+            self.local.clients.answer(number, answer)
+            return
+        if not session.unanswered:
+            session.asked_ms = now_ms
+        session.unanswered.append(statement)
+        self.relays.send(session.relay, statement)
+
+    def on_closed(self, number: int, now_ms: int) -> None:
+        """Forget a session whose client has gone."""
+        session = self.sessions.pop(number, None)
+        if session is None:
+            self.local.on_closed(number, now_ms)
+        else:
+            self._drop(session)
+
+    def on_line(
+        self,
+        relay: int,
+        line: str,
+        state: statements.State | None,
+        now_ms: int,
+    ) -> None:
+        """Accept a line of an owner."""
+        session = self.by_relay.get(relay)
+        if session is None:
+            return
+        session.pinged = False
+        session.asked_ms = now_ms
+        if not session.accepted:
+            self._on_first(session, state, now_ms)
+            return
+        if state is not None and session.unanswered:
+            session.unanswered.pop(0)
+            session.state = state
+        self.local.clients.send_line(session.number, line)
+        if self.local.draining and session.idle:
+            self._close(session)
+
+    def on_alive(self, relay: int) -> None:
+        """Accept that the process of an owner lives."""
+        session = self.by_relay.get(relay)
+        if session is not None:
+            session.pinged = False
+
+    def on_lost(self, relay: int, now_ms: int) -> None:
+        """Accept the loss of the connection to an owner."""
+        session = self.by_relay.pop(relay, None)
+        if session is None:
+            return
+        if session.accepted:
+            self._owner_lost(session)
+        else:
+            self.avoided[session.owner] = now_ms + _AVOID_MS
+            self._try_next(session, now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Look after owners that do not answer."""
+        for session in tuple(self.sessions.values()):
+            waited_ms = now_ms - session.asked_ms
+            if not session.accepted:
+                if waited_ms >= _OPEN_MS:
+                    self._silent(session, now_ms)
+            elif session.pinged and waited_ms >= _PONG_MS:
+                self._silent(session, now_ms)
+            elif session.unanswered and waited_ms >= _PING_MS:
+                session.pinged = True
+                session.asked_ms = now_ms
+                self.relays.ping(session.relay)
+
+    def drain(self) -> None:
+        """Close the sessions that are idle."""
+        for session in tuple(self.sessions.values()):
+            if session.accepted and session.idle:
+                self._close(session)
+
+    def _owners(self, service: str, now_ms: int) -> list[str]:
+        names = ownership.preferred(
+            service,
+            self.peers,
+            self.local.zone,
+            self.rng.randrange(len(self.peers) or 1),
+        )
+        return [name for name in names if self.avoided.get(name, 0) <= now_ms]
+
+    def _try_next(self, session: RelayedSession, now_ms: int) -> None:
+        known = [name for name in session.candidates if name in self.peers]
+        if not known:
+            self.sessions.pop(session.number, None)
+            self.journal.count('relays', 'local')
+            self.local.on_start(session.number, session.database)
+            return
+        session.owner = known[0]
+        session.candidates = known[1:]
+        session.asked_ms = now_ms
+        session.relay = self.relays.open(
+            self.peers[session.owner].address,
+            session.database,
+            self.local.configuration.version,
+        )
+        self.by_relay[session.relay] = session
+
+    def _on_first(
+        self,
+        session: RelayedSession,
+        state: statements.State | None,
+        now_ms: int,
+    ) -> None:
+        if state is None:
+            # The owner stops or has an older configuration.
+            self._drop(session)
+            self._try_next(session, now_ms)
+            return
+        session.accepted = True
+        self.journal.count('relays', 'accepted')
+        self.local.clients.accept(session.number)
+
+    def _silent(self, session: RelayedSession, now_ms: int) -> None:
+        self.journal.write(
+            'owner_silent',
+            {'owner': session.owner, 'database': session.database},
+        )
+        self.relays.close(session.relay)
+        self.on_lost(session.relay, now_ms)
+        self.avoided[session.owner] = now_ms + _AVOID_MS
+
+    def _owner_lost(self, session: RelayedSession) -> None:
+        """Answer what can be answered truthfully, then close."""
+        if session.unanswered:
+            code = _loss_code(session)
+            self.journal.write(
+                'owner_lost',
+                {
+                    'request': session.unanswered[0].request_id,
+                    'owner': session.owner,
+                    'outcome': code.value,
+                },
+            )
+            answer = statements.Answer(code=code, detail='owner lost')
+            self.local.clients.answer(session.number, answer)
+        self._close(session)
+
+    def _close(self, session: RelayedSession) -> None:
+        self.sessions.pop(session.number, None)
+        self._drop(session)
+        self.local.clients.close(session.number)
+
+    def _drop(self, session: RelayedSession) -> None:
+        self.by_relay.pop(session.relay, None)
+        self.relays.close(session.relay)
+
+
+def _loss_code(session: RelayedSession) -> statements.Code:
+    verbs = {statement.verb for statement in session.unanswered}
+    if session.state is statements.State.OPEN:
+        if statements.Verb.COMMIT in verbs:
+            return statements.Code.OUTCOME_UNKNOWN
+        return statements.Code.ABORTED
+    if verbs <= _READS | _HARMLESS:
+        return statements.Code.ABORTED
+    return statements.Code.OUTCOME_UNKNOWN
