--- a/jacinthhaven/adapters/prometheus.py
+++ b/jacinthhaven/adapters/prometheus.py
@@ -9,7 +9,8 @@
 
 # Bounds of the histograms in milliseconds: from one round trip within a
 # zone to the longest timeout of a statement.
-_BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 400, 600, 1000, 2000, 4000)
+_BOUNDS = 13
+_BOUNDS_MS = tuple(2**power for power in range(_BOUNDS))
 _PREFIX = 'jacinthhaven'
 
 
@@ -43,16 +44,9 @@
             return
         self.library = importlib.import_module('prometheus_client')
         self.registry = self.library.CollectorRegistry()
-        early, self.early = self.early, []
-        for update in early:
+        for update in self.early:
             update()
-
-    def _postpone(self, update: typing.Callable[[], None]) -> bool:
-        if self.library is not None:
-            return False
-        if len(self.early) < _MAX_EARLY:
-            self.early.append(update)
-        return True
+        self.early = []
 
     def count(self, name: str, label: str) -> None:
         """Increase a counter."""
@@ -101,6 +95,13 @@
             self.gauges[name] = gauge
         gauge.set(level)
 
+    def _postpone(self, update: typing.Callable[[], None]) -> bool:
+        if self.library is not None:
+            return False
+        if len(self.early) < _MAX_EARLY:
+            self.early.append(update)
+        return True
+
     def _on_request(self, exchange: http_server.Exchange) -> None:
         self.load()
         page = self.library.generate_latest(self.registry)
--- /dev/null
+++ b/jacinthhaven/platform/client_wire.py
@@ -0,0 +1,90 @@
+"""Lines between clients and this process."""
+
+import types
+
+from jacinthhaven.platform import words
+from jacinthhaven.sql import statements
+
+_NAMED = types.MappingProxyType(
+    {
+        'READ': statements.Verb.READ,
+        'WRITE': statements.Verb.WRITE,
+        'SET': statements.Verb.SET,
+        'PREPARE': statements.Verb.PREPARE,
+        'EXECUTE': statements.Verb.EXECUTE,
+        'DEALLOC': statements.Verb.DEALLOCATE,
+    },
+)
+_PLAIN = types.MappingProxyType(
+    {
+        'BEGIN': statements.Verb.BEGIN,
+        'BEGIN READ': statements.Verb.BEGIN_READ,
+        'COMMIT': statements.Verb.COMMIT,
+        'ROLLBACK': statements.Verb.ROLLBACK,
+    },
+)
+_PREPARED_KINDS = types.MappingProxyType(
+    {
+        'READ': statements.Verb.READ,
+        'WRITE': statements.Verb.WRITE,
+    },
+)
+
+
+def decode_start(line: str) -> str:
+    """Return the database name of a client's first line.
+
+    Raises:
+      words.MalformedLineError: If it is something else.
+    """
+    word, _, rest = line.partition(' ')
+    database = rest.partition(' ')[0]
+    if word != 'START' or not database:
+        raise words.MalformedLineError('expected the start of a session')
+    return database
+
+
+def decode_query(line: str) -> statements.Statement | None:
+    """Return the statement of a client's line, or None if it says goodbye.
+
+    Raises:
+      MalformedLineError: If it is something else.
+    """
+    word, _, rest = line.partition(' ')
+    if word == 'TERMINATE':
+        return None
+    request_id, _, text = rest.partition(' ')
+    if word != 'QUERY' or not request_id:
+        raise words.MalformedLineError('unknown word')
+    return _decode_text(request_id, text)
+
+
+def _decode_text(request_id: str, text: str) -> statements.Statement:
+    word, _, rest = text.partition(' ')
+    name, _, argument = rest.partition(' ')
+    verb = _verb(word, rest)
+    if verb is statements.Verb.PREPARE:
+        kind, _, shape = argument.partition(' ')
+        if kind in _PREPARED_KINDS and shape:
+            argument = f'{_PREPARED_KINDS[kind].value} {shape}'
+        else:
+            verb = statements.Verb.INVALID
+    return statements.Statement(request_id, verb, name, argument, text)
+
+
+def _verb(word: str, rest: str) -> statements.Verb:
+    named = _NAMED.get(word)
+    if named is not None:
+        return named if rest.strip() else statements.Verb.INVALID
+    return _PLAIN.get(f'{word} {rest}'.rstrip(), statements.Verb.INVALID)
+
+
+def encode_answer(answer: statements.Answer) -> bytes:
+    """Return the lines of an answer to a client."""
+    lines = [f'DATAROW {row}' for row in answer.rows]
+    if answer.code is None:
+        lines.append(f'COMPLETE {answer.signature}')
+    else:
+        lines.append(words.error_line(answer.code, answer.detail))
+    lines.append(words.ready_line(answer.state, answer.position))
+    return words.encode(lines)
--- /dev/null
+++ b/jacinthhaven/platform/instance_wire.py
@@ -0,0 +1,156 @@
+"""Lines between this process and instances."""
+
+import types
+import typing
+
+from jacinthhaven.platform import words
+from jacinthhaven.sql import commands, records, statements
+
+_STATUS_FIELDS = 3
+
+
+def encode_start(instance: records.Instance) -> bytes:
+    """Return the first line to an instance, which proves its identity."""
+    # The first field is the name of the service, although clients send the
+    # name of a database there.
+    fields = ('START', instance.service, 'jacinthhaven', instance.name)
+    return words.encode([' '.join(fields)])
+
+
+def encode_command(command: commands.Command) -> bytes:
+    """Return the line of a command to an instance."""
+    request_id = words.NONE
+    if isinstance(command, commands.Run):
+        request_id = command.statement.request_id
+    text = _TEXTS[type(command)](command)
+    return words.encode([f'QUERY {request_id} {text}'])
+
+
+def _run_text(command: commands.Run) -> str:
+    after = _after(command.after)
+    if command.prepared_name:
+        name = command.prepared_name
+        argument = command.statement.argument
+        return f'{after}EXECUTE {name} {argument}'
+    return after + command.statement.text
+
+
+def _begin_text(command: commands.Begin) -> str:
+    kind = ' READ' if command.read_only else ''
+    return f'{_after(command.after)}BEGIN{kind}'
+
+
+def _set_text(command: commands.SetValue) -> str:
+    return f'SET {command.name} {command.text}'
+
+
+def _prepare_text(command: commands.Prepare) -> str:
+    kind = 'WRITE' if command.prepared.writes else 'READ'
+    shape = command.prepared.shape
+    return f'PREPARE {command.name} {kind} {shape}'
+
+
+def _pause_text(command: commands.Pause) -> str:
+    return f'PAUSE {command.term}'
+
+
+def _after(position: records.Position | None) -> str:
+    return '' if position is None else f'WAITPOS {position} '
+
+
+def _fixed(text: str) -> typing.Callable[[commands.Command], str]:
+    return lambda _command: text
+
+
+_TEXTS: typing.Mapping[type, typing.Callable] = types.MappingProxyType(
+    {
+        commands.Run: _run_text,
+        commands.Begin: _begin_text,
+        commands.Rollback: _fixed('ROLLBACK'),
+        commands.Reset: _fixed('RESET'),
+        commands.SetValue: _set_text,
+        commands.Prepare: _prepare_text,
+        commands.AskStatus: _fixed('STATUS'),
+        commands.Pause: _pause_text,
+        commands.Resume: _fixed('RESUME'),
+    },
+)
+
+
+class ReplyReader:
+    """Collects the lines of one reply of an instance."""
+
+    __slots__ = ('reply', 'wants_status')
+
+    def __init__(self) -> None:
+        """Start without a line."""
+        self.reply = statements.Reply()
+        self.wants_status = False
+
+    def feed(self, line: str) -> statements.Reply | None:
+        """Add a line and return the reply if it is complete.
+
+        Raises:
+          MalformedLineError: If the line is not part of a reply.
+        """
+        word, _, rest = line.partition(' ')
+        reply = self.reply
+        match word:
+            case 'DATAROW':
+                reply.rows = (*reply.rows, rest)
+            case 'COMPLETE':
+                reply.signature = rest
+            case 'ERROR':
+                self._fail(rest)
+            case 'READY':
+                return self._finish(rest)
+            case _:
+                raise words.MalformedLineError(line)
+        return None
+
+    def _fail(self, rest: str) -> None:
+        word, _, detail = rest.partition(' ')
+        self.reply.code = words.CODES.get(word, statements.Code.FAILED)
+        self.reply.detail = detail
+
+    def _finish(self, rest: str) -> statements.Reply:
+        word, _, position = rest.partition(' ')
+        reply = self.reply
+        if word not in words.STATES:
+            raise words.MalformedLineError(rest)
+        reply.state = words.STATES[word]
+        reply.position = decode_position(position)
+        if self.wants_status and reply.code is None and reply.rows:
+            reply.status = _decode_status(reply.rows[0])
+        self.reply = statements.Reply()
+        return reply
+
+
+def decode_position(text: str) -> records.Position | None:
+    """Return the position in a field, or None if it holds none.
+
+    Raises:
+      MalformedLineError: If the field holds something else.
+    """
+    if text in {'', words.NONE}:
+        return None
+    term, _, number = text.partition('.')
+    try:
+        return records.Position(int(term), int(number))
+    except ValueError as error:
+        raise words.MalformedLineError(text) from error
+
+
+def _decode_status(row: str) -> records.InstanceStatus:
+    # The fields after the received position (highest paused term, lag,
+    # running statements, connections) are not used.
+    fields = row.split(' ')[:_STATUS_FIELDS]
+    try:
+        role, term, received = fields
+        return records.InstanceStatus(
+            role == 'primary',
+            int(term),
+            decode_position(received),
+        )
+    except ValueError as error:
+        raise words.MalformedLineError(row) from error
--- /dev/null
+++ b/jacinthhaven/platform/kv_requests.py
@@ -0,0 +1,72 @@
+"""Calls to the platform's metadata store."""
+
+import types
+import typing
+from urllib import parse as urls
+
+import msgspec
+
+from jacinthhaven.adapters import http_client
+from jacinthhaven.records import store
+
+
+def send(client: http_client.Client, request: store.Request) -> None:
+    """Send the request of a call."""
+    _SENDERS[type(request)](client, request)
+
+
+def quote(prefix: str) -> str:
+    """Return a key or prefix as part of a query."""
+    return urls.quote(prefix, safe='/')
+
+
+def _send_read(client: http_client.Client, request: typing.Any) -> None:
+    prefix = quote(request.prefix)
+    stale = '&allowStale=1' if request.may_be_stale else ''
+    client.get(f'/kv-range?prefix={prefix}{stale}')
+
+
+def _send_swap(client: http_client.Client, request: typing.Any) -> None:
+    puts = []
+    deletes = []
+    for change in request.changes:
+        if isinstance(change, store.Delete):
+            deletes.append(change.key)
+        else:
+            puts.append(
+                {
+                    'key': change.key,
+                    'value': change.value.encode(),
+                    'lease': change.lease,
+                },
+            )
+    expect = [
+        {'key': compare.key, 'revision': compare.mod_revision}
+        for compare in request.compares
+    ]
+    document = {'expect': expect, 'puts': puts, 'deletes': deletes}
+    client.send('/kv-txn', msgspec.json.encode(document))
+
+
+def _send_lease(client: http_client.Client, request: typing.Any) -> None:
+    document = {'ttlMs': request.ttl_ms}
+    client.send('/kv-lease', msgspec.json.encode(document))
+
+
+def _send_keep(client: http_client.Client, request: typing.Any) -> None:
+    client.send(f'/kv-keep/{request.lease}', b'')
+
+
+def _send_revoke(client: http_client.Client, request: typing.Any) -> None:
+    client.delete(f'/kv-lease-end/{request.lease}')
+
+
+_SENDERS = types.MappingProxyType(
+    {
+        store.ReadRequest: _send_read,
+        store.SwapRequest: _send_swap,
+        store.LeaseRequest: _send_lease,
+        store.KeepAliveRequest: _send_keep,
+        store.RevokeRequest: _send_revoke,
+    },
+)
--- /dev/null
+++ b/jacinthhaven/platform/node_sockets.py
@@ -0,0 +1,191 @@
+"""Tasks that own the sockets between the nodes of this product."""
+
+import functools
+import itertools
+import typing
+
+from jacinthhaven.adapters import poller, streams
+from jacinthhaven.platform import peer_wire, sockets, words
+from jacinthhaven.sql import ports, records, statements
+
+
+class BorrowerSockets(ports.Borrowers):
+    """Accepts connections of nodes that borrow links.
+
+    Attributes:
+      on_request: Called with the number, service and instance asked for.
+      on_line: Called with the number and a command.
+      on_returned: Called with the number of a closed connection.
+      on_relayed: Called with the connection of a relayed session, the
+        version of its configuration and its database.
+    """
+
+    def __init__(self, loop: poller.Poller) -> None:
+        """Start without a listener."""
+        self.poller = loop
+        self.numbers = itertools.count(1)
+        self.connections: dict[int, sockets.ClientConnection] = {}
+        self.listener: streams.Listener | None = None
+        self.on_request: typing.Callable[[int, str, str], None] = sockets.ignore
+        self.on_line: typing.Callable[[int, str], None] = sockets.ignore
+        self.on_returned: typing.Callable[[int], None] = sockets.ignore
+        self.on_relayed: typing.Callable[
+            [streams.Stream, int, str],
+            None,
+        ] = sockets.ignore
+
+    def listen(self, address: records.Address) -> int:
+        """Start to accept nodes and return the port."""
+        self.listener = streams.Listener(
+            self.poller,
+            address,
+            self._on_stream,
+        )
+        return self.listener.port
+
+    def grant(self, number: int) -> None:
+        """Tell the borrower that it may use the link."""
+        connection = self.connections.get(number)
+        if connection is not None:
+            connection.stream.send(words.encode_accept())
+
+    def refuse(self, number: int) -> None:
+        """Tell the borrower that no link is free and close."""
+        connection = self.connections.pop(number, None)
+        if connection is not None:
+            refusal = words.encode_refusal(statements.Code.CONNECTION_LIMIT)
+            connection.stream.send(refusal)
+            connection.stream.finish()
+
+    def send_line(self, number: int, line: str) -> None:
+        """Pass a line of the instance on."""
+        connection = self.connections.get(number)
+        if connection is not None:
+            connection.stream.send(words.encode([line]))
+
+    def end(self, number: int) -> None:
+        """Close the connection after the link was lost."""
+        connection = self.connections.pop(number, None)
+        if connection is not None:
+            connection.stream.finish()
+
+    def _on_stream(self, stream: streams.Stream) -> None:
+        sockets.limit_silence(stream)
+        connection = sockets.ClientConnection(stream, next(self.numbers))
+        self.connections[connection.number] = connection
+        stream.on_bytes = functools.partial(self._on_bytes, connection)
+        stream.on_close = functools.partial(self._on_close, connection)
+
+    def _on_bytes(
+        self, connection: sockets.ClientConnection, chunk: bytes
+    ) -> None:
+        try:
+            for line in connection.reader.feed(chunk):
+                self._on_text(connection, line)
+        except words.MalformedLineError:
+            connection.stream.close()
+            self._on_close(connection)
+
+    def _on_text(self, connection: sockets.ClientConnection, line: str) -> None:
+        if connection.number not in self.connections:
+            return
+        if connection.started:
+            self.on_line(connection.number, line)
+            return
+        connection.started = True
+        relayed = peer_wire.decode_relayed(line)
+        if relayed is None:
+            self.on_request(connection.number, *peer_wire.decode_loan(line))
+            return
+        self.connections.pop(connection.number)
+        self.on_relayed(connection.stream, *relayed)
+
+    def _on_close(self, connection: sockets.ClientConnection) -> None:
+        if self.connections.pop(connection.number, None) is not None:
+            self.on_returned(connection.number)
+
+
+class _RelayConnection:
+    __slots__ = ('stream', 'reader', 'number')
+
+    def __init__(self, stream: streams.Stream, number: int) -> None:
+        self.stream = stream
+        self.reader = words.LineReader()
+        self.number = number
+
+
+class RelaySockets(ports.Relays):
+    """Connections to owners that execute sessions.
+
+    Attributes:
+      on_line: Called with the number, a line and the state that it holds.
+      on_alive: Called with the number when the owner's process answers.
+      on_lost: Called with the number of a connection that was lost.
+    """
+
+    def __init__(self, loop: poller.Poller) -> None:
+        """Start without connections."""
+        self.poller = loop
+        self.numbers = itertools.count(1)
+        self.connections: dict[int, _RelayConnection] = {}
+        self.on_line: typing.Callable[
+            [int, str, statements.State | None],
+            None,
+        ] = sockets.ignore
+        self.on_alive: typing.Callable[[int], None] = sockets.ignore
+        self.on_lost: typing.Callable[[int], None] = sockets.ignore
+
+    def open(
+        self,
+        address: records.Address,
+        database: str,
+        version: int,
+    ) -> int:
+        """Ask an owner to execute a session."""
+        number = next(self.numbers)
+        stream = streams.connect(self.poller, address)
+        sockets.limit_silence(stream)
+        connection = _RelayConnection(stream, number)
+        self.connections[number] = connection
+        stream.on_bytes = functools.partial(self._on_bytes, connection)
+        stream.on_close = functools.partial(self._on_close, connection)
+        stream.send(peer_wire.encode_relayed(database, version))
+        return number
+
+    def send(self, number: int, statement: statements.Statement) -> None:
+        """Pass a statement on."""
+        self._send(number, peer_wire.encode_query(statement))
+
+    def ping(self, number: int) -> None:
+        """Ask whether the owner's process lives."""
+        self._send(number, words.encode([peer_wire.PING]))
+
+    def close(self, number: int) -> None:
+        """Close a connection; nothing is reported about it afterwards."""
+        connection = self.connections.pop(number, None)
+        if connection is not None:
+            connection.stream.close()
+
+    def _send(self, number: int, chunk: bytes) -> None:
+        connection = self.connections.get(number)
+        if connection is not None:
+            connection.stream.send(chunk)
+
+    def _on_bytes(self, connection: _RelayConnection, chunk: bytes) -> None:
+        try:
+            lines = connection.reader.feed(chunk)
+        except words.MalformedLineError:
+            connection.stream.close()
+            self._on_close(connection)
+            return
+        for line in lines:
+            if connection.number not in self.connections:
+                return
+            if line == peer_wire.PONG:
+                self.on_alive(connection.number)
+            else:
+                self.on_line(connection.number, line, words.ready_state(line))
+
+    def _on_close(self, connection: _RelayConnection) -> None:
+        if self.connections.pop(connection.number, None) is not None:
+            self.on_lost(connection.number)
--- a/jacinthhaven/platform/sockets.py
+++ b/jacinthhaven/platform/sockets.py
@@ -6,8 +6,13 @@
 import typing
 
 from jacinthhaven.adapters import poller, streams
-from jacinthhaven.platform import wire
-from jacinthhaven.sql import ports, records, statements
+from jacinthhaven.platform import (
+    client_wire,
+    instance_wire,
+    peer_wire,
+    words,
+)
+from jacinthhaven.sql import commands, ports, records, statements
 
 # Bytes sent to a dead host are given up after this time.
 _USER_TIMEOUT_MS = 4000
@@ -23,12 +28,14 @@
     )
 
 
-class _ClientConnection:
+class ClientConnection:
+    """Connection of a client or of another node."""
+
     __slots__ = ('stream', 'reader', 'number', 'started')
 
     def __init__(self, stream: streams.Stream, number: int) -> None:
         self.stream = stream
-        self.reader = wire.LineReader()
+        self.reader = words.LineReader()
         self.number = number
         self.started = False
 
@@ -47,15 +54,15 @@
         """Start without a listener."""
         self.poller = loop
         self.numbers = itertools.count(1)
-        self.connections: dict[int, _ClientConnection] = {}
+        self.connections: dict[int, ClientConnection] = {}
         self.listener: streams.Listener | None = None
-        self.on_start: typing.Callable[[int, str], None] = _ignore
+        self.on_start: typing.Callable[[int, str], None] = ignore
         self.on_statement: typing.Callable[
             [int, statements.Statement],
             None,
-        ] = _ignore
-        self.on_closed: typing.Callable[[int], None] = _ignore
-        self.on_malformed: typing.Callable[[], None] = _ignore
+        ] = ignore
+        self.on_closed: typing.Callable[[int], None] = ignore
+        self.on_malformed: typing.Callable[[], None] = ignore
 
     def listen(self, address: tuple[str, int]) -> int:
         """Start to accept sessions and return the port."""
@@ -81,7 +88,7 @@
 
     def send_line(self, number: int, line: str) -> None:
         """Pass a line of an owner on."""
-        self._send(number, wire.encode_line(line))
+        self._send(number, words.encode([line]))
 
     def stop_accepting(self) -> None:
         """Close the listener."""
@@ -90,18 +97,18 @@
 
     def accept(self, number: int) -> None:
         """Tell the client that its session is open."""
-        self._send(number, wire.encode_accept())
+        self._send(number, words.encode_accept())
 
     def refuse(self, number: int, code: statements.Code) -> None:
         """Refuse the session and close the connection."""
         connection = self.connections.pop(number, None)
         if connection is not None:
-            connection.stream.send(wire.encode_refusal(code))
+            connection.stream.send(words.encode_refusal(code))
             connection.stream.finish()
 
     def answer(self, number: int, answer: statements.Answer) -> None:
         """Send the answer to the statement in turn."""
-        self._send(number, wire.encode_answer(answer))
+        self._send(number, client_wire.encode_answer(answer))
 
     def close(self, number: int) -> None:
         """Close an idle connection after its last answer was written."""
@@ -118,42 +125,42 @@
         limit_silence(stream)
         self._add(stream)
 
-    def _add(self, stream: streams.Stream) -> _ClientConnection:
+    def _add(self, stream: streams.Stream) -> ClientConnection:
         number = next(self.numbers)
-        connection = _ClientConnection(stream, number)
+        connection = ClientConnection(stream, number)
         self.connections[number] = connection
         stream.on_bytes = functools.partial(self._on_bytes, connection)
         stream.on_close = functools.partial(self._on_close, connection)
         return connection
 
-    def _on_bytes(self, connection: _ClientConnection, chunk: bytes) -> None:
+    def _on_bytes(self, connection: ClientConnection, chunk: bytes) -> None:
         try:
             for line in connection.reader.feed(chunk):
                 self._on_line(connection, line)
-        except wire.MalformedLineError:
+        except words.MalformedLineError:
             self.on_malformed()
             if not connection.stream.closed:
                 self.refuse(connection.number, statements.Code.MALFORMED)
                 self.on_closed(connection.number)
 
-    def _on_line(self, connection: _ClientConnection, line: str) -> None:
+    def _on_line(self, connection: ClientConnection, line: str) -> None:
         if connection.number not in self.connections:
             return
         if not connection.started:
             connection.started = True
-            self.on_start(connection.number, wire.decode_start(line))
+            self.on_start(connection.number, client_wire.decode_start(line))
             return
-        if line == wire.PING:
-            connection.stream.send(wire.encode_line(wire.PONG))
+        if line == peer_wire.PING:
+            connection.stream.send(words.encode([peer_wire.PONG]))
             return
-        statement = wire.decode_query(line)
+        statement = client_wire.decode_query(line)
         if statement is None:
             connection.stream.close()
             self._on_close(connection)
         else:
             self.on_statement(connection.number, statement)
 
-    def _on_close(self, connection: _ClientConnection) -> None:
+    def _on_close(self, connection: ClientConnection) -> None:
         if self.connections.pop(connection.number, None) is not None:
             self.on_closed(connection.number)
 
@@ -163,8 +170,8 @@
 
     def __init__(self, stream: streams.Stream, number: int) -> None:
         self.stream = stream
-        self.lines = wire.LineReader()
-        self.replies = wire.ReplyReader()
+        self.lines = words.LineReader()
+        self.replies = instance_wire.ReplyReader()
         self.number = number
         self.opened = False
 
@@ -185,13 +192,13 @@
         self.poller = loop
         self.numbers = itertools.count(1)
         self.connections: dict[int, _LinkConnection] = {}
-        self.on_open: _OPENED = _ignore
-        self.on_reply: _OPENED = _ignore
-        self.on_lost: typing.Callable[[int], None] = _ignore
+        self.on_open: _OPENED = ignore
+        self.on_reply: _OPENED = ignore
+        self.on_lost: typing.Callable[[int], None] = ignore
         self.on_line: typing.Callable[
             [int, str, statements.State | None],
             bool | None,
-        ] = _ignore
+        ] = ignore
 
     def open(
         self,
@@ -206,25 +213,25 @@
         self.connections[number] = connection
         stream.on_bytes = functools.partial(self._on_bytes, connection)
         stream.on_close = functools.partial(self._on_close, connection)
-        stream.send(wire.encode_start(instance))
+        stream.send(instance_wire.encode_start(instance))
         return number
 
-    def send(self, number: int, command: statements.Command) -> None:
+    def send(self, number: int, command: commands.Command) -> None:
         """Send a command; its reply is reported later."""
         connection = self.connections.get(number)
         if connection is None:
             return
         connection.replies.wants_status = isinstance(
             command,
-            statements.AskStatus | statements.Pause | statements.Resume,
+            commands.AskStatus | commands.Pause | commands.Resume,
         )
-        connection.stream.send(wire.encode_command(command))
+        connection.stream.send(instance_wire.encode_command(command))
 
     def send_line(self, number: int, line: str) -> None:
         """Send a command of another node unchanged."""
         connection = self.connections.get(number)
         if connection is not None:
-            connection.stream.send(wire.encode_line(line))
+            connection.stream.send(words.encode([line]))
 
     def close(self, number: int) -> None:
         """Close a connection; nothing is reported about it afterwards."""
@@ -236,7 +243,7 @@
         try:
             for line in connection.lines.feed(chunk):
                 self._on_line(connection, line)
-        except wire.MalformedLineError:
+        except words.MalformedLineError:
             connection.stream.close()
             self._on_close(connection)
 
@@ -244,7 +251,7 @@
         number = connection.number
         if number not in self.connections:
             return
-        if self.on_line(number, line, wire.ready_state(line)):
+        if self.on_line(number, line, words.ready_state(line)):
             return
         reply = connection.replies.feed(line)
         if connection.opened:
@@ -263,185 +270,5 @@
             self.on_lost(connection.number)
 
 
-class BorrowerSockets(ports.Borrowers):
-    """Accepts connections of nodes that borrow links.
-
-    Attributes:
-      on_request: Called with the number, service and instance asked for.
-      on_line: Called with the number and a command.
-      on_returned: Called with the number of a closed connection.
-      on_relayed: Called with the connection of a relayed session, the
-        version of its configuration and its database.
-    """
-
-    def __init__(self, loop: poller.Poller) -> None:
-        """Start without a listener."""
-        self.poller = loop
-        self.numbers = itertools.count(1)
-        self.connections: dict[int, _ClientConnection] = {}
-        self.listener: streams.Listener | None = None
-        self.on_request: typing.Callable[[int, str, str], None] = _ignore
-        self.on_line: typing.Callable[[int, str], None] = _ignore
-        self.on_returned: typing.Callable[[int], None] = _ignore
-        self.on_relayed: typing.Callable[
-            [streams.Stream, int, str],
-            None,
-        ] = _ignore
-
-    def listen(self, address: records.Address) -> int:
-        """Start to accept nodes and return the port."""
-        self.listener = streams.Listener(
-            self.poller,
-            address,
-            self._on_stream,
-        )
-        return self.listener.port
-
-    def grant(self, number: int) -> None:
-        """Tell the borrower that it may use the link."""
-        connection = self.connections.get(number)
-        if connection is not None:
-            connection.stream.send(wire.encode_accept())
-
-    def refuse(self, number: int) -> None:
-        """Tell the borrower that no link is free and close."""
-        connection = self.connections.pop(number, None)
-        if connection is not None:
-            refusal = wire.encode_refusal(statements.Code.CONNECTION_LIMIT)
-            connection.stream.send(refusal)
-            connection.stream.finish()
-
-    def send_line(self, number: int, line: str) -> None:
-        """Pass a line of the instance on."""
-        connection = self.connections.get(number)
-        if connection is not None:
-            connection.stream.send(wire.encode_line(line))
-
-    def end(self, number: int) -> None:
-        """Close the connection after the link was lost."""
-        connection = self.connections.pop(number, None)
-        if connection is not None:
-            connection.stream.finish()
-
-    def _on_stream(self, stream: streams.Stream) -> None:
-        limit_silence(stream)
-        connection = _ClientConnection(stream, next(self.numbers))
-        self.connections[connection.number] = connection
-        stream.on_bytes = functools.partial(self._on_bytes, connection)
-        stream.on_close = functools.partial(self._on_close, connection)
-
-    def _on_bytes(self, connection: _ClientConnection, chunk: bytes) -> None:
-        try:
-            for line in connection.reader.feed(chunk):
-                self._on_text(connection, line)
-        except wire.MalformedLineError:
-            connection.stream.close()
-            self._on_close(connection)
-
-    def _on_text(self, connection: _ClientConnection, line: str) -> None:
-        if connection.number not in self.connections:
-            return
-        if connection.started:
-            self.on_line(connection.number, line)
-            return
-        connection.started = True
-        relayed = wire.decode_relayed(line)
-        if relayed is None:
-            self.on_request(connection.number, *wire.decode_loan(line))
-            return
-        self.connections.pop(connection.number)
-        self.on_relayed(connection.stream, *relayed)
-
-    def _on_close(self, connection: _ClientConnection) -> None:
-        if self.connections.pop(connection.number, None) is not None:
-            self.on_returned(connection.number)
-
-
-class _RelayConnection:
-    __slots__ = ('stream', 'reader', 'number')
-
-    def __init__(self, stream: streams.Stream, number: int) -> None:
-        self.stream = stream
-        self.reader = wire.LineReader()
-        self.number = number
-
-
-class RelaySockets(ports.Relays):
-    """Connections to owners that execute sessions.
-
-    Attributes:
-      on_line: Called with the number, a line and the state that it holds.
-      on_alive: Called with the number when the owner's process answers.
-      on_lost: Called with the number of a connection that was lost.
-    """
-
-    def __init__(self, loop: poller.Poller) -> None:
-        """Start without connections."""
-        self.poller = loop
-        self.numbers = itertools.count(1)
-        self.connections: dict[int, _RelayConnection] = {}
-        self.on_line: typing.Callable[
-            [int, str, statements.State | None],
-            None,
-        ] = _ignore
-        self.on_alive: typing.Callable[[int], None] = _ignore
-        self.on_lost: typing.Callable[[int], None] = _ignore
-
-    def open(
-        self,
-        address: records.Address,
-        database: str,
-        version: int,
-    ) -> int:
-        """Ask an owner to execute a session."""
-        number = next(self.numbers)
-        stream = streams.connect(self.poller, address)
-        limit_silence(stream)
-        connection = _RelayConnection(stream, number)
-        self.connections[number] = connection
-        stream.on_bytes = functools.partial(self._on_bytes, connection)
-        stream.on_close = functools.partial(self._on_close, connection)
-        stream.send(wire.encode_relayed(database, version))
-        return number
-
-    def send(self, number: int, statement: statements.Statement) -> None:
-        """Pass a statement on."""
-        self._send(number, wire.encode_query(statement))
-
-    def ping(self, number: int) -> None:
-        """Ask whether the owner's process lives."""
-        self._send(number, wire.encode_line(wire.PING))
-
-    def close(self, number: int) -> None:
-        """Close a connection; nothing is reported about it afterwards."""
-        connection = self.connections.pop(number, None)
-        if connection is not None:
-            connection.stream.close()
-
-    def _send(self, number: int, chunk: bytes) -> None:
-        connection = self.connections.get(number)
-        if connection is not None:
-            connection.stream.send(chunk)
-
-    def _on_bytes(self, connection: _RelayConnection, chunk: bytes) -> None:
-        try:
-            lines = connection.reader.feed(chunk)
-        except wire.MalformedLineError:
-            connection.stream.close()
-            self._on_close(connection)
-            return
-        for line in lines:
-            if connection.number not in self.connections:
-                return
-            if line == wire.PONG:
-                self.on_alive(connection.number)
-            else:
-                self.on_line(connection.number, line, wire.ready_state(line))
-
-    def _on_close(self, connection: _RelayConnection) -> None:
-        if self.connections.pop(connection.number, None) is not None:
-            self.on_lost(connection.number)
-
-
-def _ignore(*_args: typing.Any) -> None:
+def ignore(*_args: typing.Any) -> None:
     """Do nothing; default of an unset callback."""
--- a/jacinthhaven/records/sql_settings.py
+++ b/jacinthhaven/records/sql_settings.py
@@ -18,10 +18,11 @@
 _NOT_A_MAPPING = 'must be a mapping'
 
 
-class Address(tuple):
+class Address(typing.NamedTuple):
     """IP address and TCP port, as sockets take them."""
 
-    __slots__ = ()
+    host: str
+    port: int
 
 
 Lease = typing.Annotated[int, msgspec.Meta(ge=100)]
@@ -144,8 +145,9 @@
     ]
     for name, field in fields.items():
         place = (*path, name)
-        if name in document:
-            located.extend(_check_field(document[name], field.type, place))
+        found = document.get(name, msgspec.UNSET)
+        if found is not msgspec.UNSET:
+            located.extend(_check_field(found, field.type, place))
         elif field.required:
             located.append((place, _MISSING))
     return located
@@ -173,7 +175,7 @@
         raise ValueError(f'{text} is not an IP address and a port') from error
     if not 0 < number <= _MAX_PORT:
         raise ValueError(f'{number} is not a TCP port')
-    return Address((host, number))
+    return Address(host, number)
 
 
 def _decode(kind: type, found: typing.Any) -> Address:
--- a/jacinthhaven/sql/backlog.py
+++ b/jacinthhaven/sql/backlog.py
@@ -6,6 +6,7 @@
 statements that remain are executed early enough to count.
 """
 
+import bisect
 import typing
 
 from jacinthhaven.sql import sessions
@@ -42,10 +43,7 @@
 
     def add(self, work: sessions.Work) -> None:
         """Insert a statement behind those that are as important."""
-        index = len(self.waiting)
-        while index and _order(self.waiting[index - 1]) > _order(work):
-            index -= 1
-        self.waiting.insert(index, work)
+        bisect.insort_right(self.waiting, work, key=_order)
 
     def remove(self, work: sessions.Work) -> None:
         """Drop a statement that found a link or lost its client."""
@@ -59,12 +57,14 @@
           work: Statement that has just arrived.
           links: Links that may execute it.
         """
-        ahead = sum(
-            waiting.needs_primary or not work.needs_primary
+        ahead = [
+            waiting
             for waiting in self.waiting
             if _order(waiting) <= _order(work)
-        )
-        return ahead * self.service_ms / max(links, 1)
+        ]
+        if work.needs_primary:
+            ahead = [waiting for waiting in ahead if waiting.needs_primary]
+        return len(ahead) * self.service_ms / max(links, 1)
 
     def accepts(self, work: sessions.Work, links: int) -> bool:
         """Return whether a new statement can be expected to be in time."""
--- a/jacinthhaven/sql/builders.py
+++ b/jacinthhaven/sql/builders.py
@@ -4,9 +4,9 @@
 import random
 import typing
 
-from jacinthhaven.platform import wire
+from jacinthhaven.platform import client_wire, instance_wire
 from jacinthhaven.records import store
-from jacinthhaven.sql import gateway, ports, records, statements
+from jacinthhaven.sql import commands, gateway, ports, records, statements
 from jacinthhaven.standins import sql_group
 
 SERVICE = 'ledger'
@@ -15,6 +15,8 @@
 STRICT = 'strict'
 BOUNDED = 'bounded'
 OWN = 'own'
+# Longer than every timeout of a statement.
+_PATIENCE_MS = 3000
 
 Fields = dict[str, typing.Any]
 
@@ -46,7 +48,7 @@
     )
     fields: Fields = {
         'version': version,
-        'routes': {item.database: item for item in routes},
+        'routes': {known.database: known for known in routes},
         'services': {SERVICE: records.Service(SERVICE, 21, 0)},
         'transaction_idle_ms': 3000,
     }
@@ -142,7 +144,7 @@
         """Connect to a group."""
         self.group = group
         self.connections: dict[int, sql_group.SqlConnection] = {}
-        self.readers: dict[int, wire.ReplyReader] = {}
+        self.readers: dict[int, instance_wire.ReplyReader] = {}
         self.pending: collections.deque = collections.deque()
         self.silent: set[str] = set()
         self.swallowed: set[str] = set()
@@ -167,24 +169,28 @@
         number = self.opened
         model = self.group.instances[instance.name]
         self.connections[number] = sql_group.SqlConnection(model)
-        self.readers[number] = wire.ReplyReader()
-        line = wire.encode_start(instance).decode().strip()
+        self.readers[number] = instance_wire.ReplyReader()
+        line = instance_wire.encode_start(instance).decode().strip()
         self.pending.append((self.now_ms + 1, number, line, True))
         return number
 
-    def send(self, number: int, command: statements.Command) -> None:
+    def send(self, number: int, command: commands.Command) -> None:
         """Send a command."""
         self.readers[number].wants_status = isinstance(
             command,
-            statements.AskStatus | statements.Pause | statements.Resume,
+            commands.AskStatus | commands.Pause | commands.Resume,
         )
-        line = wire.encode_command(command).decode().strip()
+        line = instance_wire.encode_command(command).decode().strip()
         self.pending.append((self.now_ms + self.work_ms, number, line, False))
 
     def send_line(self, number: int, line: str) -> None:
         """Send a line of another node."""
         self.pending.append((self.now_ms + self.work_ms, number, line, False))
 
+    def swallows(self, line: str) -> bool:
+        """Return whether the answer to a line is lost."""
+        return any(text in line for text in self.swallowed)
+
     def close(self, number: int) -> None:
         """Close a session."""
         self.connections.pop(number, None)
@@ -290,7 +296,7 @@
     def send(self, number: int, text: str, request: str = 'r1') -> None:
         """Send a statement of a client."""
         line = f'QUERY {request} {text}'
-        statement = wire.decode_query(line)
+        statement = client_wire.decode_query(line)
         self.gateway.on_statement(number, statement, self.now_ms)
 
     def ask(
@@ -302,8 +308,9 @@
         """Send a statement and return its answer."""
         told = self.clients.answers[number]
         before = len(told)
+        until_ms = self.now_ms + _PATIENCE_MS
         self.send(number, text, request)
-        for _step in range(600):
+        while self.now_ms < until_ms:
             if len(told) > before:
                 return told[before]
             self.run(5)
@@ -353,7 +360,7 @@
         else:
             self.lines.append((name, line))
             lines = connection.handle(line, self.now_ms)
-        if any(word in line for word in self.databases.swallowed):
+        if self.databases.swallows(line):
             return
         reply = None
         for text in lines:
--- a/jacinthhaven/sql/coordination.py
+++ b/jacinthhaven/sql/coordination.py
@@ -11,7 +11,7 @@
 
 from jacinthhaven.kernel import backoff, failures
 from jacinthhaven.records import store
-from jacinthhaven.sql import ports
+from jacinthhaven.sql import lease, ports
 
 # Intervals of registry reads: reads that may be old cost a tenth of the
 # others, which in turn bound how old the known registry can be.
@@ -28,9 +28,6 @@
 _LARGE_FLEET = 16
 # A node that owns no service needs the registry only to help out.
 _IDLE_REGISTRY_FACTOR = 5
-# Time to live of the node's lease and the interval of its renewal.
-LEASE_MS = 6000
-_RENEW_MS = 2000
 
 Entries = tuple[store.KeyValue, ...]
 
@@ -53,7 +50,7 @@
 
     Attributes:
       known: Revision of each watched key that exists.
-      lease: Lease of this node; 0 while it has none.
+      keeper: Lease and key of this node.
       connected: Whether the last call succeeded.
     """
 
@@ -81,26 +78,21 @@
         self.journal = journal
         self.backoff = backoff.Backoff(rng, _RETRY_FIRST_MS, _RETRY_LAST_MS)
         self.known: dict[str, int] = {}
-        self.lease = 0
         self.connected = False
         self.watching = False
         self.reading = False
-        self.renewing = False
         self.registry_ms = 0
         self.members_ms = 0
         self.started_ms: int | None = None
-        self.listed: set[str] = set()
         self.owns_service = True
         self.registry_reads = 0
-        self.renew_ms = 0
-        self.member_key = ''
-        self.member_text = ''
+        self.keeper = lease.LeaseKeeper(self.call)
         self.now_ms = 0
 
-    def join(self, key: str, text: str) -> None:
-        """Announce this node under a key bound to its lease."""
-        self.member_key = key
-        self.member_text = text
+    @property
+    def lease(self) -> int:
+        """Return the lease of this node; 0 while it has none."""
+        return self.keeper.lease
 
     def tick(self, now_ms: int) -> None:
         """Make the calls that are due."""
@@ -111,28 +103,19 @@
             return
         if not self.watching:
             self.watching = True
-            self._call(store.ReadRequest(self.prefixes[0]), self._on_snapshot)
+            self.call(store.ReadRequest(self.prefixes[0]), self._on_snapshot)
         if now_ms >= self.registry_ms and not self.reading:
             self._read_registry(now_ms)
         if now_ms >= self.members_ms:
             self._read_members(now_ms)
-        if now_ms >= self.renew_ms and not self.renewing and self.member_key:
-            self._renew(now_ms)
+        self.keeper.tick(now_ms)
 
-    def leave(self, on_left: typing.Callable[[], None]) -> None:
-        """End the lease of this node."""
-        self.member_key = ''
-        if not self.lease:
-            on_left()
-            return
-        request = store.RevokeRequest(self.lease)
-        self.platform.call(request, lambda _reply: on_left())
-
-    def _call(
+    def call(
         self,
         request: store.Request,
         on_reply: typing.Callable[[typing.Any], None],
     ) -> None:
+        """Call the store and note whether it answers."""
         self.journal.count('store_calls', type(request).__name__)
         self.platform.call(request, functools.partial(self._reply, on_reply))
 
@@ -164,7 +147,7 @@
         for entry in reply.entries:
             self._accept(entry)
         request = store.WatchRequest(self.prefixes[0], reply.revision + 1)
-        self._call(request, self._on_events)
+        self.call(request, self._on_events)
 
     def _on_events(self, reply: store.WatchEvents | None) -> None:
         if reply is None:
@@ -190,7 +173,7 @@
         factor = 1 if self.owns_service else _IDLE_REGISTRY_FACTOR
         self.registry_ms = now_ms + _STALE_READ_MS * factor
         fresh = self.registry_reads % _FRESH_READ_EVERY == 0
-        self._call(
+        self.call(
             store.ReadRequest(self.prefixes[1], may_be_stale=not fresh),
             functools.partial(self._on_registry, fresh),
         )
@@ -207,54 +190,14 @@
         interval_ms = _SMALL_MEMBERS_MS
         if now_ms - self.started_ms < _FIRST_MEMBERS_FOR_MS:
             interval_ms = _FIRST_MEMBERS_MS
-        elif len(self.listed) > _LARGE_FLEET:
+        elif len(self.keeper.listed) > _LARGE_FLEET:
             interval_ms = _LARGE_MEMBERS_MS
         self.members_ms = now_ms + interval_ms
         request = store.ReadRequest(self.prefixes[2], may_be_stale=True)
-        self._call(request, self._on_members)
+        self.call(request, self._on_members)
 
     def _on_members(self, reply: store.ReadReply | None) -> None:
         if reply is None:
             return
-        self.listed = {entry.key for entry in reply.entries}
+        self.keeper.listed = {entry.key for entry in reply.entries}
         self.listener.on_members(reply.entries)
-
-    def _renew(self, now_ms: int) -> None:
-        self.renewing = True
-        self.renew_ms = now_ms + _RENEW_MS
-        if self.lease:
-            request = store.KeepAliveRequest(self.lease)
-            self._call(request, self._on_renewed)
-        else:
-            self._call(store.LeaseRequest(LEASE_MS), self._on_lease)
-
-    def _on_renewed(self, reply: store.LeaseReply | None) -> None:
-        self.renewing = False
-        if reply is None:
-            return
-        if not reply.ttl_ms:
-            self.lease = 0
-        if not self.lease or self.member_key not in self.listed:
-            # The lease has ended, or the store has removed the key alone.
-            self.renew_ms = 0
-            self._announce_or_restart()
-
-    def _announce_or_restart(self) -> None:
-        if self.lease:
-            self._announce()
-
-    def _on_lease(self, reply: store.LeaseReply | None) -> None:
-        self.renewing = False
-        if reply is None or not reply.lease:
-            self.renew_ms = 0
-            return
-        self.lease = reply.lease
-        self._announce()
-
-    def _announce(self) -> None:
-        put = store.Put(self.member_key, self.member_text, self.lease)
-        self._call(store.SwapRequest((), (put,)), _ignore)
-
-
-def _ignore(_reply: typing.Any) -> None:
-    """Do nothing; the watch brings the effect."""
--- a/jacinthhaven/sql/election.py
+++ b/jacinthhaven/sql/election.py
@@ -14,12 +14,20 @@
 import msgspec
 
 from jacinthhaven.records import store
-from jacinthhaven.sql import group, ports, scripts, statements
+from jacinthhaven.sql import (
+    commands,
+    group,
+    ports,
+    records,
+    scripts,
+)
 
 # Silence after which a node says that it does not reach the primary.
 DOUBT_MS = 700
 # A node that is not the first to act waits so long for each one before it.
 _STAGGER_MS = 700
+# Nodes beyond these wait no longer than the last of them.
+_MAX_TURNS = 3
 # Time to live of the duty; nobody else acts meanwhile.
 DUTY_MS = 3000
 # How long a replaced primary's successor is expected to take at most.
@@ -33,6 +41,8 @@
 # First estimate of the time of a promotion.
 _FIRST_PROMOTE_MS = 1200
 
+Found = dict[str, records.InstanceStatus | None]
+
 
 class Lead(msgspec.Struct):
     """Stored note on who leads a service, or is about to."""
@@ -99,13 +109,9 @@
     def on_key(self, name: str, text: str | None, revision: int) -> None:
         """Accept a key of this service by its name within the prefix."""
         if name.startswith('doubt/'):
-            node = name.rpartition('/')[2]
-            if text is None:
-                self.doubts.pop(node, None)
-            else:
-                self.doubts[node] = text
+            self.doubts[name.rpartition('/')[2]] = text or ''
         elif name.startswith('duty/'):
-            self.duty_revision = revision if text is not None else 0
+            self.duty_revision = 0 if text is None else revision
             self.duty_holder = text or ''
         elif text is not None:
             self._on_lead(msgspec.json.decode(text, type=Lead))
@@ -120,35 +126,42 @@
             return
         if self.cause_ms is None:
             self.cause_ms = now_ms
-        if self.runner is not None and self.runner.running:
-            return
-        if now_ms < self.retry_ms or now_ms < self.cause_ms + self._turn_ms(
-            members,
-        ):
-            return
-        if self.duty_revision and self.duty_holder != self.node:
+        if not self._may_act(members):
             return
         self.retry_ms = now_ms + _RETRY_MS
         script = self._replace(self.service.presumed_leader(), cause)
         self.runner = scripts.Runner(script, self.perform)
 
+    def _may_act(self, members: tuple[str, ...]) -> bool:
+        """Return whether it is this node's turn to replace the primary."""
+        if self.runner is not None and self.runner.running:
+            return False
+        if self.duty_revision and self.duty_holder != self.node:
+            return False
+        turn_ms = self.cause_ms + self._turn_ms(members)
+        return self.now_ms >= max(self.retry_ms, turn_ms)
+
     def _on_lead(self, lead: Lead) -> None:
         leadership = self.service.leadership
         if lead.moving:
             if lead.term >= leadership.term:
                 leadership.expected_ms = self.now_ms + self.promote_ms
         else:
-            self.service.follow(lead.instance, lead.term, 'store')
+            self.service.evidence.follow(lead.instance, lead.term, 'store')
 
     def _turn_ms(self, members: tuple[str, ...]) -> int:
         """Return how long this node leaves it to others to act."""
         eligible = members
         if self.said:
-            eligible = tuple(
-                node for node in members if self.doubts.get(node) == self.said
-            )
-        first = [node for node in sorted(eligible) if node < self.node]
-        return min(len(first), 3) * _STAGGER_MS
+            eligible = self._voters(members)
+        first = sum(node < self.node for node in eligible)
+        return min(first, _MAX_TURNS) * _STAGGER_MS
+
+    def _voters(self, members: tuple[str, ...]) -> tuple[str, ...]:
+        """Return the nodes that say the same as this one."""
+        return tuple(
+            node for node in members if self.doubts.get(node) == self.said
+        )
 
     def _cause(self, members: tuple[str, ...]) -> str | None:
         """Return why the primary has to be replaced, or None."""
@@ -158,7 +171,7 @@
             return 'leaving'
         if not self.said or self.said != name:
             return None
-        votes = sum(self.doubts.get(node) == self.said for node in members)
+        votes = len(self._voters(members))
         return 'unreachable' if 2 * votes > len(members) else None
 
     def _say(self, lease: int) -> None:
@@ -253,30 +266,31 @@
             for name, state in states.items()
             if name != old and state.leaving_ms is None
         )
-        command: statements.Command = statements.AskStatus()
+        command: commands.Command = commands.AskStatus()
         if self.acknowledging and cause != 'leaving':
             # Stopped replicas acknowledge nothing that the chosen one lacks.
-            command = statements.Pause(term + 1)
+            command = commands.Pause(term + 1)
         found = yield scripts.AskAll(replicas, command)
-        statuses = {
-            name: status for name, status in found.items() if status is not None
-        }
-        for name, status in statuses.items():
-            if status.is_primary and status.term >= term:
-                self.service.follow(name, status.term, 'election')
-                return ''
+        statuses = _answered(found)
+        if self._follow_primary(statuses, term):
+            return ''
         if self.acknowledging and len(statuses) < len(replicas):
             return ''
         if cause == 'leaving':
             yield from self._catch_up(old, statuses)
-        received = {
-            name: status.received
-            for name, status in statuses.items()
-            if status.received is not None
-        }
-        if not received:
-            return ''
-        return max(received, key=lambda name: (received[name], name))
+        return _most_advanced(statuses)
+
+    def _follow_primary(
+        self,
+        statuses: dict[str, records.InstanceStatus],
+        term: int,
+    ) -> bool:
+        """Return whether another instance leads already, and follow it."""
+        for name, status in statuses.items():
+            if status.is_primary and status.term >= term:
+                self.service.evidence.follow(name, status.term, 'election')
+                return True
+        return False
 
     def _catch_up(
         self,
@@ -288,14 +302,10 @@
         while self.now_ms < until_ms:
             found = yield scripts.AskAll(
                 (old, *statuses),
-                statements.AskStatus(),
+                commands.AskStatus(),
             )
             primary = found.pop(old, None)
-            statuses.update(
-                (name, status)
-                for name, status in found.items()
-                if status is not None
-            )
+            statuses.update(_answered(found))
             if primary is None or primary.received is None:
                 return
             if any(
@@ -310,11 +320,11 @@
         """Wait until the successor leads, and tell all nodes."""
         until_ms = started_ms + _PROMOTE_LIMIT_MS
         while self.now_ms < until_ms:
-            found = yield scripts.AskAll((chosen,), statements.AskStatus())
+            found = yield scripts.AskAll((chosen,), commands.AskStatus())
             status = found[chosen]
             if status is not None and status.is_primary:
                 self.promote_ms = self.now_ms - started_ms
-                self.service.follow(chosen, status.term, 'election')
+                self.service.evidence.follow(chosen, status.term, 'election')
                 yield self._note(chosen, status.term, moving=False)
                 if self.acknowledging:
                     yield from self._resume(chosen)
@@ -326,9 +336,21 @@
         others = tuple(
             name for name in self.service.pool.states if name != chosen
         )
-        yield scripts.AskAll(others, statements.Resume())
+        yield scripts.AskAll(others, commands.Resume())
 
     def _note(self, instance: str, term: int, *, moving: bool) -> store.Request:
         note = msgspec.json.encode(Lead(instance, term, moving)).decode()
         put = store.Put(self.keys.lead(self.service.name), note)
         return store.SwapRequest((), (put,))
+
+
+def _answered(found: Found) -> dict[str, records.InstanceStatus]:
+    return {name: status for name, status in found.items() if status}
+
+
+def _most_advanced(statuses: dict[str, records.InstanceStatus]) -> str:
+    """Return the instance that has received most, or '' without any."""
+    known = [name for name, status in statuses.items() if status.received]
+    if not known:
+        return ''
+    return max(known, key=lambda name: (statuses[name].received, name))
--- a/jacinthhaven/sql/election_test.py
+++ b/jacinthhaven/sql/election_test.py
@@ -116,10 +116,10 @@
     fleet.run(4000)
     assert len(fleet.orders()) == 1
     assert fleet.group.primary != 'db-a'
-    leaders = {
-        member.gateway.groups[builders.SERVICE].leadership.leader
-        for member in fleet.nodes
-    }
+    services = [
+        member.gateway.groups[builders.SERVICE] for member in fleet.nodes
+    ]
+    leaders = {service.leadership.leader for service in services}
     assert leaders == {fleet.group.primary}
 
 
@@ -173,7 +173,7 @@
         vote.doubts[member.identity.name] = 'db-a'
     vote.said = 'db-a'
     vote.saying = True
-    vote.service.follow('db-b', 2, 'test')
+    vote.service.evidence.follow('db-b', 2, 'test')
     vote.tick(fleet.nodes[0].members, 1, fleet.now_ms + 5000)
     assert vote.runner is None
 
--- /dev/null
+++ b/jacinthhaven/sql/evidence.py
@@ -0,0 +1,133 @@
+"""What the replies of instances show about leader, positions and delays."""
+
+from jacinthhaven.sql import (
+    commands,
+    execution,
+    instances,
+    leadership,
+    links,
+    pool,
+    ports,
+    proofs,
+    records,
+    statements,
+)
+
+
+class Evidence:
+    """Knowledge about one service that replies bring.
+
+    Attributes:
+      leadership: Who leads the service.
+      proofs: Proved positions of the primary.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        members: pool.Pool,
+        journal: ports.Journal,
+        now_ms: int,
+    ) -> None:
+        """Know nothing yet about a service.
+
+        Args:
+          name: Name of the service.
+          members: Links to its instances.
+          journal: Log and metrics.
+          now_ms: Current time.
+        """
+        self.name = name
+        self.pool = members
+        self.journal = journal
+        self.leadership = leadership.Leadership(now_ms)
+        self.proofs = proofs.Proofs()
+
+    def learn(
+        self,
+        link: links.Link,
+        command: commands.Command,
+        reply: statements.Reply,
+        now_ms: int,
+    ) -> None:
+        """Take the evidence about leader, positions and delays."""
+        state = self.pool.states[link.instance]
+        if reply.position is not None:
+            state.applied = reply.position
+            self._learn_delay(state, reply.position, now_ms)
+        if reply.status is not None:
+            self._learn_status(link, reply.status)
+        if reply.code is statements.Code.READ_ONLY:
+            self.deny(link.instance, 0, 'refused a write')
+        elif reply.code is None and self._proves_lead(link, command, reply):
+            self._add_proof(link, reply)
+
+    def follow(self, instance: str, term: int, source: str) -> None:
+        """Accept that an instance leads a term."""
+        if self.leadership.observe(instance, term):
+            self.journal.write(
+                'leader_changed',
+                {
+                    'service': self.name,
+                    'instance': instance,
+                    'term': term,
+                    'source': source,
+                },
+            )
+
+    def deny(self, instance: str, term: int, source: str) -> None:
+        """Accept that an instance does not lead."""
+        if self.leadership.deny(instance, term):
+            self.journal.write(
+                'leader_lost',
+                {
+                    'service': self.name,
+                    'instance': instance,
+                    'term': term,
+                    'source': source,
+                },
+            )
+
+    def _learn_status(
+        self,
+        link: links.Link,
+        status: records.InstanceStatus,
+    ) -> None:
+        if status.is_primary:
+            self.follow(link.instance, status.term, 'status')
+        else:
+            self.deny(link.instance, status.term, 'status')
+
+    def _learn_delay(
+        self,
+        state: instances.InstanceState,
+        position: records.Position,
+        now_ms: int,
+    ) -> None:
+        if state.entry.name == self.leadership.leader:
+            return
+        if self.proofs.newest is not None:
+            passed_ms = self.proofs.time_of(position) or now_ms
+            state.sample_replication(now_ms - passed_ms)
+
+    def _proves_lead(
+        self,
+        link: links.Link,
+        command: commands.Command,
+        reply: statements.Reply,
+    ) -> bool:
+        if link.instance != self.leadership.leader:
+            return False
+        if reply.status is not None:
+            return reply.status.is_primary
+        return execution.runs_as_primary(link, command)
+
+    def _add_proof(self, link: links.Link, reply: statements.Reply) -> None:
+        position = reply.position
+        if reply.status is not None and reply.status.received is not None:
+            position = reply.status.received
+        if position is None:
+            return
+        self.proofs.add(
+            proofs.Proof(link.sent_ms, self.leadership.term, position),
+        )
--- a/jacinthhaven/sql/execution.py
+++ b/jacinthhaven/sql/execution.py
@@ -8,7 +8,9 @@
 import typing
 
 from jacinthhaven.sql import (
+    commands,
     links,
+    outcomes,
     placement,
     ports,
     records,
@@ -21,6 +23,16 @@
 # How long a replica that lagged is not offered reads.
 _BEHIND_MS = 200
 
+# Refusals that concern one instance; after the others the next choice is
+# made with what they have shown.
+_TRY_ELSEWHERE = frozenset(
+    (
+        statements.Code.BUSY,
+        statements.Code.WRONG_INSTANCE,
+        statements.Code.CONNECTION_LIMIT,
+    ),
+)
+
 OnDone = typing.Callable[[sessions.Session, int], None]
 
 
@@ -37,12 +49,12 @@
         """Queue a statement again that has certainly not taken effect."""
 
 
-def runs_as_primary(link: links.Link, command: statements.Command) -> bool:
+def runs_as_primary(link: links.Link, command: commands.Command) -> bool:
     """Return whether only the primary executes a command with success."""
     match command:
-        case statements.Begin(read_only=read_only):
+        case commands.Begin(read_only=read_only):
             return not read_only
-        case statements.Run(statement=statement):
+        case commands.Run(statement=statement):
             if statement.verb is statements.Verb.COMMIT:
                 # A transaction without changes commits on any instance.
                 return False
@@ -122,11 +134,11 @@
         link.steps.extend(links.setup_steps(link, session, work.statement))
         if begins:
             read_only = not work.needs_primary
-            link.steps.append(statements.Begin(read_only, after))
+            link.steps.append(commands.Begin(read_only, after))
             after = None
         link.steps.append(links.run_command(session, work.statement, after))
         if work.prove_lead:
-            link.steps.append(statements.AskStatus())
+            link.steps.append(commands.AskStatus())
         self.send_next(group, link, now_ms)
 
     def send_next(
@@ -143,7 +155,7 @@
         link.sent = command
         link.sent_ms = now_ms
         work = link.work
-        if isinstance(command, statements.Run):
+        if isinstance(command, commands.Run):
             work.sent = True
             work.started_ms = now_ms
         self.databases.send(link.number, command)
@@ -152,26 +164,22 @@
         self,
         group: Owner,
         link: links.Link,
-        command: statements.Command,
+        command: commands.Command,
         reply: statements.Reply,
         now_ms: int,
     ) -> None:
         """Go on after the reply to a command."""
         work = link.work
         match command:
-            case statements.Run() if work is None or work.done:
+            case commands.Run() if work is None or work.done:
                 self._discard(group, link, reply, now_ms)
-            case statements.Run():
+            case commands.Run():
                 self._finish_run(group, link, reply, now_ms)
-            case statements.AskStatus() if isinstance(work, sessions.Work):
+            case commands.AskStatus() if isinstance(work, sessions.Work):
                 self._finish_proof(group, link, reply, now_ms)
-            case statements.Rollback():
+            case commands.Rollback():
                 self._finish_rollback(group, link, reply, now_ms)
-            case (
-                statements.AskStatus()
-                | statements.Pause()
-                | statements.Resume()
-            ):
+            case commands.AskStatus() | commands.Pause() | commands.Resume():
                 link.work = None
                 self.send_next(group, link, now_ms)
                 if work is not None:
@@ -182,37 +190,12 @@
     def link_lost(self, group: Owner, link: links.Link, now_ms: int) -> None:
         """Decide about the statement on a link that was lost."""
         work = link.work
-        session = link.pinned
-        if not isinstance(session, sessions.Session):
-            session = None
-        if session is not None and session.transaction is not None:
-            session.transaction.link = None
-            session.transaction.failed = True
-            session.transaction.lost = work is None
-        if work is None:
-            return
-        if not isinstance(work, sessions.Work):
+        _detach(link)
+        if isinstance(work, sessions.Work):
+            if not work.done:
+                self._work_lost(group, link, work, now_ms)
+        elif work is not None:
             work.on_reply(None)
-            return
-        if work.done:
-            return
-        if session is not None:
-            if work.commits and work.sent:
-                code = statements.Code.OUTCOME_UNKNOWN
-                session.transaction = None
-            else:
-                code = statements.Code.ABORTED
-            self.fail(work, code, 'link lost', now_ms)
-        elif work.sent and not work.repeatable:
-            self.fail(
-                work,
-                statements.Code.OUTCOME_UNKNOWN,
-                'link lost',
-                now_ms,
-            )
-        else:
-            work.tried.add(link.instance)
-            group.requeue(work, now_ms)
 
     def refuse(
         self,
@@ -254,34 +237,17 @@
             group.pool.drop(link)
             return
         link.work = None
-        link.steps.append(statements.Rollback())
+        link.steps.append(commands.Rollback())
         self.send_next(group, link, now_ms)
 
     def give_up(self, group: Owner, work: sessions.Work, now_ms: int) -> None:
-        """Answer a statement whose time is over."""
+        """Answer a statement on a link whose time is over."""
         link = work.link
-        transaction = work.session.transaction
-        if link is None:
-            group.backlog.remove(work)
-            self.refuse(work, 'deadline', now_ms)
-            return
-        if transaction is not None:
-            transaction.link = None
-            transaction.failed = True
-            unknown = work.commits and work.sent
+        code = outcomes.after_deadline(work)
+        if work.session.transaction is not None or not work.sent:
+            # Only closing the connection ends what runs on it.
+            _detach(link)
             group.pool.drop(link)
-            code = statements.Code.ABORTED
-            if unknown:
-                code = statements.Code.OUTCOME_UNKNOWN
-        elif work.repeatable:
-            code = (
-                statements.Code.TIMEOUT if work.sent else (statements.Code.BUSY)
-            )
-        else:
-            code = statements.Code.OUTCOME_UNKNOWN
-            if not work.sent:
-                group.pool.drop(link)
-                code = statements.Code.BUSY
         self.fail(work, code, 'deadline', now_ms)
 
     def move(self, group: Owner, work: sessions.Work, now_ms: int) -> None:
@@ -301,6 +267,20 @@
         )
         group.requeue(work, now_ms)
 
+    def _work_lost(
+        self,
+        group: Owner,
+        link: links.Link,
+        work: sessions.Work,
+        now_ms: int,
+    ) -> None:
+        code = outcomes.after_loss(work)
+        if code is None:
+            work.tried.add(link.instance)
+            group.requeue(work, now_ms)
+        else:
+            self.fail(work, code, 'link lost', now_ms)
+
     def _finish_run(
         self,
         group: Owner,
@@ -385,7 +365,7 @@
             state.behind_until_ms = now_ms + _BEHIND_MS
             if link.instance == group.leadership.leader:
                 group.proofs.forget_older()
-        elif reply.code is not statements.Code.READ_ONLY:
+        elif reply.code in _TRY_ELSEWHERE:
             work.tried.add(link.instance)
         self.journal.write(
             'not_run',
@@ -406,16 +386,10 @@
         now_ms: int,
     ) -> None:
         work = link.work
-        transaction = work.session.transaction
-        transaction.link = None
-        transaction.failed = True
-        code = reply.code
-        if code in statements.NOT_RUN or (
-            code is statements.Code.UNKNOWN_STATEMENT
-        ):
-            code = statements.Code.ABORTED
+        _detach(link)
         self.release(group, link, now_ms)
-        self.fail(work, code, f'{reply.code.value} {reply.detail}', now_ms)
+        reason = f'instance said {reply.code}: {reply.detail}'
+        self.fail(work, outcomes.in_transaction(reply.code), reason, now_ms)
 
     def _finish_proof(
         self,
@@ -427,59 +401,66 @@
         work = link.work
         if work.done:
             self._discard(group, link, reply, now_ms)
-            return
-        status = reply.status
-        if status is None:
+        elif reply.status is None and work.proof_tries < _MAX_PROOF_TRIES:
             work.proof_tries += 1
-            if work.proof_tries <= _MAX_PROOF_TRIES:
-                link.steps.append(statements.AskStatus())
-                self.send_next(group, link, now_ms)
-                return
-        elif status.is_primary:
+            link.steps.append(commands.AskStatus())
+            self.send_next(group, link, now_ms)
+        elif reply.status is not None and reply.status.is_primary:
             self._succeed(group, link, work.held, now_ms)
-            return
-        link.work = None
-        self.send_next(group, link, now_ms)
-        group.requeue(work, now_ms)
+        else:
+            link.work = None
+            self.send_next(group, link, now_ms)
+            group.requeue(work, now_ms)
 
     def _finish_setup(
         self,
         group: Owner,
         link: links.Link,
-        command: statements.Command,
+        command: commands.Command,
         reply: statements.Reply,
         now_ms: int,
     ) -> None:
         work = link.work
-        if reply.code is None:
-            links.apply(link, command)
-            if isinstance(command, statements.Begin) and link.pinned:
-                link.pinned.transaction.begun = True
-            if work is None or work.done:
-                self._discard(group, link, reply, now_ms)
-            else:
-                self.send_next(group, link, now_ms)
+        if reply.code is not None:
+            self._setup_failed(group, link, command, reply, now_ms)
             return
-        transaction = work.session.transaction if work else None
-        begin = isinstance(command, statements.Begin)
+        links.apply(link, command)
+        if isinstance(command, commands.Begin) and link.pinned:
+            link.pinned.transaction.begun = True
+        if work is None or work.done:
+            self._discard(group, link, reply, now_ms)
+        else:
+            self.send_next(group, link, now_ms)
+
+    def _setup_failed(
+        self,
+        group: Owner,
+        link: links.Link,
+        command: commands.Command,
+        reply: statements.Reply,
+        now_ms: int,
+    ) -> None:
+        """Try elsewhere if nothing of a transaction has run yet."""
+        work = link.work
         link.steps.clear()
         link.work = None
-        if not begin or reply.state is not statements.State.IDLE:
-            # The link is in an unknown state.
-            group.pool.drop(link)
-        elif link.pinned is not None:
+        refused = isinstance(command, commands.Begin)
+        if refused and reply.state is statements.State.IDLE:
             link.pinned = None
             self.send_next(group, link, now_ms)
+        else:
+            # The link is in an unknown state.
+            group.pool.drop(link)
         if work is None or work.done:
             return
-        if begin or transaction is None:
-            if transaction is not None:
-                transaction.link = None
-            self._not_run(group, link, work, reply, now_ms)
+        transaction = work.session.transaction
+        if transaction is not None and transaction.begun:
+            _fail_transaction(transaction)
+            self.fail(work, statements.Code.ABORTED, reply.detail, now_ms)
             return
-        transaction.link = None
-        transaction.failed = True
-        self.fail(work, statements.Code.ABORTED, reply.detail, now_ms)
+        if transaction is not None:
+            transaction.link = None
+        self._not_run(group, link, work, reply, now_ms)
 
     def _finish_rollback(
         self,
@@ -545,5 +526,19 @@
         self.on_done(session, now_ms)
 
 
+def _detach(link: links.Link) -> None:
+    """End the transaction of a link that does not go on."""
+    session = link.pinned
+    if isinstance(session, sessions.Session) and session.transaction:
+        _fail_transaction(session.transaction)
+        # Without a statement in flight, the client learns it with the next.
+        session.transaction.lost = link.work is None
+
+
+def _fail_transaction(transaction: sessions.Transaction) -> None:
+    transaction.link = None
+    transaction.failed = True
+
+
 def _ignore(*_args: typing.Any) -> None:
     """Do nothing; default of an unset callback."""
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -100,9 +100,9 @@
                 )
         self.share_links(self.members, self.owned)
         self.register(self.entries, now_ms)
-        early, self.early = self.early, []
-        for number, database in early:
+        for number, database in self.early:
             self.on_start(number, database)
+        self.early = []
 
     def share_links(
         self,
@@ -299,11 +299,9 @@
                     statement.name,
                 )
                 return
-        transaction = session.transaction
-        if transaction is not None:
-            route = transaction.route
-        else:
-            route = self.configuration.routes.get(session.database)
+        route = self.configuration.routes.get(session.database)
+        if session.transaction is not None:
+            route = session.transaction.route
         if route is None or route.service not in self.groups:
             self.journal.write(
                 'no_route',
@@ -367,7 +365,7 @@
         statement: statements.Statement,
         now_ms: int,
     ) -> None:
-        session.values[statement.name] = statement.argument
+        session.settings[statement.name] = statement.argument
         self._done(session)
 
     def _prepare(
--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -8,6 +8,8 @@
 
 from jacinthhaven.sql import (
     backlog,
+    commands,
+    evidence,
     execution,
     instances,
     leadership,
@@ -16,7 +18,6 @@
     pool,
     ports,
     proofs,
-    records,
     sessions,
     statements,
 )
@@ -59,11 +60,15 @@
         self.name = name
         self.zone = zone
         self.pool = pool.Pool(databases)
-        self.proofs = proofs.Proofs()
         self.backlog = backlog.Backlog()
-        self.leadership = leadership.Leadership(now_ms)
         self.executor = executor
         self.journal = executor.journal
+        self.evidence = evidence.Evidence(
+            name,
+            self.pool,
+            self.journal,
+            now_ms,
+        )
         self.refreshing = False
         self.owned = True
 
@@ -72,6 +77,16 @@
         """Return whether this node executes statements of the service."""
         return self.owned or bool(self.backlog.waiting or self.pool.by_number)
 
+    @property
+    def leadership(self) -> leadership.Leadership:
+        """Return who leads the service."""
+        return self.evidence.leadership
+
+    @property
+    def proofs(self) -> proofs.Proofs:
+        """Return the proved positions of the primary."""
+        return self.evidence.proofs
+
     @property
     def leader_state(self) -> instances.InstanceState | None:
         """Return the state of the leading instance, if it is known."""
@@ -131,32 +146,17 @@
 
     def tick(self, now_ms: int) -> None:
         """Open links, give up what is overdue and refresh the proofs."""
-        for link in self.pool.overdue(now_ms):
-            if link.ready:
-                self.on_lost(link.number, now_ms)
-            else:
-                self.on_open(link.number, None, now_ms)
         self._end_overdue(now_ms)
-        self._cut_silent(now_ms)
-        self.pool.expire_questions(now_ms)
-        self.pool.close_unused(now_ms)
-        self.pool.open_missing(now_ms)
+        self._tend_links(now_ms)
         self._refresh(now_ms)
         self._look_for_leader(now_ms)
         self.dispatch(now_ms)
-        expired = self.backlog.expired(
-            now_ms,
-            self.leadership.expected_ms,
-            lambda work: self._servable(work, now_ms),
-        )
-        for work in expired:
-            self.backlog.remove(work)
-            self.executor.refuse(work, 'no instance in time', now_ms)
+        self._refuse_expired(now_ms)
 
     def ask(
         self,
         instance: str,
-        command: statements.Command,
+        command: commands.Command,
         on_reply: pool.OnReply,
         now_ms: int,
     ) -> None:
@@ -205,7 +205,7 @@
         link.sent = None
         state = self.pool.states[link.instance]
         state.heard(now_ms)
-        self._learn(link, command, reply, now_ms)
+        self.evidence.learn(link, command, reply, now_ms)
         self.executor.continue_link(self, link, command, reply, now_ms)
         self.dispatch(now_ms)
 
@@ -225,59 +225,58 @@
         self.executor.link_lost(self, link, now_ms)
         self.dispatch(now_ms)
 
-    def follow(self, instance: str, term: int, source: str) -> None:
-        """Accept that an instance leads a term."""
-        if self.leadership.observe(instance, term):
-            self.journal.write(
-                'leader_changed',
-                {
-                    'service': self.name,
-                    'instance': instance,
-                    'term': term,
-                    'source': source,
-                },
-            )
-
-    def deny(self, instance: str, term: int, source: str) -> None:
-        """Accept that an instance does not lead."""
-        if self.leadership.deny(instance, term):
-            self.journal.write(
-                'leader_lost',
-                {
-                    'service': self.name,
-                    'instance': instance,
-                    'term': term,
-                    'source': source,
-                },
-            )
-
     def leader_silent_ms(self, now_ms: int) -> int:
         """Return for how long the presumed leader has not answered."""
         state = self.pool.states.get(self.presumed_leader())
-        return state.silent_for(now_ms) if state is not None else 0
+        return 0 if state is None else state.silent_for(now_ms)
 
     def presumed_leader(self) -> str:
         """Return the instance that should lead, or '' if none is named."""
         entries = [state.entry for state in self.pool.states.values()]
         return leadership.presumed(self.leadership, entries)
 
+    def _refuse_expired(self, now_ms: int) -> None:
+        expired = self.backlog.expired(
+            now_ms,
+            self.leadership.expected_ms,
+            lambda work: self._servable(work, now_ms),
+        )
+        for work in expired:
+            self.backlog.remove(work)
+            self.executor.refuse(work, 'no instance in time', now_ms)
+
     def _links_for(self, work: sessions.Work) -> int:
-        if work.needs_primary:
-            state = self.leader_state
-            return len(state.links) if state is not None else 1
-        return len(self.pool.by_number)
+        if not work.needs_primary:
+            return len(self.pool.by_number)
+        state = self.leader_state
+        return 1 if state is None else len(state.links)
+
+    def _tend_links(self, now_ms: int) -> None:
+        """Give up silent links, close unused ones and open missing ones."""
+        for link in self.pool.overdue(now_ms):
+            self.on_lost(link.number, now_ms)
+        self._cut_silent(now_ms)
+        self.pool.expire_questions(now_ms)
+        self.pool.close_unused(now_ms)
+        self.pool.open_missing(now_ms)
 
     def _end_overdue(self, now_ms: int) -> None:
         """Answer statements out of time and move reads off silent links."""
         for link in tuple(self.pool.by_number.values()):
-            work = link.work
-            if not isinstance(work, sessions.Work) or work.done:
-                continue
-            state = self.pool.states[link.instance]
-            if now_ms >= work.deadline_ms and link.sent is not None:
-                self.executor.give_up(self, work, now_ms)
-            elif work.repeatable and state.silent_for(now_ms) >= _MOVE_MS:
-                self.executor.move(self, work, now_ms)
+            if isinstance(link.work, sessions.Work) and not link.work.done:
+                self._end_if_overdue(link, link.work, now_ms)
+
+    def _end_if_overdue(
+        self,
+        link: links.Link,
+        work: sessions.Work,
+        now_ms: int,
+    ) -> None:
+        state = self.pool.states[link.instance]
+        if now_ms >= work.deadline_ms and link.sent is not None:
+            self.executor.give_up(self, work, now_ms)
+        elif work.repeatable and state.silent_for(now_ms) >= _MOVE_MS:
+            self.executor.move(self, work, now_ms)
 
     def _cut_silent(self, now_ms: int) -> None:
         """Borrow links to instances that do not answer on own ones."""
@@ -293,24 +292,19 @@
             return True
         if work.needs_primary:
             return False
-        return (
-            self.proofs.required(
-                work.route.max_age_ms,
-                now_ms,
-                work.session.position,
-            )
-            is not None
+        proof = self.proofs.required(
+            work.route.max_age_ms,
+            now_ms,
+            work.session.position,
         )
+        return proof is not None
 
     def _want_links(self, now_ms: int) -> None:
         """Note where one more link would let a waiting statement run."""
-        wanted = set()
-        for work in self.backlog.waiting:
-            name = self.leadership.leader
-            if not work.needs_primary:
-                name = placement.nearest(work, self.view(now_ms))
-            if name is not None:
-                wanted.add(name)
+        view = self.view(now_ms)
+        wanted = {
+            placement.nearest(work, view) for work in self.backlog.waiting
+        }
         news = wanted - self.pool.wanted
         self.pool.wanted = wanted
         if news:
@@ -335,7 +329,7 @@
         if age_ms is not None and age_ms < _REFRESH_MS:
             return
         self.refreshing = True
-        self.ask(leader, statements.AskStatus(), self._refreshed, now_ms)
+        self.ask(leader, commands.AskStatus(), self._refreshed, now_ms)
 
     def _refreshed(self, _reply: statements.Reply | None) -> None:
         self.refreshing = False
@@ -344,72 +338,7 @@
         if not self.active or not self.leadership.should_ask(now_ms):
             return
         for name in tuple(self.pool.states):
-            self.ask(name, statements.AskStatus(), _ignore, now_ms)
-
-    def _learn(
-        self,
-        link: links.Link,
-        command: statements.Command,
-        reply: statements.Reply,
-        now_ms: int,
-    ) -> None:
-        """Take the evidence about leader, positions and delays."""
-        state = self.pool.states[link.instance]
-        if reply.position is not None:
-            state.applied = reply.position
-        self._learn_delay(state, reply)
-        if reply.status is not None:
-            self._learn_status(link, reply.status)
-        if reply.code is statements.Code.READ_ONLY:
-            self.deny(link.instance, 0, 'refused a write')
-        elif reply.code is None and self._proves_lead(link, command, reply):
-            self._add_proof(link, reply)
-
-    def _learn_status(
-        self,
-        link: links.Link,
-        status: records.InstanceStatus,
-    ) -> None:
-        if status.is_primary:
-            self.follow(link.instance, status.term, 'status')
-        else:
-            self.deny(link.instance, status.term, 'status')
-
-    def _learn_delay(
-        self,
-        state: instances.InstanceState,
-        reply: statements.Reply,
-    ) -> None:
-        newest = self.proofs.newest
-        if reply.position is None or newest is None:
-            return
-        if state.entry.name == self.leadership.leader:
-            return
-        passed_ms = self.proofs.time_of(reply.position)
-        lag_ms = 0 if passed_ms is None else state.heard_ms - passed_ms
-        state.sample_replication(lag_ms)
-
-    def _proves_lead(
-        self,
-        link: links.Link,
-        command: statements.Command,
-        reply: statements.Reply,
-    ) -> bool:
-        if link.instance != self.leadership.leader:
-            return False
-        if reply.status is not None:
-            return reply.status.is_primary
-        return execution.runs_as_primary(link, command)
-
-    def _add_proof(self, link: links.Link, reply: statements.Reply) -> None:
-        position = reply.position
-        if reply.status is not None and reply.status.received is not None:
-            position = reply.status.received
-        if position is None:
-            return
-        self.proofs.add(
-            proofs.Proof(link.sent_ms, self.leadership.term, position),
-        )
+            self.ask(name, commands.AskStatus(), _ignore, now_ms)
 
 
 def _ignore(_reply: typing.Any) -> None:
--- a/jacinthhaven/sql/instances.py
+++ b/jacinthhaven/sql/instances.py
@@ -118,17 +118,12 @@
 
     def silent_for(self, now_ms: int) -> int:
         """Return for how long an expected reply has been missing."""
-        since_ms = None
+        since = [link.sent_ms for link in self.links if link.waiting]
         if self.failed_ms is not None:
-            since_ms = self.failed_ms
-        for link in self.links:
-            if link.sent is None and link.ready:
-                continue
-            if since_ms is None or link.sent_ms < since_ms:
-                since_ms = link.sent_ms
-        if since_ms is None:
+            since.append(self.failed_ms)
+        if not since:
             return 0
-        return now_ms - max(since_ms, self.heard_ms)
+        return now_ms - max(min(since), self.heard_ms)
 
     def sample_latency(self, spent_ms: int, now_ms: int) -> None:
         """Add the time of one statement."""
--- /dev/null
+++ b/jacinthhaven/sql/lease.py
@@ -0,0 +1,91 @@
+"""Lease of one node and the key that it keeps alive."""
+
+import typing
+
+from jacinthhaven.records import store
+
+# Time to live of the lease and the interval of its renewal.
+LEASE_MS = 6000
+_RENEW_MS = 2000
+
+OnReply = typing.Callable[[typing.Any], None]
+MakeCall = typing.Callable[[store.Request, OnReply], None]
+
+
+class LeaseKeeper:
+    """Lease that announces a node while its process lives.
+
+    Attributes:
+      lease: Number of the lease; 0 while there is none.
+      listed: Keys of all nodes as read last.
+    """
+
+    def __init__(self, call: MakeCall) -> None:
+        """Prepare the calls.
+
+        Args:
+          call: Calls the store; the callback gets None after a failure.
+        """
+        self.call = call
+        self.lease = 0
+        self.listed: set[str] = set()
+        self.renewing = False
+        self.renew_ms = 0
+        self.member_key = ''
+        self.member_text = ''
+
+    def join(self, key: str, text: str) -> None:
+        """Announce this node under a key bound to its lease."""
+        self.member_key = key
+        self.member_text = text
+
+    def tick(self, now_ms: int) -> None:
+        """Renew the lease when it is due."""
+        if self.member_key and not self.renewing and now_ms >= self.renew_ms:
+            self._renew(now_ms)
+
+    def leave(self, on_left: typing.Callable[[], None]) -> None:
+        """End the lease."""
+        self.member_key = ''
+        if self.lease:
+            request = store.RevokeRequest(self.lease)
+            self.call(request, lambda _reply: on_left())
+        else:
+            on_left()
+
+    def _renew(self, now_ms: int) -> None:
+        self.renewing = True
+        self.renew_ms = now_ms + _RENEW_MS
+        if self.lease:
+            request = store.KeepAliveRequest(self.lease)
+            self.call(request, self._on_renewed)
+        else:
+            self.call(store.LeaseRequest(LEASE_MS), self._on_lease)
+
+    def _on_renewed(self, reply: store.LeaseReply | None) -> None:
+        self.renewing = False
+        if reply is None:
+            return
+        if not reply.ttl_ms:
+            self.lease = 0
+        if not self.lease:
+            self.renew_ms = 0
+        elif self.member_key not in self.listed:
+            # The store has removed the key alone.
+            self._announce()
+
+    def _on_lease(self, reply: store.LeaseReply | None) -> None:
+        self.renewing = False
+        if reply is None or not reply.lease:
+            self.renew_ms = 0
+            return
+        self.lease = reply.lease
+        self._announce()
+
+    def _announce(self) -> None:
+        put = store.Put(self.member_key, self.member_text, self.lease)
+        self.call(store.SwapRequest((), (put,)), _ignore)
+
+
+def _ignore(_reply: typing.Any) -> None:
+    """Do nothing; the next read of the members shows the effect."""
--- a/jacinthhaven/sql/lending.py
+++ b/jacinthhaven/sql/lending.py
@@ -7,7 +7,7 @@
 closed, which rolls back whatever was open.
 """
 
-from jacinthhaven.sql import gateway, links, pool, ports, statements
+from jacinthhaven.sql import commands, gateway, links, pool, ports, statements
 
 
 class Loan:
@@ -124,7 +124,7 @@
             known.pool.drop(loan.link)
             return
         loan.link.pinned = None
-        loan.link.steps.append(statements.Reset())
+        loan.link.steps.append(commands.Reset())
         self.gateway.executor.send_next(known, loan.link, now_ms)
 
     def on_lost(self, link_number: int) -> None:
@@ -141,6 +141,6 @@
     if state is None:
         return None
     for link in state.free_links:
-        if not (link.borrowed or link.values or link.prepared):
+        if not (link.borrowed or link.settings or link.prepared):
             return link
     return None
--- a/jacinthhaven/sql/links.py
+++ b/jacinthhaven/sql/links.py
@@ -9,7 +9,7 @@
 import hashlib
 import typing
 
-from jacinthhaven.sql import records, sessions, statements
+from jacinthhaven.sql import commands, records, sessions, statements
 
 # Prepared statements kept on a link before it is reset.
 _MAX_PREPARED = 64
@@ -24,7 +24,7 @@
       instance: Name of the instance.
       borrowed: Whether another node lends it.
       ready: Whether the connection is open and accepted.
-      values: Session values that are set on it.
+      settings: Session values that are set on it.
       prepared: Names of the statements that are prepared on it.
       steps: Commands that are still to be sent.
       sent: Command whose reply is awaited.
@@ -39,7 +39,7 @@
         'instance',
         'borrowed',
         'ready',
-        'values',
+        'settings',
         'prepared',
         'steps',
         'sent',
@@ -62,15 +62,20 @@
         self.instance = instance
         self.borrowed = borrowed
         self.ready = False
-        self.values: dict[str, str] = {}
+        self.settings: dict[str, str] = {}
         self.prepared: set[str] = set()
-        self.steps: collections.deque[statements.Command] = collections.deque()
-        self.sent: statements.Command | None = None
+        self.steps: collections.deque[commands.Command] = collections.deque()
+        self.sent: commands.Command | None = None
         self.work: typing.Any = None
         self.pinned: typing.Any = None
         self.sent_ms = now_ms
         self.idle_ms = now_ms
 
+    @property
+    def waiting(self) -> bool:
+        """Return whether something of the instance is awaited."""
+        return self.sent is not None or not self.ready
+
     @property
     def free(self) -> bool:
         """Return whether the link can take new work."""
@@ -90,39 +95,40 @@
     link: Link,
     session: sessions.Session,
     statement: statements.Statement,
-) -> list[statements.Command]:
+) -> list[commands.Command]:
     """Return the commands that make a link fit for a session's statement."""
-    steps: list[statements.Command] = []
+    steps: list[commands.Command] = []
     stale = any(
-        session.values.get(name) != text for name, text in link.values.items()
+        session.settings.get(name) != text
+        for name, text in link.settings.items()
     )
     prepared = session.prepared.get(statement.name)
     if statement.verb is not statements.Verb.EXECUTE:
         prepared = None
     if stale or len(link.prepared) > _MAX_PREPARED:
-        steps.append(statements.Reset())
-    known = {} if steps else link.values
+        steps.append(commands.Reset())
+    known = {} if steps else link.settings
     steps.extend(
-        statements.SetValue(name, text)
-        for name, text in session.values.items()
+        commands.SetValue(name, text)
+        for name, text in session.settings.items()
         if known.get(name) != text
     )
     if prepared is not None:
         name = prepared_name(prepared)
         if name not in link.prepared or stale:
-            steps.append(statements.Prepare(name, prepared))
+            steps.append(commands.Prepare(name, prepared))
     return steps
 
 
-def apply(link: Link, command: statements.Command) -> None:
+def apply(link: Link, command: commands.Command) -> None:
     """Note the effect of a setup command that has succeeded."""
     match command:
-        case statements.Reset():
-            link.values.clear()
+        case commands.Reset():
+            link.settings.clear()
             link.prepared.clear()
-        case statements.SetValue(name=name, text=text):
-            link.values[name] = text
-        case statements.Prepare(name=name):
+        case commands.SetValue(name=name, text=text):
+            link.settings[name] = text
+        case commands.Prepare(name=name):
             link.prepared.add(name)
 
 
@@ -130,9 +136,9 @@
     session: sessions.Session,
     statement: statements.Statement,
     after: records.Position | None,
-) -> statements.Run:
+) -> commands.Run:
     """Return the command that executes a client's statement."""
     if statement.verb is statements.Verb.EXECUTE:
         prepared = session.prepared[statement.name]
-        return statements.Run(statement, after, prepared_name(prepared))
-    return statements.Run(statement, after)
+        return commands.Run(statement, after, prepared_name(prepared))
+    return commands.Run(statement, after)
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -125,7 +125,7 @@
             around.journal,
             around.rng,
         )
-        self.coordination.join(
+        self.coordination.keeper.join(
             f'{documents.member_prefix}{identity.name}',
             ownership.encode(identity.peer),
         )
@@ -142,14 +142,18 @@
         )
         self.peers: dict[str, ownership.Peer] = {}
         self.elections: dict[str, election.Election] = {}
-        self.members: tuple[str, ...] = ()
         self.unusable: dict[str, str] = {}
-        self.sleeping: list[tuple[int, typing.Callable[[None], None]]] = []
+        self.sleepers = scripts.Sleepers()
         self.stopping_ms: int | None = None
         self.stopped = False
         self.shrink_ms = 0
         self.now_ms = 0
 
+    @property
+    def members(self) -> tuple[str, ...]:
+        """Return the names of all known nodes."""
+        return tuple(sorted(self.peers))
+
     @property
     def ready(self) -> bool:
         """Return whether the balancer should send sessions."""
@@ -165,7 +169,7 @@
             owners = ownership.owners(name, self.peers)
             if self.identity.name in owners:
                 vote.tick(owners, self.coordination.lease, now_ms)
-        self._wake(now_ms)
+        self.sleepers.wake(now_ms)
         if now_ms >= self.shrink_ms:
             self._share_links()
         if self.stopping_ms is not None and not self.stopped:
@@ -212,30 +216,6 @@
         self.unusable = unusable
         self.gateway.register(found, self.now_ms)
 
-    def _configure(self, text: str, revision: int) -> None:
-        loaded = self.around.documents.configuration(text)
-        if isinstance(loaded, str):
-            self.journal.write(
-                'configuration_unusable',
-                {'revision': revision, 'reason': loaded},
-            )
-            return
-        self.gateway.configure(loaded, self.now_ms)
-        for name, service in self.gateway.groups.items():
-            if name not in self.elections:
-                self.elections[name] = election.Election(
-                    service,
-                    self.identity.name,
-                    self.keys,
-                    functools.partial(self._perform, name),
-                    self.journal,
-                )
-        for name, declared in loaded.services.items():
-            vote = self.elections[name]
-            vote.acknowledging = declared.acknowledging_replicas
-        self._choose_lenders()
-        self._share_links()
-
     def on_members(self, entries: Entries) -> None:
         """Accept the keys of all nodes."""
         peers = {}
@@ -258,7 +238,30 @@
             return
         self.peers = peers
         self.relay.peers = peers
-        self.members = tuple(sorted(peers))
+        self._choose_lenders()
+        self._share_links()
+
+    def _configure(self, text: str, revision: int) -> None:
+        loaded = self.around.documents.configuration(text)
+        if isinstance(loaded, str):
+            self.journal.write(
+                'configuration_unusable',
+                {'revision': revision, 'reason': loaded},
+            )
+            return
+        self.gateway.configure(loaded, self.now_ms)
+        for name, service in self.gateway.groups.items():
+            if name not in self.elections:
+                self.elections[name] = election.Election(
+                    service,
+                    self.identity.name,
+                    self.keys,
+                    functools.partial(self._perform, name),
+                    self.journal,
+                )
+        for name, declared in loaded.services.items():
+            vote = self.elections[name]
+            vote.acknowledging = declared.acknowledging_replicas
         self._choose_lenders()
         self._share_links()
 
@@ -304,7 +307,7 @@
     ) -> None:
         match call:
             case scripts.Sleep(delay_ms=delay_ms):
-                self.sleeping.append((self.now_ms + delay_ms, on_result))
+                self.sleepers.add(self.now_ms + delay_ms, on_result)
             case scripts.AskAll():
                 _Survey(self.gateway.groups[service], call, on_result).start(
                     self.now_ms,
@@ -314,12 +317,6 @@
             case _:
                 self.around.platform.call(call, on_result)
 
-    def _wake(self, now_ms: int) -> None:
-        due = [entry for entry in self.sleeping if entry[0] <= now_ms]
-        self.sleeping = [entry for entry in self.sleeping if entry[0] > now_ms]
-        for _due_ms, on_result in due:
-            on_result(None)
-
     def _continue_stop(self, now_ms: int) -> None:
         elapsed_ms = now_ms - self.stopping_ms
         if elapsed_ms >= NOTICE_MS:
--- a/jacinthhaven/sql/ownership.py
+++ b/jacinthhaven/sql/ownership.py
@@ -55,14 +55,9 @@
     """Return the owners of a service, sorted by name."""
     if len(peers) <= _SMALL_FLEET:
         return tuple(sorted(peers))
-    chosen: list[str] = []
-    for zone in {peer.zone for peer in peers.values()}:
-        local = [name for name, peer in peers.items() if peer.zone == zone]
-        ranked = ranking.ranked(service, local)
-        # Sorting is stable, so equals stay in the order of the ranking.
-        ranked.sort(key=lambda name: -peers[name].capacity)
-        chosen.extend(ranked[:_PER_ZONE])
-    return tuple(sorted(chosen))
+    zones = {peer.zone for peer in peers.values()}
+    chosen = [_zone_owners(service, peers, zone) for zone in sorted(zones)]
+    return tuple(sorted(name for names in chosen for name in names))
 
 
 def preferred(
@@ -85,6 +80,14 @@
     return _rotated(near, start) + _rotated(far, start)
 
 
+def _zone_owners(service: str, peers: Peers, zone: str) -> list[str]:
+    local = [name for name, peer in peers.items() if peer.zone == zone]
+    ranked = ranking.ranked(service, local)
+    # Sorting is stable, so equals stay in the order of the ranking.
+    ranked.sort(key=lambda name: -peers[name].capacity)
+    return ranked[:_PER_ZONE]
+
+
 def _rotated(names: list[str], start: int) -> list[str]:
     if not names:
         return names
--- a/jacinthhaven/sql/placement.py
+++ b/jacinthhaven/sql/placement.py
@@ -64,21 +64,14 @@
     if proof is None:
         return None
     age_ms = view.now_ms - proof.at_ms
-    best = None
-    best_ms = 0.0
-    for state in view.states.values():
-        if not may_read(work, view, state, proof):
-            continue
-        expected_ms = state.expected_ms(view.now_ms)
-        if state.entry.zone == view.zone:
-            expected_ms -= _NEAR_MS
-        if state.entry.name == view.leader:
-            expected_ms += _PRIMARY_MS
-        if best is None or expected_ms < best_ms:
-            best = state
-            best_ms = expected_ms
-    if best is None:
+    able = [
+        state
+        for state in view.states.values()
+        if may_read(work, view, state, proof)
+    ]
+    if not able:
         return None
+    best = min(able, key=lambda state: _cost_ms(state, view))
     reason = 'primary' if best.entry.name == view.leader else 'replica'
     return Choice(_pick(best, work), proof.position, reason, age_ms)
 
@@ -103,8 +96,20 @@
     return state.has_applied(proof.position, age_ms, view.now_ms)
 
 
+def _cost_ms(state: instances.InstanceState, view: View) -> float:
+    """Return the expected time of a read, with preferences in milliseconds."""
+    cost_ms = state.expected_ms(view.now_ms)
+    if state.entry.zone == view.zone:
+        cost_ms -= _NEAR_MS
+    if state.entry.name == view.leader:
+        cost_ms += _PRIMARY_MS
+    return cost_ms
+
+
 def nearest(work: sessions.Work, view: View) -> str | None:
-    """Return the instance whose further link would help a waiting read."""
+    """Return the instance whose further link would help a statement."""
+    if work.needs_primary:
+        return view.leader
     usable = [
         state
         for name, state in view.states.items()
--- a/jacinthhaven/sql/pool.py
+++ b/jacinthhaven/sql/pool.py
@@ -4,7 +4,14 @@
 import dataclasses
 import typing
 
-from jacinthhaven.sql import instances, links, ports, records, statements
+from jacinthhaven.sql import (
+    commands,
+    instances,
+    links,
+    ports,
+    records,
+    statements,
+)
 
 # Pause after a link could not be opened.
 _RETRY_MS = 150
@@ -48,7 +55,7 @@
       until_ms: When it is given up.
     """
 
-    command: statements.Command
+    command: commands.Command
     on_reply: OnReply
     until_ms: int
 
@@ -166,15 +173,11 @@
 
     def overdue(self, now_ms: int) -> list[links.Link]:
         """Return the links whose reply or opening takes too long."""
-        late = []
-        for link in self.by_number.values():
-            waited_ms = now_ms - link.sent_ms
-            limit_ms = BORROW_LIMIT_MS if link.borrowed else OPEN_LIMIT_MS
-            if not link.ready and waited_ms >= limit_ms:
-                late.append(link)
-            elif link.sent is not None and waited_ms >= DEAD_LINK_MS:
-                late.append(link)
-        return late
+        return [
+            link
+            for link in self.by_number.values()
+            if link.waiting and now_ms - link.sent_ms >= _limit_ms(link)
+        ]
 
     def expire_questions(self, now_ms: int) -> None:
         """Give up control commands that found no link in time."""
@@ -190,13 +193,10 @@
     def close_unused(self, now_ms: int) -> None:
         """Close links beyond the standing ones that were not used lately."""
         for state in self.states.values():
-            for borrowed in state.free_links:
-                idle_ms = now_ms - borrowed.idle_ms
-                if borrowed.borrowed and idle_ms >= _BORROW_IDLE_MS:
-                    self.drop(borrowed)
             spare = len(state.links) - min(self.standing, self.share)
-            for link in state.free_links[: max(spare, 0)]:
-                if now_ms - link.idle_ms >= _IDLE_MS:
+            for link in state.free_links:
+                if _unused(link, now_ms) and (link.borrowed or spare > 0):
+                    spare -= 1
                     self.drop(link)
 
     def _open_own(self, state: instances.InstanceState, now_ms: int) -> None:
@@ -204,7 +204,8 @@
             return
         own = [link for link in state.links if not link.borrowed]
         opening = sum(not link.ready for link in own)
-        if opening < _OPENING and len(own) < self._target(state, own, now_ms):
+        missing = self._target(state, own, now_ms) - len(own)
+        if missing > 0 and opening < _OPENING:
             self._add(state, None, now_ms)
 
     def _borrow(self, state: instances.InstanceState, now_ms: int) -> None:
@@ -218,9 +219,8 @@
             return
         if all(link.ready for link in borrowed):
             self.turn += 1
-            self._add(
-                state, self.lenders[self.turn % len(self.lenders)], now_ms
-            )
+            lender = self.lenders[self.turn % len(self.lenders)]
+            self._add(state, lender, now_ms)
 
     def _add(
         self,
@@ -256,3 +256,15 @@
         if name not in self.wanted:
             return standing
         return min(max(len(own) + 1, standing), self.share)
+
+
+def _limit_ms(link: links.Link) -> int:
+    """Return how long the instance may be silent on a link."""
+    if link.ready:
+        return DEAD_LINK_MS
+    return BORROW_LIMIT_MS if link.borrowed else OPEN_LIMIT_MS
+
+
+def _unused(link: links.Link, now_ms: int) -> bool:
+    limit_ms = _BORROW_IDLE_MS if link.borrowed else _IDLE_MS
+    return now_ms - link.idle_ms >= limit_ms
--- a/jacinthhaven/sql/ports.py
+++ b/jacinthhaven/sql/ports.py
@@ -4,7 +4,7 @@
 import typing
 
 from jacinthhaven.records import store
-from jacinthhaven.sql import records, statements
+from jacinthhaven.sql import commands, records, statements
 
 Fields = dict[str, typing.Any]
 OnOrder = typing.Callable[['OrderResult'], None]
@@ -28,7 +28,7 @@
         """
 
     @abc.abstractmethod
-    def send(self, number: int, command: statements.Command) -> None:
+    def send(self, number: int, command: commands.Command) -> None:
         """Send a command; its reply is reported later."""
 
     @abc.abstractmethod
--- a/jacinthhaven/sql/records.py
+++ b/jacinthhaven/sql/records.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-
 Address = tuple[str, int]
 
 
--- a/jacinthhaven/sql/relaying.py
+++ b/jacinthhaven/sql/relaying.py
@@ -191,13 +191,11 @@
     def tick(self, now_ms: int) -> None:
         """Look after owners that do not answer."""
         for session in tuple(self.sessions.values()):
-            waited_ms = now_ms - session.asked_ms
-            if not session.accepted:
-                if waited_ms >= _OPEN_MS:
-                    self._silent(session, now_ms)
-            elif session.pinged and waited_ms >= _PONG_MS:
+            if now_ms - session.asked_ms < _patience_ms(session):
+                continue
+            if session.pinged or not session.accepted:
                 self._silent(session, now_ms)
-            elif session.unanswered and waited_ms >= _PING_MS:
+            elif session.unanswered:
                 session.pinged = True
                 session.asked_ms = now_ms
                 self.relays.ping(session.relay)
@@ -284,6 +282,13 @@
         self.relays.close(session.relay)
 
 
+def _patience_ms(session: RelayedSession) -> int:
+    """Return how long the owner may be silent before something is done."""
+    if not session.accepted:
+        return _OPEN_MS
+    return _PONG_MS if session.pinged else _PING_MS
+
+
 def _loss_code(session: RelayedSession) -> statements.Code:
     verbs = {statement.verb for statement in session.unanswered}
     if session.state is statements.State.OPEN:
--- a/jacinthhaven/sql/scripts.py
+++ b/jacinthhaven/sql/scripts.py
@@ -8,7 +8,7 @@
 import typing
 
 from jacinthhaven.records import store
-from jacinthhaven.sql import statements
+from jacinthhaven.sql import commands
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,7 +26,7 @@
     """
 
     instances: tuple[str, ...]
-    command: statements.Command
+    command: commands.Command
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,7 +40,27 @@
 
 Call = Sleep | AskAll | Promote | store.Request
 Script = typing.Generator[Call, typing.Any, typing.Any]
-Perform = typing.Callable[[Call, typing.Callable[[typing.Any], None]], None]
+OnResult = typing.Callable[[typing.Any], None]
+Perform = typing.Callable[[Call, OnResult], None]
+
+
+class Sleepers:
+    """Scripts that wait for a time."""
+
+    def __init__(self) -> None:
+        """Start without scripts."""
+        self.waiting: list[tuple[int, OnResult]] = []
+
+    def add(self, due_ms: int, on_result: OnResult) -> None:
+        """Resume a script at a time."""
+        self.waiting.append((due_ms, on_result))
+
+    def wake(self, now_ms: int) -> None:
+        """Resume the scripts that are due."""
+        due = [entry for entry in self.waiting if entry[0] <= now_ms]
+        self.waiting = [entry for entry in self.waiting if entry[0] > now_ms]
+        for _due_ms, on_result in due:
+            on_result(None)
 
 
 class Runner:
--- a/jacinthhaven/sql/sessions.py
+++ b/jacinthhaven/sql/sessions.py
@@ -51,7 +51,7 @@
     Attributes:
       number: Number of the connection within the process.
       database: Database name that the client connects to.
-      values: Acknowledged session values.
+      settings: Acknowledged session values.
       prepared: Prepared statements by the client's names.
       position: Position of the last commit of this session.
       transaction: Open transaction, if any.
@@ -62,7 +62,7 @@
     __slots__ = (
         'number',
         'database',
-        'values',
+        'settings',
         'prepared',
         'position',
         'transaction',
@@ -74,7 +74,7 @@
         """Start an idle session."""
         self.number = number
         self.database = database
-        self.values: dict[str, str] = {}
+        self.settings: dict[str, str] = {}
         self.prepared: dict[str, statements.Prepared] = {}
         self.position: records.Position | None = None
         self.transaction: Transaction | None = None
--- a/jacinthhaven/sql/sessions_test.py
+++ b/jacinthhaven/sql/sessions_test.py
@@ -27,7 +27,7 @@
         rig.ask(number, f'READ a{step}', f'q{step}')
     for connection in rig.databases.connections.values():
         if any('READ a' in line for line in connection.handled):
-            assert connection.values == {'tz': 'utc'}
+            assert connection.settings == {'tz': 'utc'}
 
 
 def test_prepared_names_of_two_sessions_do_not_collide():
@@ -214,5 +214,6 @@
     rig.gateway.drain(rig.now_ms)
     assert rig.clients.closed == [idle]
     rig.run(400)
-    assert rig.clients.answers[busy][0].code is None
+    told = rig.clients.answers[busy]
+    assert [answer.code for answer in told] == [None]
     assert rig.clients.closed == [idle, busy]
--- a/jacinthhaven/standins/sql_group.py
+++ b/jacinthhaven/standins/sql_group.py
@@ -164,30 +164,31 @@
         self.read_only = False
         self.writes: list[tuple[str, str]] = []
         self.requests: list[str] = []
-        self.values: dict[str, str] = {}
+        self.settings: dict[str, str] = {}
         self.prepared: dict[str, tuple[str, str]] = {}
         self.numbers = itertools.count(1)
         self.handled: list[str] = []
 
     def start(self, line: str, now_ms: int) -> list[str]:
         """Return the reply to the first line."""
-        _word, service, _caller, expected = line.split(' ')
+        service, _caller, expected = line.split(' ')[1:]
         if service != self.group.name or expected != self.instance.name:
-            return [f'ERROR MISROUTED {self.instance.name}']
+            return ['ERROR MISROUTED -']
         return [self._ready(now_ms)]
 
     def handle(self, line: str, now_ms: int) -> list[str]:
         """Return the reply to one statement."""
         self.handled.append(line)
-        _word, request, text = line.split(' ', 2)
+        request, text = line.split(' ', 2)[1:]
         after = None
         if text.startswith('WAITPOS '):
-            _word, after, text = text.split(' ', 2)
+            after, text = text.split(' ', 2)[1:]
         lines = self._run(request, text, after, now_ms)
         return [*lines, self._ready(now_ms)]
 
     def _ready(self, now_ms: int) -> str:
-        return f'READY {self.state} {self.instance.position(now_ms)}'
+        position = self.instance.position(now_ms)
+        return f'READY {self.state} {position}'
 
     def _run(
         self,
@@ -209,13 +210,15 @@
         return method(request, words[1:], now_ms)
 
     def _done(self, request: str, *rows: str) -> list[str]:
-        signature = f'{self.instance.name}.{request}'
-        return [*(f'DATAROW {row}' for row in rows), f'COMPLETE {signature}']
+        name = self.instance.name
+        signature = f'{name}.{request}'
+        shown = [f'DATAROW {row}' for row in rows]
+        return [*shown, f'COMPLETE {signature}']
 
     def _refuse(self) -> list[str]:
         if self.state == 'T':
             self.state = 'E'
-        return [f'ERROR READONLY {self.instance.name}']
+        return ['ERROR READONLY -']
 
     def _lost_lead(self) -> bool:
         return (
@@ -302,7 +305,7 @@
         words: list[str],
         _now_ms: int,
     ) -> list[str]:
-        self.values[words[0]] = ' '.join(words[1:])
+        self.settings[words[0]] = ' '.join(words[1:])
         return ['COMPLETE -']
 
     def _on_reset(
@@ -311,7 +314,7 @@
         _words: list[str],
         _now_ms: int,
     ) -> list[str]:
-        self.values.clear()
+        self.settings.clear()
         self.prepared.clear()
         return ['COMPLETE -']
 
@@ -345,8 +348,9 @@
     ) -> list[str]:
         instance = self.instance
         role = 'primary' if instance.leads else 'replica'
-        row = f'{role} {instance.term} {instance.received}'
-        return [f'DATAROW {row} {instance.paused} 0 0 1', 'COMPLETE -']
+        fields = (role, instance.term, instance.received, instance.paused)
+        row = ' '.join(map(str, fields))
+        return [f'DATAROW {row} 0 0 1', 'COMPLETE -']
 
     def _on_pause(
         self,
