--- a/jacinthhaven/standins/sql_group.py
+++ b/jacinthhaven/standins/sql_group.py
@@ -203,7 +203,8 @@
             if self.instance.position(now_ms) < wanted:
                 return ['ERROR LAGGING -']
         words = text.split(' ')
-        method = getattr(self, f'_on_{words[0].lower()}', None)
+        verb = words[0].lower()
+        method = getattr(self, f'_on_{verb}', None)
         if method is None:
             self.group.violations.append(f'unknown statement {text}')
             return ['ERROR MALFORMED -']
