Decode addresses of the settings again, and test the template

Cause: a lint fix made addresses named tuples, which the decoder reads itself; no process started, and no test loaded the template. Change: addresses are a class of our own; a test fills and loads it. Before: every process ended at its start.

--- /dev/null
+++ b/jacinthhaven/adapters/sql_settings_file_test.py
@@ -0,0 +1,69 @@
+"""Tests of the settings of a SQL session proxy."""
+
+import pathlib
+
+from jacinthhaven.adapters import sql_settings_file, yaml_file
+from jacinthhaven.records import sql_settings
+
+_TEMPLATE = pathlib.Path(__file__).parents[1] / 'platform' / 'settings.yaml'
+_VALUES = {
+    '{{node|json}}': '"front-a-1"',
+    '{{zone|json}}': '"a"',
+    '{{listenAddrs.front|json}}': '"127.0.0.1:9101"',
+    '{{listenAddrs.ready|json}}': '"127.0.0.1:9102"',
+    '{{ip}}': '127.0.0.1',
+    '{{internalPorts.0}}': '7440',
+    '{{internalPorts.1}}': '7455',
+    '{{platform.address|json}}': '"127.0.0.1:9105"',
+    '{{platform.minTtlMs|json}}': '1000',
+    '{{bounds.contactMs|json}}': '4000',
+    '{{bounds.graceS}}': '6',
+    '{{cloudApi.address|json}}': '"127.0.0.1:9106"',
+    '{{limits.cpuShare|json}}': '0.537',
+    '{{limits.cores|json}}': '2',
+}
+
+
+def _filled() -> str:
+    text = _TEMPLATE.read_text()
+    for placeholder, filled in _VALUES.items():
+        text = text.replace(placeholder, filled)
+    return text
+
+
+def _load(text: str) -> sql_settings_file.Loaded:
+    return sql_settings_file.validate(yaml_file.parse(text))
+
+
+def test_filled_template_is_valid():
+    """Guards against a template that no process can start with."""
+    loaded = _load(_filled())
+    assert isinstance(loaded, sql_settings.SqlSettings)
+    assert loaded.listeners.clients.pair == ('127.0.0.1', 9101)
+    assert loaded.listeners.peers.pair == ('127.0.0.1', 7455)
+    assert loaded.grace_ms == 6000
+    assert loaded.processor.capacity == 0.537 * 2
+
+
+def test_template_has_no_unknown_placeholder():
+    """Guards against a placeholder that this test does not fill."""
+    assert '{{' not in _filled()
+
+
+def test_all_errors_are_reported_with_their_lines():
+    """Guards against operators who fix one error at a time."""
+    text = _filled().replace(':9101', ':x').replace('grace_ms', 'grace')
+    text = text.replace('4000', '1')
+    errors = _load(text)
+    assert [error.path for error in errors] == [
+        'grace_ms',
+        'listeners.clients',
+        'store.watch_wait_ms',
+        'grace',
+    ]
+    assert errors[1].line == 5
+
+
+def test_equal_settings_compare_equal():
+    """Guards against a reload that always asks for a restart."""
+    assert _load(_filled()) == _load(_filled())
--- a/jacinthhaven/platform/plugin.py
+++ b/jacinthhaven/platform/plugin.py
@@ -51,14 +51,14 @@
         self.waiting: dict[int, ports.OnStore] = {}
         self.store = kv.PlatformStore(
             loop,
-            [settings.store.address],
+            [settings.store.address.pair],
             self._on_reply,
             _CALL_TIMEOUT_MS,
         )
         self.store.watch_wait_ms = settings.store.watch_wait_ms
         self.orders = duty.PromotionOrders(
             loop,
-            settings.promotion.address,
+            settings.promotion.address.pair,
             settings.node,
         )
 
--- a/jacinthhaven/process/sql_proxy.py
+++ b/jacinthhaven/process/sql_proxy.py
@@ -97,7 +97,7 @@
                 settings.node,
                 settings.grace_ms,
                 ownership.Peer(
-                    settings.listeners.peers,
+                    settings.listeners.peers.pair,
                     settings.zone,
                     settings.processor.capacity,
                 ),
@@ -120,10 +120,10 @@
     def started(self, _component: typing.Any) -> None:
         """Listen and start the ticks."""
         listeners = self.settings.listeners
-        self.clients.listen(listeners.clients)
-        self.borrowers.listen(listeners.peers)
-        self.health.listen(listeners.health)
-        self.page.server.listen(listeners.metrics)
+        self.clients.listen(listeners.clients.pair)
+        self.borrowers.listen(listeners.peers.pair)
+        self.health.listen(listeners.health.pair)
+        self.page.server.listen(listeners.metrics.pair)
         signal.signal(signal.SIGHUP, self._on_reload)
         self.log.write(
             messages.DecisionLine('started', {'zone': self.settings.zone}),
--- a/jacinthhaven/records/sql_settings.py
+++ b/jacinthhaven/records/sql_settings.py
@@ -18,11 +18,26 @@
 _NOT_A_MAPPING = 'must be a mapping'
 
 
-class Address(typing.NamedTuple):
-    """IP address and TCP port, as sockets take them."""
+class Address:
+    """IP address and TCP port.
 
-    host: str
-    port: int
+    Attributes:
+      pair: Both as sockets take them.
+    """
+
+    __slots__ = ('pair',)
+
+    def __init__(self, host: str, port: int) -> None:
+        """Create an address."""
+        self.pair = (host, port)
+
+    def __eq__(self, other: object) -> bool:
+        """Return whether two addresses are the same."""
+        return isinstance(other, Address) and self.pair == other.pair
+
+    def __hash__(self) -> int:
+        """Return the hash of both parts."""
+        return hash(self.pair)
 
 
 Lease = typing.Annotated[int, msgspec.Meta(ge=100)]
