--- a/jacinthhaven/adapters/sql_settings_file_test.py
+++ b/jacinthhaven/adapters/sql_settings_file_test.py
@@ -1,32 +1,35 @@
 """Tests of the settings of a SQL session proxy."""
 
 import pathlib
+import types
 
 from jacinthhaven.adapters import sql_settings_file, yaml_file
 from jacinthhaven.records import sql_settings
 
 _TEMPLATE = pathlib.Path(__file__).parents[1] / 'platform' / 'settings.yaml'
-_VALUES = {
-    '{{node|json}}': '"front-a-1"',
-    '{{zone|json}}': '"a"',
-    '{{listenAddrs.front|json}}': '"127.0.0.1:9101"',
-    '{{listenAddrs.ready|json}}': '"127.0.0.1:9102"',
-    '{{ip}}': '127.0.0.1',
-    '{{internalPorts.0}}': '7440',
-    '{{internalPorts.1}}': '7455',
-    '{{platform.address|json}}': '"127.0.0.1:9105"',
-    '{{platform.minTtlMs|json}}': '1000',
-    '{{bounds.contactMs|json}}': '4000',
-    '{{bounds.graceS}}': '6',
-    '{{cloudApi.address|json}}': '"127.0.0.1:9106"',
-    '{{limits.cpuShare|json}}': '0.537',
-    '{{limits.cores|json}}': '2',
-}
+_FILLED = types.MappingProxyType(
+    {
+        '{{node|json}}': '"front-a-1"',
+        '{{zone|json}}': '"a"',
+        '{{listenAddrs.front|json}}': '"127.0.0.1:9101"',
+        '{{listenAddrs.ready|json}}': '"127.0.0.1:9102"',
+        '{{ip}}': '127.0.0.1',
+        '{{internalPorts.0}}': '7440',
+        '{{internalPorts.1}}': '7455',
+        '{{platform.address|json}}': '"127.0.0.1:9105"',
+        '{{platform.minTtlMs|json}}': '1000',
+        '{{bounds.contactMs|json}}': '4000',
+        '{{bounds.graceS}}': '6',
+        '{{cloudApi.address|json}}': '"127.0.0.1:9106"',
+        '{{limits.cpuShare|json}}': '0.537',
+        '{{limits.cores|json}}': '2',
+    }
+)
 
 
 def _filled() -> str:
     text = _TEMPLATE.read_text()
-    for placeholder, filled in _VALUES.items():
+    for placeholder, filled in _FILLED.items():
         text = text.replace(placeholder, filled)
     return text
 
