Find a successor without the store; add a soak of the real processes

Ruled out: slow votes; the order left 0.76 s after the loss and the platform's promotion took 1.0 s. Change: a silent leader makes a node ask all instances; notes are repeated after 200 ms at the earliest.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,10 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: demo test lint format bench scenarios dist
+.PHONY: demo test lint format bench scenarios soak dist
+
+SEED ?= 1
+COUNT ?= 1
 
 $(BIN)/.installed: pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
@@ -16,7 +19,7 @@
 
 lint: $(BIN)/.installed
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 jacinthhaven scenarios bench
+	$(BIN)/flake8 jacinthhaven scenarios bench soak
 
 format: $(BIN)/.installed
 	$(BIN)/ruff format .
@@ -27,6 +30,9 @@
 scenarios: $(BIN)/.installed
 	$(BIN)/python -m scenarios.run
 
+soak: $(BIN)/.installed
+	$(BIN)/python -m soak.run $(SEED) --count $(COUNT)
+
 dist: $(BIN)/.installed
 	mkdir -p dist
 	$(BIN)/shiv -q -c jacinthhaven -o dist/jacinthhaven .
--- a/jacinthhaven/process/sql_proxy.py
+++ b/jacinthhaven/process/sql_proxy.py
@@ -21,7 +21,7 @@
 )
 from jacinthhaven.decide import messages
 from jacinthhaven.kernel import clock
-from jacinthhaven.platform import plugin, sockets
+from jacinthhaven.platform import node_sockets, plugin, sockets
 from jacinthhaven.process import ticker
 from jacinthhaven.records import sql_settings
 from jacinthhaven.sql import node, ownership, ports, statements
@@ -88,8 +88,8 @@
         self.journal = ProcessJournal(self.log, self.page)
         self.clients = sockets.ClientSockets(self.poller)
         self.databases = sockets.DatabaseSockets(self.poller)
-        self.borrowers = sockets.BorrowerSockets(self.poller)
-        self.relays = sockets.RelaySockets(self.poller)
+        self.borrowers = node_sockets.BorrowerSockets(self.poller)
+        self.relays = node_sockets.RelaySockets(self.poller)
         self.health = http_server.Server(self.poller, self._on_health)
         self.platform = plugin.PlatformCalls(self.poller, settings)
         self.node = node.Node(
--- a/jacinthhaven/sql/election.py
+++ b/jacinthhaven/sql/election.py
@@ -36,6 +36,8 @@
 # How long a planned replacement waits for its successor to catch up.
 _CATCH_UP_MS = 1500
 _CATCH_UP_STEP_MS = 100
+# Pause between two notes of a node about the primary.
+_SAY_AGAIN_MS = 200
 # Pause after an attempt that failed.
 _RETRY_MS = 700
 # First estimate of the time of a promotion.
@@ -52,6 +54,24 @@
     moving: bool
 
 
+class Opinion:
+    """What this node has told the others about the primary.
+
+    Attributes:
+      said: Instance that it does not reach, or ''.
+      saying: Whether a note is on its way.
+      next_ms: When it may change its note.
+    """
+
+    __slots__ = ('said', 'saying', 'next_ms')
+
+    def __init__(self) -> None:
+        """Say nothing."""
+        self.said = ''
+        self.saying = False
+        self.next_ms = 0
+
+
 class Keys:
     """Names of the keys of this product."""
 
@@ -95,8 +115,7 @@
         self.perform = perform
         self.journal = journal
         self.doubts: dict[str, str] = {}
-        self.said = ''
-        self.saying = False
+        self.opinion = Opinion()
         self.duty_revision = 0
         self.duty_holder = ''
         self.runner: scripts.Runner | None = None
@@ -152,7 +171,7 @@
     def _turn_ms(self, members: tuple[str, ...]) -> int:
         """Return how long this node leaves it to others to act."""
         eligible = members
-        if self.said:
+        if self.opinion.said:
             eligible = self._voters(members)
         first = sum(node < self.node for node in eligible)
         return min(first, _MAX_TURNS) * _STAGGER_MS
@@ -160,7 +179,9 @@
     def _voters(self, members: tuple[str, ...]) -> tuple[str, ...]:
         """Return the nodes that say the same as this one."""
         return tuple(
-            node for node in members if self.doubts.get(node) == self.said
+            node
+            for node in members
+            if self.doubts.get(node) == self.opinion.said
         )
 
     def _cause(self, members: tuple[str, ...]) -> str | None:
@@ -169,7 +190,7 @@
         state = self.service.pool.states.get(name)
         if state is not None and state.leaving_ms is not None:
             return 'leaving'
-        if not self.said or self.said != name:
+        if not self.opinion.said or self.opinion.said != name:
             return None
         votes = len(self._voters(members))
         return 'unreachable' if 2 * votes > len(members) else None
@@ -179,8 +200,11 @@
         doubted = ''
         if self.service.leader_silent_ms(self.now_ms) >= DOUBT_MS:
             doubted = self.service.presumed_leader()
-        if doubted == self.said or self.saying or not lease:
+        if doubted == self.opinion.said or self.opinion.saying or not lease:
+            return
+        if self.now_ms < self.opinion.next_ms:
             return
+        self.opinion.next_ms = self.now_ms + _SAY_AGAIN_MS
         key = self.keys.doubt(self.service.name, self.node)
         change: store.Put | store.Delete = store.Delete(key)
         if doubted:
@@ -189,20 +213,20 @@
             'doubt' if doubted else 'doubt_over',
             {
                 'service': self.service.name,
-                'instance': doubted or self.said,
+                'instance': doubted or self.opinion.said,
                 'term': self.service.leadership.term,
             },
         )
-        self.saying = True
+        self.opinion.saying = True
         self.perform(
             store.SwapRequest((), (change,)),
             functools.partial(self._on_said, doubted),
         )
 
     def _on_said(self, doubted: str, reply: typing.Any) -> None:
-        self.saying = False
+        self.opinion.saying = False
         if isinstance(reply, store.SwapReply) and reply.succeeded:
-            self.said = doubted
+            self.opinion.said = doubted
 
     def _replace(self, old: str, cause: str) -> scripts.Script:
         """Take the duty, choose a successor and order its promotion."""
--- a/jacinthhaven/sql/election_test.py
+++ b/jacinthhaven/sql/election_test.py
@@ -171,8 +171,8 @@
     vote = fleet.nodes[0].elections[builders.SERVICE]
     for member in fleet.nodes:
         vote.doubts[member.identity.name] = 'db-a'
-    vote.said = 'db-a'
-    vote.saying = True
+    vote.opinion.said = 'db-a'
+    vote.opinion.saying = True
     vote.service.evidence.follow('db-b', 2, 'test')
     vote.tick(fleet.nodes[0].members, 1, fleet.now_ms + 5000)
     assert vote.runner is None
--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -335,7 +335,11 @@
         self.refreshing = False
 
     def _look_for_leader(self, now_ms: int) -> None:
-        if not self.active or not self.leadership.should_ask(now_ms):
+        silent = self.leader_silent_ms(now_ms) >= instances.SUSPECT_MS
+        if not self.active or not self.leadership.should_ask(
+            now_ms,
+            silent=silent,
+        ):
             return
         for name in tuple(self.pool.states):
             self.ask(name, commands.AskStatus(), _ignore, now_ms)
--- a/jacinthhaven/sql/leadership.py
+++ b/jacinthhaven/sql/leadership.py
@@ -45,9 +45,15 @@
         self.asked_ms = None
         return True
 
-    def should_ask(self, now_ms: int) -> bool:
-        """Return whether it is time to look for the leader."""
-        if self.leader is not None:
+    def should_ask(self, now_ms: int, *, silent: bool) -> bool:
+        """Return whether it is time to look for the leader.
+
+        Args:
+          now_ms: Current time.
+          silent: Whether the leader does not answer, so that another one
+            may have been promoted.
+        """
+        if self.leader is not None and not silent:
             return False
         if self.asked_ms is not None and now_ms - self.asked_ms < _ASK_MS:
             return False
--- a/jacinthhaven/sql/reads_test.py
+++ b/jacinthhaven/sql/reads_test.py
@@ -147,3 +147,19 @@
     assert len(state.links) == rig.service.pool.share
     rig.run(4000)
     assert len(state.links) == 1
+
+
+def test_successor_is_found_without_the_store():
+    """Guards against a node that keeps asking a silent, replaced primary.
+
+    The node has no contact to the store, so nobody tells it.
+    """
+    rig = builders.Rig()
+    rig.databases.silent.add('db-a')
+    rig.group.promote('db-b')
+    writer = rig.connect(builders.STRICT)
+    rig.send(writer, 'WRITE k 0', 'w0')
+    rig.run(1500)
+    answer = rig.ask(writer, 'WRITE k 1', 'w1')
+    assert answer.code is None
+    assert rig.group.committed == {'w1': 1}
--- /dev/null
+++ b/jacinthhaven/standins/sql_platform.py
@@ -0,0 +1,143 @@
+"""Process of the stand-ins for SQL proxies: store, orders and instances.
+
+`POST /control` changes the faults, `GET /state` shows what the instances
+have seen.
+"""
+
+import functools
+import http
+import sys
+import typing
+
+import circuits
+import msgspec
+import typer
+
+from jacinthhaven.adapters import http_server, poller
+from jacinthhaven.records import store
+from jacinthhaven.standins import control, kv_server, sql_group, sql_server
+
+_HOST = '127.0.0.1'
+_PROMOTE_MS = 300
+_BEAT_MS = 300
+_SERVICE = 'ledger'
+_MEMBERS = ('i-a', 'i-b', 'i-c')
+_MAX_CONNECTIONS = 12
+_ROUTES = (
+    ('strict', 'primary', 1, 0),
+    ('bounded', 'bounded_staleness', 2, 1500),
+    ('own', 'read_your_writes', 2, 2500),
+)
+
+
+class Faults(control.Settings):
+    """Settable faults; the defaults mean no fault.
+
+    Attributes:
+      silent: Instances that do not answer.
+      lose_answers: Number of next answers to writes that are lost.
+      refuse: Whether the store refuses every call.
+      silent_store: Whether the store answers nothing.
+      version: Version of the configuration.
+    """
+
+    silent: list[str] = msgspec.field(default_factory=list)
+    lose_answers: int = 0
+    refuse: bool = False
+    silent_store: bool = False
+    version: int = 1
+
+
+class SqlPlatform:
+    """Stand-ins on one poller."""
+
+    def __init__(self, loop: poller.Poller) -> None:
+        """Start the instances and fill the store."""
+        self.poller = loop
+        self.group = sql_group.SqlGroup(_SERVICE, _MEMBERS)
+        self.instances = sql_server.SqlServer(loop, self.group)
+        self.kv = kv_server.KvServer(loop)
+        self.kv.on_order = self._on_order
+        self.control = http_server.Server(loop, self._on_control)
+        self.faults = Faults()
+        self._configure()
+        self._register()
+
+    def _on_order(self, _service: str, instance: str) -> None:
+        promote = functools.partial(self.group.promote, instance)
+        self.poller.call_later(_PROMOTE_MS, promote)
+
+    def _write(self, key: str, text: str) -> None:
+        request = store.SwapRequest((), (store.Put(key, text),))
+        self.kv.model.call(request, self.poller.clock.now_ms())
+
+    def _configure(self) -> None:
+        routes = [
+            {
+                'host': name,
+                'routeType': kind,
+                'service': _SERVICE,
+                'timeoutMs': 1000,
+                'targetLatencyMs': 400,
+                'priority': priority,
+                'maxStalenessMs': age_ms,
+            }
+            for name, kind, priority, age_ms in _ROUTES
+        ]
+        services = [{'name': _SERVICE, 'maxConnections': _MAX_CONNECTIONS}]
+        document = {
+            'version': self.faults.version,
+            'routes': routes,
+            'services': services,
+            'limits': {'txIdleMs': 3000},
+        }
+        self._write('op/config', msgspec.json.encode(document).decode())
+
+    def _register(self) -> None:
+        for key, text in self.instances.registry().items():
+            self._write(key, text)
+        self.poller.call_later(_BEAT_MS, self._register)
+
+    def _on_control(self, exchange: http_server.Exchange) -> None:
+        if exchange.message.method == 'POST':
+            version = self.faults.version
+            self.faults = self.faults.changed(exchange.message.body)
+            self.instances.silent = set(self.faults.silent)
+            self.instances.lose_answers = self.faults.lose_answers
+            self.kv.faults.refuse = self.faults.refuse
+            self.kv.faults.silent = self.faults.silent_store
+            if self.faults.version != version:
+                self._configure()
+        exchange.respond_json(http.HTTPStatus.OK, self._state())
+
+    def _state(self) -> dict[str, typing.Any]:
+        return {
+            'primary': self.group.primary,
+            'committed': self.group.committed,
+            'rolled_back': [
+                request
+                for entry in self.group.rolled_back
+                for request in entry.requests
+            ],
+            'orders': self.kv.orders,
+            'most_open': self.instances.most_open,
+            'limit': _MAX_CONNECTIONS,
+            'violations': self.group.violations,
+        }
+
+
+def main() -> None:
+    """Serve until SIGTERM, after printing the ports."""
+    loop = poller.Poller()
+    application = circuits.Component()
+    loop.register(application)
+    platform = SqlPlatform(loop)
+    store_port = platform.kv.server.listen((_HOST, 0))
+    control_port = platform.control.listen((_HOST, 0))
+    typer.echo(f'ready {store_port} {control_port}')
+    sys.stdout.flush()
+    application.run()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of the real processes with faults from outside."""
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,166 @@
+"""Processes of one soak: the stand-ins and several proxies on loopback."""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess  # noqa: S404
+import sys
+import time
+import typing
+from urllib import request as requests
+
+_HOST = '127.0.0.1'
+_READY_S = 15
+_POLL_S = 0.02
+_CALL_S = 2
+_SETTINGS = """node: n{number}
+zone: a
+listeners:
+  clients: {host}:{clients}
+  health: {host}:{health}
+  metrics: {host}:{metrics}
+  peers: {host}:{peers}
+store:
+  address: {host}:{store}
+  minimum_lease_ms: 1000
+promotion:
+  address: {host}:{store}
+grace_ms: 4000
+"""
+
+
+class NotReadyError(Exception):
+    """A process did not become ready in time."""
+
+
+def free_port() -> int:
+    """Return a TCP port that is free now."""
+    with socket.socket() as probe:
+        probe.bind((_HOST, 0))
+        return probe.getsockname()[1]
+
+
+class Proxy:
+    """One proxy process that can be killed and started again.
+
+    Attributes:
+      port: Port for clients.
+      planned: Whether it was asked to stop.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        folder: pathlib.Path,
+        store_port: int,
+    ) -> None:
+        """Write the settings; nothing runs before `start`."""
+        self.number = number
+        self.port = free_port()
+        self.health = free_port()
+        self.settings = folder / f'n{number}.yaml'
+        self.log = folder / f'n{number}.log'
+        self.process: subprocess.Popen | None = None
+        self.settings.write_text(
+            _SETTINGS.format(
+                number=number,
+                host=_HOST,
+                clients=self.port,
+                health=self.health,
+                metrics=free_port(),
+                peers=free_port(),
+                store=store_port,
+            ),
+        )
+
+    @property
+    def running(self) -> bool:
+        """Return whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
+    def start(self) -> None:
+        """Start the process."""
+        environment = {
+            **os.environ,
+            'JACINTHHAVEN_NODE_FILE': str(self.settings),
+        }
+        self.process = subprocess.Popen(  # noqa: S603
+            [sys.executable, '-m', 'jacinthhaven.process'],
+            stdout=self.log.open('ab'),
+            stderr=subprocess.STDOUT,
+            env=environment,
+        )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self.running:
+            self.process.send_signal(number)
+
+    def wait_ready(self) -> None:
+        """Wait until the process reports itself ready.
+
+        Raises:
+          NotReadyError: If it does not in time.
+        """
+        until = time.monotonic() + _READY_S
+        while time.monotonic() < until:
+            if self._is_ready():
+                return
+            time.sleep(_POLL_S)
+        raise NotReadyError(self.number)
+
+    def _is_ready(self) -> bool:
+        url = f'http://{_HOST}:{self.health}/ready'
+        try:
+            with requests.urlopen(url, timeout=1):  # noqa: S310
+                return True
+        except OSError:
+            return False
+
+
+class Fleet:
+    """Stand-ins and proxies.
+
+    Attributes:
+      proxies: Proxies in the order of their numbers.
+    """
+
+    def __init__(self, folder: pathlib.Path, size: int) -> None:
+        """Start everything and wait until it is ready."""
+        self.platform = subprocess.Popen(  # noqa: S603
+            [sys.executable, '-m', 'jacinthhaven.standins.sql_platform'],
+            stdout=subprocess.PIPE,
+        )
+        words = self.platform.stdout.readline().split()
+        self.control_port = int(words[2])
+        self.proxies = [
+            Proxy(number, folder, int(words[1])) for number in range(size)
+        ]
+        for proxy in self.proxies:
+            proxy.start()
+        for started in self.proxies:
+            started.wait_ready()
+
+    def control(self, **changes: typing.Any) -> dict[str, typing.Any]:
+        """Change the faults of the stand-ins and return their state."""
+        change = requests.Request(  # noqa: S310
+            f'http://{_HOST}:{self.control_port}/control',
+            json.dumps(changes).encode(),
+        )
+        with requests.urlopen(  # noqa: S310
+            change,
+            timeout=_CALL_S,
+        ) as reply:
+            return json.load(reply)
+
+    def close(self) -> None:
+        """End all processes that this fleet has started."""
+        for proxy in self.proxies:
+            proxy.send(signal.SIGCONT)
+            proxy.send(signal.SIGKILL)
+        for ended in self.proxies:
+            ended.process.wait()
+        self.platform.kill()
+        self.platform.wait()
