Keep the model of a group fast with many commits

Cause: a soak timed out at the stand-in, whose reads copied the whole log; with thousands of commits one took longer than the time of a call. Ruled out: the proxies; they had answered all clients. Change: each instance counts the entries that it has applied.

--- a/jacinthhaven/standins/sql_group.py
+++ b/jacinthhaven/standins/sql_group.py
@@ -36,6 +36,7 @@
       log: Entries that it has received.
       lag_ms: Delay between receiving and applying an entry.
       deaf: Whether it receives nothing.
+      shown: Entries that it has applied.
       paused: Term of the last pause; 0 if it is not paused.
       down: Whether it has crashed.
     """
@@ -48,6 +49,7 @@
         self.term = 1
         self.lag_ms = _LAG_MS
         self.deaf = False
+        self.shown = 0
         self.paused = 0
         self.down = False
 
@@ -61,23 +63,25 @@
         """Return the position of the last received entry."""
         return self.log[-1].position if self.log else _START
 
-    def applied(self, now_ms: int) -> list[Entry]:
-        """Return the entries that a read sees."""
+    def applied(self, now_ms: int) -> int:
+        """Return how many entries a read sees."""
         if self.leads:
-            return self.log
-        return [
-            entry for entry in self.log if entry.at_ms + self.lag_ms <= now_ms
-        ]
+            self.shown = len(self.log)
+        while self.shown < len(self.log):
+            if self.log[self.shown].at_ms + self.lag_ms > now_ms:
+                break
+            self.shown += 1
+        return self.shown
 
     def position(self, now_ms: int) -> records.Position:
         """Return the position of the last applied entry."""
         applied = self.applied(now_ms)
-        return applied[-1].position if applied else _START
+        return self.log[applied - 1].position if applied else _START
 
     def read(self, key: str, now_ms: int) -> str:
         """Return the newest applied value of an item."""
-        for entry in reversed(self.applied(now_ms)):
-            for name, text in reversed(entry.writes):
+        for index in reversed(range(self.applied(now_ms))):
+            for name, text in reversed(self.log[index].writes):
                 if name == key:
                     return text
         return 'none'
@@ -132,11 +136,12 @@
         self.term += 1
         self.primary = name
         kept = self.instances[name].log
+        positions = {entry.position for entry in kept}
         lost = {
             entry.position: entry
             for instance in self.instances.values()
             for entry in instance.log
-            if entry not in kept
+            if entry.position not in positions
         }
         self.rolled_back.extend(lost.values())
         for entry in lost.values():
@@ -144,6 +149,7 @@
                 self.committed[request] -= 1
         for instance in self.instances.values():
             instance.log = list(kept)
+            instance.shown = min(instance.shown, len(kept))
             instance.term = self.term
             instance.paused = 0
 
