--- /dev/null
+++ b/jacinthhaven/sql/relaying_test.py
@@ -0,0 +1,184 @@
+"""Tests of sessions that an owner executes for another node."""
+
+import random
+
+import pytest
+
+from jacinthhaven.platform import client_wire
+from jacinthhaven.sql import builders, ownership, relaying, statements
+
+_CLIENT = 5
+_NOW_MS = 2000
+_ZONES = ('a', 'b', 'c')
+
+
+def _peer(number: int) -> ownership.Peer:
+    capacity = 2.0 if number < 6 else 0.5
+    return ownership.Peer(('127.0.0.1', number), _ZONES[number % 3], capacity)
+
+
+def _peers(size: int) -> dict[str, ownership.Peer]:
+    return {f'n{number}': _peer(number) for number in range(size)}
+
+
+class _Setup:
+    """Node that owns nothing, in a fleet of thirty."""
+
+    def __init__(self) -> None:
+        self.rig = builders.Rig()
+        self.relays = builders.FakeRelays()
+        self.relay = relaying.Relay(
+            'n20',
+            self.rig.gateway,
+            self.relays,
+            random.Random(1),
+        )
+        self.relay.peers = _peers(30)
+        self.now_ms = _NOW_MS
+
+    @property
+    def answers(self) -> list[statements.Answer]:
+        """Return the answers that this node gave itself."""
+        return self.rig.clients.answers[_CLIENT]
+
+    def start(self) -> None:
+        """Open a session that the first owner accepts."""
+        self.relay.on_start(_CLIENT, builders.OWN, self.now_ms)
+        self.reply('READY I -')
+
+    def send(self, text: str) -> None:
+        """Send a statement of the client."""
+        statement = client_wire.decode_query(f'QUERY r {text}')
+        self.relay.on_statement(_CLIENT, statement, self.now_ms)
+
+    def reply(self, line: str) -> None:
+        """Deliver a line of the owner."""
+        states = {'I': statements.State.IDLE, 'T': statements.State.OPEN}
+        state = states[line[6]] if line.startswith('READY') else None
+        number = len(self.relays.opened)
+        self.relay.on_line(number, line, state, self.now_ms)
+
+    def lose(self) -> None:
+        """Lose the connection to the owner."""
+        self.relay.on_lost(len(self.relays.opened), self.now_ms)
+
+
+def test_small_fleet_owns_everything():
+    """Guards against a further hop where none is needed."""
+    peers = _peers(8)
+    assert ownership.owners('s', peers) == tuple(sorted(peers))
+
+
+def test_owners_are_few_spread_and_large():
+    """Guards against owners on small VMs or in one zone."""
+    peers = _peers(30)
+    owners = ownership.owners('s', peers)
+    assert len(owners) == 6
+    assert {peers[name].zone for name in owners} == set(_ZONES)
+    assert {peers[name].capacity for name in owners} == {2.0}
+
+
+def test_owner_of_the_own_zone_comes_first():
+    """Guards against bytes between zones."""
+    peers = _peers(30)
+    names = ownership.preferred('s', peers, 'b', 7)
+    assert [peers[name].zone for name in names[:2]] == ['b', 'b']
+
+
+def test_statements_go_to_the_owner():
+    """Guards against a relayed session that is executed here."""
+    setup = _Setup()
+    setup.start()
+    setup.send('READ k')
+    assert setup.relays.sent[1] == ['READ k']
+    setup.reply('DATAROW x')
+    setup.reply('READY I 1.1')
+    assert setup.rig.clients.lines[_CLIENT] == ['DATAROW x', 'READY I 1.1']
+
+
+@pytest.mark.parametrize(
+    ('texts', 'code'),
+    [
+        (('READ k',), statements.Code.ABORTED),
+        (('WRITE k 1',), statements.Code.OUTCOME_UNKNOWN),
+        (('EXECUTE s k',), statements.Code.OUTCOME_UNKNOWN),
+        (('BEGIN', 'WRITE k 1'), statements.Code.ABORTED),
+        (('BEGIN', 'COMMIT'), statements.Code.OUTCOME_UNKNOWN),
+    ],
+)
+def test_truth_about_a_lost_owner(texts, code):
+    """Guards against a promise about what the owner may have done."""
+    setup = _Setup()
+    setup.start()
+    for text in texts[:-1]:
+        setup.send(text)
+        setup.reply('READY T -')
+    setup.send(texts[-1])
+    setup.lose()
+    assert [answer.code for answer in setup.answers] == [code]
+    assert setup.rig.clients.closed == [_CLIENT]
+
+
+def test_idle_session_is_closed_silently():
+    """Guards against a message that the client did not ask for."""
+    setup = _Setup()
+    setup.start()
+    setup.lose()
+    assert not setup.answers
+    assert setup.rig.clients.closed == [_CLIENT]
+
+
+def test_owner_that_cannot_be_reached_is_replaced():
+    """Guards against a session that waits for a dead owner."""
+    setup = _Setup()
+    setup.relay.on_start(_CLIENT, builders.OWN, setup.now_ms)
+    setup.now_ms += 200
+    setup.relay.tick(setup.now_ms)
+    assert len(setup.relays.opened) == 2
+    assert setup.relays.opened[0] != setup.relays.opened[1]
+
+
+def test_session_is_served_here_when_no_owner_is_left():
+    """Guards against refusing what this node can serve."""
+    setup = _Setup()
+    setup.relay.on_start(_CLIENT, builders.OWN, setup.now_ms)
+    while setup.relay.sessions:
+        setup.lose()
+    assert _CLIENT in setup.rig.gateway.sessions
+
+
+def test_silent_owner_is_asked_before_it_is_given_up():
+    """Guards against taking a slow statement for a dead owner."""
+    setup = _Setup()
+    setup.start()
+    setup.send('READ k')
+    setup.now_ms += 350
+    setup.relay.tick(setup.now_ms)
+    assert setup.relays.sent[1] == ['READ k', 'ping']
+    setup.relay.on_alive(1)
+    setup.now_ms += 350
+    setup.relay.tick(setup.now_ms)
+    assert not setup.answers
+    setup.now_ms += 350
+    setup.relay.tick(setup.now_ms)
+    assert [answer.code for answer in setup.answers] == [
+        statements.Code.ABORTED,
+    ]
+
+
+def test_removed_route_is_refused_here():
+    """Guards against an owner with an older configuration."""
+    setup = _Setup()
+    setup.start()
+    setup.rig.gateway.configure(builders.configuration(2, routes={}), 1)
+    setup.send('READ k')
+    assert [answer.code for answer in setup.answers] == [
+        statements.Code.UNKNOWN_DATABASE,
+    ]
+
+
+def test_owner_with_an_older_configuration_refuses():
+    """Guards against going back to an older configuration."""
+    rig = builders.Rig()
+    rig.gateway.on_relayed(_CLIENT, builders.OWN, 9)
+    assert rig.clients.refused == {_CLIENT: statements.Code.BUSY}
