Bound the log, and say when instances fall silent and answer again

Cause: a line for every statement has no bound under load, a reader that stops would block the process, and the answer did not name the instance. Change: 1,000 routine lines a second, failures always; a stdout that does not block; service and instance in each answer; lines for silence. Ruled out: sampling by request, since half a request explains nothing.

--- a/jacinthhaven/adapters/prometheus.py
+++ b/jacinthhaven/adapters/prometheus.py
@@ -48,9 +48,9 @@
             update()
         self.early = []
 
-    def count(self, name: str, label: str) -> None:
+    def count(self, name: str, label: str, amount: int = 1) -> None:
         """Increase a counter."""
-        if self._postpone(functools.partial(self.count, name, label)):
+        if self._postpone(functools.partial(self.count, name, label, amount)):
             return
         counter = self.counters.get(name)
         if counter is None:
@@ -61,7 +61,7 @@
                 registry=self.registry,
             )
             self.counters[name] = counter
-        counter.labels(label).inc()
+        counter.labels(label).inc(amount)
 
     def observe(self, name: str, label: str, spent_ms: float) -> None:
         """Add a time to a histogram."""
@@ -95,6 +95,11 @@
             self.gauges[name] = gauge
         gauge.set(level)
 
+    def render(self) -> bytes:
+        """Return all metrics as text."""
+        self.load()
+        return self.library.generate_latest(self.registry)
+
     def _postpone(self, update: typing.Callable[[], None]) -> bool:
         if self.library is not None:
             return False
@@ -103,6 +108,4 @@
         return True
 
     def _on_request(self, exchange: http_server.Exchange) -> None:
-        self.load()
-        page = self.library.generate_latest(self.registry)
-        exchange.respond(http.HTTPStatus.OK, page)
+        exchange.respond(http.HTTPStatus.OK, self.render())
--- a/jacinthhaven/platform/wire_test.py
+++ b/jacinthhaven/platform/wire_test.py
@@ -3,7 +3,6 @@
 import hypothesis
 import pytest
 
-
 from jacinthhaven.platform import (
     client_wire,
     documents,
--- a/jacinthhaven/process/sql_proxy.py
+++ b/jacinthhaven/process/sql_proxy.py
@@ -5,8 +5,11 @@
 """
 
 import logging
+import os
 import random
 import signal
+import sys
+import types
 import typing
 
 import circuits
@@ -29,6 +32,11 @@
 _OK = 200
 _UNAVAILABLE = 503
 _GAUGE_MS = 1000
+# Lines about statements that go well, per second; a line costs about as
+# much processor time as the rest of a statement's decisions.
+_ROUTINE_LINES = 1000
+_DONE = 'done'
+_ROUTINE = types.MappingProxyType({'place': _DONE})
 
 
 class ProcessJournal(ports.Journal):
@@ -42,12 +50,31 @@
         """Write to a log and to a metrics page."""
         self.log = log
         self.page = page
+        self.routine = 0
+        self.skipped = 0
 
     def write(self, event: str, fields: ports.Fields) -> None:
-        """Write one line about a decision."""
+        """Write one line about a decision, unless there are too many.
+
+        Only lines about statements that go well are left out.
+        """
         self.page.count('decisions', event)
+        if fields.get('outcome', _ROUTINE.get(event)) == _DONE:
+            if self.routine >= _ROUTINE_LINES:
+                self.skipped += 1
+                return
+            self.routine += 1
         self.log.write(messages.DecisionLine(event, fields))
 
+    def start_second(self) -> None:
+        """Allow routine lines again and report those that were left out."""
+        if self.skipped:
+            self.page.count('log_lines_skipped', '', self.skipped)
+            fields = {'lines': self.skipped}
+            self.log.write(messages.DecisionLine('lines_skipped', fields))
+        self.routine = 0
+        self.skipped = 0
+
     def count(self, name: str, label: str = '') -> None:
         """Increase a counter."""
         self.page.count(name, label)
@@ -125,6 +152,8 @@
         self.health.listen(listeners.health.pair)
         self.page.server.listen(listeners.metrics.pair)
         signal.signal(signal.SIGHUP, self._on_reload)
+        # A log that nobody reads must not stop the process.
+        os.set_blocking(sys.stdout.fileno(), False)
         self.log.write(
             messages.DecisionLine('started', {'zone': self.settings.zone}),
         )
@@ -230,6 +259,7 @@
         if now_ms >= self.gauge_ms:
             self.gauge_ms = now_ms + _GAUGE_MS
             self._show_gauges()
+            self.journal.start_second()
         if self.node.stopped and not self.ended:
             self.ended = True
             self._leave()
--- a/jacinthhaven/sql/execution.py
+++ b/jacinthhaven/sql/execution.py
@@ -516,6 +516,8 @@
             'answer',
             {
                 'request': work.statement.request_id,
+                'service': work.route.service,
+                'instance': _instance(work),
                 'outcome': outcome,
                 'reason': answer.detail,
                 'spent_ms': spent_ms,
@@ -540,5 +542,10 @@
     transaction.failed = True
 
 
+def _instance(work: sessions.Work) -> str:
+    """Return the instance that a statement was given to last, or ''."""
+    return '' if work.link is None else work.link.instance
+
+
 def _ignore(*_args: typing.Any) -> None:
     """Do nothing; default of an unset callback."""
--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -280,10 +280,21 @@
 
     def _cut_silent(self, now_ms: int) -> None:
         """Borrow links to instances that do not answer on own ones."""
-        for state in self.pool.states.values():
-            if state.silent_for(now_ms) >= instances.SUSPECT_MS:
-                if now_ms >= state.closed_until_ms:
-                    self.pool.cut(state, now_ms)
+        for name, state in self.pool.states.items():
+            silent_ms = state.silent_for(now_ms)
+            silent = silent_ms >= instances.SUSPECT_MS
+            if silent and now_ms >= state.closed_until_ms:
+                self.pool.cut(state, now_ms)
+            if silent != state.suspect:
+                state.suspect = silent
+                self.journal.write(
+                    'instance_silent' if silent else 'instance_answers',
+                    {
+                        'service': self.name,
+                        'instance': name,
+                        'silent_ms': silent_ms,
+                    },
+                )
 
     def _servable(self, work: sessions.Work, now_ms: int) -> bool:
         """Return whether a queued statement only waits for a free link."""
--- a/jacinthhaven/sql/instances.py
+++ b/jacinthhaven/sql/instances.py
@@ -40,6 +40,7 @@
       leaving_ms: Since when it is known to leave or to be gone.
       failed_ms: Since when links cannot be opened, or None.
       heard_ms: When something was last heard.
+      suspect: Whether its silence was noted and has not ended.
     """
 
     __slots__ = (
@@ -57,6 +58,7 @@
         'leaving_ms',
         'failed_ms',
         'heard_ms',
+        'suspect',
     )
 
     def __init__(self, entry: records.Instance, now_ms: int) -> None:
@@ -75,6 +77,7 @@
         self.leaving_ms: int | None = None
         self.failed_ms: int | None = None
         self.heard_ms = now_ms
+        self.suspect = False
 
     def usable_at(self, now_ms: int) -> bool:
         """Return whether reads that other instances can serve may be sent."""
