Close sessions of a stopping node only when they are quiet

Ruled out: the database (it never saw these requests) and the deadline (the cut came 12 ms after the request). Change: a session is closed after 400 ms without a statement, and only if nothing waits to be read; the process ends when no session is left.

--- a/jacinthhaven/platform/sockets.py
+++ b/jacinthhaven/platform/sockets.py
@@ -116,6 +116,18 @@
         if connection is not None:
             connection.stream.finish()
 
+    def has_more(self, number: int) -> bool:
+        """Return whether bytes of the client wait to be read."""
+        connection = self.connections.get(number)
+        if connection is None:
+            return False
+        try:
+            waiting = connection.stream.sock.recv(1, socket.MSG_PEEK)
+        except OSError:
+            # Nothing waits, or the connection has failed.
+            return False
+        return bool(waiting)
+
     def _send(self, number: int, chunk: bytes) -> None:
         connection = self.connections.get(number)
         if connection is not None:
--- a/jacinthhaven/sql/builders.py
+++ b/jacinthhaven/sql/builders.py
@@ -105,6 +105,7 @@
         self.closed: list[int] = []
         self.refused: dict[int, statements.Code] = {}
         self.accepting = True
+        self.unread: set[int] = set()
 
     def answer(self, number: int, answer: statements.Answer) -> None:
         """Keep an answer."""
@@ -125,6 +126,10 @@
         """Keep a close."""
         self.closed.append(number)
 
+    def has_more(self, number: int) -> bool:
+        """Return whether a statement is on its way."""
+        return number in self.unread
+
     def stop_accepting(self) -> None:
         """Note the end of accepting."""
         self.accepting = False
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -20,6 +20,10 @@
 # Statements that a client may send before it has its answers.
 _MAX_WAITING = 64
 
+# A client that goes on sends its next statement within this time; closing
+# the session earlier would cut a statement that is on its way.
+QUIET_MS = 400
+
 Handler = typing.Callable[
     [sessions.Session, statements.Statement, int],
     None,
@@ -58,20 +62,13 @@
         self.entries: typing.Sequence[records.Instance] = ()
         self.early: list[tuple[int, str]] = []
         self.draining = False
+        self.now_ms = 0
 
     @property
     def configured(self) -> bool:
         """Return whether a configuration is known."""
         return self.configuration.version >= 0
 
-    @property
-    def busy(self) -> int:
-        """Return the number of sessions with work or a transaction."""
-        return sum(
-            session.work is not None or session.transaction is not None
-            for session in self.sessions.values()
-        )
-
     def configure(
         self,
         configuration: records.Configuration,
@@ -148,7 +145,8 @@
             self.journal.write('session_refused', {'database': database})
             self.clients.refuse(number, statements.Code.UNKNOWN_DATABASE)
             return
-        self.sessions[number] = sessions.Session(number, database)
+        session = sessions.Session(number, database, self.now_ms)
+        self.sessions[number] = session
         self.clients.accept(number)
 
     def on_relayed(self, number: int, database: str, version: int) -> None:
@@ -170,10 +168,9 @@
         session = self.sessions.get(number)
         if session is None:
             return
+        session.active_ms = now_ms
         if session.work is None and not session.waiting:
             self._handle(session, statement, now_ms)
-            if self.draining:
-                self._close_if_idle(session, now_ms)
         elif len(session.waiting) < _MAX_WAITING:
             session.waiting.append(statement)
         else:
@@ -196,7 +193,10 @@
         self._end_transaction(session, now_ms)
 
     def tick(self, now_ms: int) -> None:
-        """Advance all services and end idle transactions."""
+        """Advance all services, end idle transactions and close sessions."""
+        self.now_ms = now_ms
+        if self.draining:
+            self._close_quiet(now_ms)
         for known in self.groups.values():
             known.tick(now_ms)
         limit_ms = self.configuration.transaction_idle_ms
@@ -210,10 +210,9 @@
                 self._expire_transaction(session, now_ms)
 
     def drain(self, now_ms: int) -> None:
-        """Close idle sessions now and the others when they become idle."""
+        """Close sessions that are quiet, now and from now on."""
         self.draining = True
-        for session in tuple(self.sessions.values()):
-            self._close_if_idle(session, now_ms)
+        self._close_quiet(now_ms)
 
     def abort_transactions(self, now_ms: int) -> None:
         """Roll back the transactions that are idle between statements."""
@@ -225,20 +224,26 @@
                 self._expire_transaction(session, now_ms)
 
     def _on_done(self, session: sessions.Session, now_ms: int) -> None:
+        session.active_ms = now_ms
         transaction = session.transaction
         if transaction is not None:
             transaction.active_ms = now_ms
         while session.waiting and session.work is None:
             self._handle(session, session.waiting.popleft(), now_ms)
-        if self.draining:
-            self._close_if_idle(session, now_ms)
 
-    def _close_if_idle(self, session: sessions.Session, now_ms: int) -> None:
-        if session.work is None and session.transaction is None:
-            if session.number in self.sessions:
+    def _close_quiet(self, now_ms: int) -> None:
+        """Close the sessions whose clients have sent nothing for a while."""
+        for session in tuple(self.sessions.values()):
+            if session.idle and self._is_quiet(session, now_ms):
                 self.clients.close(session.number)
                 self.on_closed(session.number, now_ms)
 
+    def _is_quiet(self, session: sessions.Session, now_ms: int) -> bool:
+        if now_ms - session.active_ms < QUIET_MS:
+            return False
+        # A statement that has arrived but was not read yet must be answered.
+        return not self.clients.has_more(session.number)
+
     def _handle(
         self,
         session: sessions.Session,
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -184,7 +184,7 @@
                 {'sessions': len(self.gateway.sessions)},
             )
             self.gateway.drain(now_ms)
-            self.relay.drain()
+            self.relay.close_quiet(now_ms)
 
     def on_key(self, key: str, text: str | None, revision: int) -> None:
         """Accept a watched key."""
@@ -325,7 +325,7 @@
         if elapsed_ms >= grace_ms * _TRANSACTION_SHARE:
             self.gateway.abort_transactions(now_ms)
         over = elapsed_ms >= grace_ms - _GRACE_RESERVE_MS
-        busy = self.gateway.busy or self.lender.loans
+        busy = self.gateway.sessions or self.relay.sessions or self.lender.loans
         idle = elapsed_ms >= NOTICE_MS and not busy
         if over or idle:
             self.stopped = True
--- a/jacinthhaven/sql/ports.py
+++ b/jacinthhaven/sql/ports.py
@@ -115,7 +115,11 @@
 
     @abc.abstractmethod
     def close(self, number: int) -> None:
-        """Close an idle connection."""
+        """Close a connection."""
+
+    @abc.abstractmethod
+    def has_more(self, number: int) -> bool:
+        """Return whether bytes of the client wait to be read."""
 
     @abc.abstractmethod
     def stop_accepting(self) -> None:
--- a/jacinthhaven/sql/relaying.py
+++ b/jacinthhaven/sql/relaying.py
@@ -168,8 +168,6 @@
             session.unanswered.pop(0)
             session.state = state
         self.local.clients.send_line(session.number, line)
-        if self.local.draining and session.idle:
-            self._close(session)
 
     def on_alive(self, relay: int) -> None:
         """Accept that the process of an owner lives."""
@@ -189,21 +187,17 @@
             self._try_next(session, now_ms)
 
     def tick(self, now_ms: int) -> None:
-        """Look after owners that do not answer."""
+        """Look after owners that do not answer, and close quiet sessions."""
+        if self.local.draining:
+            self.close_quiet(now_ms)
         for session in tuple(self.sessions.values()):
-            if now_ms - session.asked_ms < _patience_ms(session):
-                continue
-            if session.pinged or not session.accepted:
-                self._silent(session, now_ms)
-            elif session.unanswered:
-                session.pinged = True
-                session.asked_ms = now_ms
-                self.relays.ping(session.relay)
-
-    def drain(self) -> None:
-        """Close the sessions that are idle."""
+            if now_ms - session.asked_ms >= _patience_ms(session):
+                self._look_after(session, now_ms)
+
+    def close_quiet(self, now_ms: int) -> None:
+        """Close the sessions whose clients have sent nothing for a while."""
         for session in tuple(self.sessions.values()):
-            if session.accepted and session.idle:
+            if session.accepted and self._is_quiet(session, now_ms):
                 self._close(session)
 
     def _owners(self, service: str, now_ms: int) -> list[str]:
@@ -232,6 +226,19 @@
         )
         self.by_relay[session.relay] = session
 
+    def _look_after(self, session: RelayedSession, now_ms: int) -> None:
+        if session.pinged or not session.accepted:
+            self._silent(session, now_ms)
+        elif session.unanswered:
+            session.pinged = True
+            session.asked_ms = now_ms
+            self.relays.ping(session.relay)
+
+    def _is_quiet(self, session: RelayedSession, now_ms: int) -> bool:
+        if not session.idle or now_ms - session.asked_ms < gateway.QUIET_MS:
+            return False
+        return not self.local.clients.has_more(session.number)
+
     def _on_first(
         self,
         session: RelayedSession,
--- a/jacinthhaven/sql/sessions.py
+++ b/jacinthhaven/sql/sessions.py
@@ -57,6 +57,7 @@
       transaction: Open transaction, if any.
       work: Statement that is being executed, if any.
       waiting: Statements that arrived before the previous answer.
+      active_ms: When it was opened or last had a statement or an answer.
     """
 
     __slots__ = (
@@ -68,10 +69,12 @@
         'transaction',
         'work',
         'waiting',
+        'active_ms',
     )
 
-    def __init__(self, number: int, database: str) -> None:
+    def __init__(self, number: int, database: str, now_ms: int) -> None:
         """Start an idle session."""
+        self.active_ms = now_ms
         self.number = number
         self.database = database
         self.settings: dict[str, str] = {}
@@ -83,6 +86,11 @@
             collections.deque()
         )
 
+    @property
+    def idle(self) -> bool:
+        """Return whether neither a statement nor a transaction is open."""
+        return self.work is None and self.transaction is None
+
     @property
     def state(self) -> statements.State:
         """Return the transaction state that the client sees."""
