Write the pages of the SQL proxy and check them against the code

A test compares the events and fields of the page with the code, and one keeps the platform's words out of the other layers.

--- a/jacinthhaven/adapters/examples_test.py
+++ b/jacinthhaven/adapters/examples_test.py
@@ -4,8 +4,12 @@
 
 import pytest
 
-from jacinthhaven.adapters import config_file, settings_file
-from jacinthhaven.records import presets, settings
+from jacinthhaven.adapters import (
+    config_file,
+    settings_file,
+    sql_settings_file,
+)
+from jacinthhaven.records import presets, settings, sql_settings
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
 DEPLOYMENTS = (('exchange', 20), ('brightline', 40))
@@ -13,11 +17,19 @@
 
 def test_no_example_is_left_out():
     """Guards against an example file that no test checks."""
-    assert sorted(path.name for path in EXAMPLES.iterdir()) == sorted(
+    checked = [
         f'{cluster}{suffix}'
         for cluster, _limit in DEPLOYMENTS
         for suffix in ('.yaml', '-config.yaml')
-    )
+    ]
+    names = sorted(path.name for path in EXAMPLES.iterdir())
+    assert names == sorted([*checked, 'sql-proxy.yaml'])
+
+
+def test_settings_of_a_sql_proxy():
+    """Guards against example settings that no proxy starts with."""
+    loaded = sql_settings_file.load(str(EXAMPLES / 'sql-proxy.yaml'))
+    assert isinstance(loaded, sql_settings.SqlSettings), loaded
 
 
 @pytest.mark.parametrize(('cluster', 'limit'), DEPLOYMENTS)
--- /dev/null
+++ b/jacinthhaven/sql/pages_test.py
@@ -0,0 +1,64 @@
+"""Tests that the pages and the layers agree with the code."""
+
+import pathlib
+import re
+
+_PACKAGE = pathlib.Path(__file__).parents[1]
+_PAGE = _PACKAGE.parent / 'docs' / 'OPERATIONS.md'
+_FOLDERS = ('sql', 'process')
+# Words of the platform's wire that only the adapter may know.
+_WIRE = re.compile(
+    'WAITPOS|X-Duty-Holder|X-Fence-Token|kv-txn|kv-key|kv-range|routeType'
+    '|dbRole|DATAROW|INDOUBT|CONNLIMIT|MISROUTED',
+)
+
+_CALL = re.compile(
+    r'(?:journal\.write\(|DecisionLine\(|event =)\s*'
+    r"('[a-z_]+'(?: if \w+ else '[a-z_]+')?)",
+)
+
+
+def _sources(*folders: str) -> dict[pathlib.Path, str]:
+    return {
+        path: path.read_text()
+        for folder in folders
+        for path in (_PACKAGE / folder).glob('*.py')
+        if not path.name.endswith(('_test.py', 'builders.py'))
+    }
+
+
+def _events() -> set[str]:
+    """Return the events that the code writes."""
+    found: set[str] = set()
+    for text in _sources(*_FOLDERS).values():
+        for call in _CALL.findall(text):
+            found.update(re.findall("'([a-z_]+)'", call))
+    return found
+
+
+def _documented() -> set[str]:
+    """Return the events in the first column of the page's table."""
+    rows = re.findall(r'^\| (`.*?) \|', _PAGE.read_text(), re.MULTILINE)
+    return {name for row in rows for name in re.findall('`([a-z_]+)`', row)}
+
+
+def test_every_event_is_documented():
+    """Guards against log lines that nobody can look up."""
+    assert len(_events()) > 20
+    assert _events() - _documented() == set()
+
+
+def test_every_documented_field_is_written():
+    """Guards against a page that names fields that do not exist."""
+    text = ''.join(_sources(*_FOLDERS).values())
+    table = _PAGE.read_text().partition('## Metrics')[0]
+    rows = re.findall(r'^\| `[^|]*\|[^|]*\| ([^|]*) \|', table, re.MULTILINE)
+    fields = {name for row in rows for name in re.findall('`(.*?)`', row)}
+    assert len(fields) > 20
+    assert {name for name in fields if f"'{name}'" not in text} == set()
+
+
+def test_only_the_adapter_knows_the_names_of_the_wire():
+    """Guards against a wire protocol that spreads through the product."""
+    sources = _sources('sql', 'process', 'decide', 'records', 'kernel')
+    assert [path for path, text in sources.items() if _WIRE.search(text)] == []
