Keep acknowledged commits when replicas acknowledge them

Cause, found on reading: with acknowledging replicas a planned replacement did not stop the other replicas, which could acknowledge a commit that the successor lacked; replicas that leave were not counted although they acknowledge; and an attempt that was given up left replicas paused. Ruled out: effects on the present sites, which set no such replicas. Change: all other replicas are paused before the order, the successor must hold what each of them holds, and they resume when it is given up. Before: two of the new tests failed. After: they pass.

--- a/jacinthhaven/sql/election.py
+++ b/jacinthhaven/sql/election.py
@@ -283,26 +283,55 @@
         return reply.revision
 
     def _choose(self, old: str, cause: str, term: int) -> scripts.Script:
-        """Return the replica that has received most, or ''."""
+        """Return the replica that takes over, or ''."""
         states = self.service.pool.states
-        replicas = tuple(
-            name
-            for name, state in states.items()
-            if name != old and state.leaving_ms is None
-        )
-        command: commands.Command = commands.AskStatus()
-        if self.acknowledging and cause != 'leaving':
-            # Stopped replicas acknowledge nothing that the chosen one lacks.
-            command = commands.Pause(term + 1)
-        found = yield scripts.AskAll(replicas, command)
+        replicas = tuple(name for name in states if name != old)
+        candidates = {
+            name for name in replicas if states[name].leaving_ms is None
+        }
+        found = yield scripts.AskAll(replicas, commands.AskStatus())
         statuses = _answered(found)
         if self._follow_primary(statuses, term):
             return ''
-        if self.acknowledging and len(statuses) < len(replicas):
-            return ''
         if cause == 'leaving':
             yield from self._catch_up(old, statuses)
-        return _most_advanced(statuses)
+        chosen = _most_advanced(statuses, candidates)
+        if self.acknowledging and chosen:
+            settled = yield from self._settle(chosen, replicas, cause, term)
+            if not settled:
+                yield from self._resume('')
+                return ''
+        return chosen
+
+    def _settle(
+        self,
+        chosen: str,
+        replicas: tuple[str, ...],
+        cause: str,
+        term: int,
+    ) -> scripts.Script:
+        """Return whether a replica has all that may be acknowledged.
+
+        Stopped replicas acknowledge nothing more, so that afterwards only
+        the chosen one can. A primary that is lost sends it nothing more.
+        """
+        others = tuple(name for name in replicas if name != chosen)
+        stopped = others if cause == 'leaving' else replicas
+        found = yield scripts.AskAll(stopped, commands.Pause(term + 1))
+        statuses = _answered(found)
+        if len(statuses) < len(stopped):
+            return False
+        until_ms = self.now_ms + _CATCH_UP_MS
+        while self.now_ms < until_ms:
+            found = yield scripts.AskAll((chosen,), commands.AskStatus())
+            statuses.update(_answered(found))
+            if _most_advanced(statuses, {chosen}) and _leads_all(
+                statuses,
+                chosen,
+            ):
+                return True
+            yield scripts.Sleep(_CATCH_UP_STEP_MS)
+        return False
 
     def _follow_primary(
         self,
@@ -372,9 +401,26 @@
     return {name: status for name, status in found.items() if status}
 
 
-def _most_advanced(statuses: dict[str, records.InstanceStatus]) -> str:
-    """Return the instance that has received most, or '' without any."""
-    known = [name for name, status in statuses.items() if status.received]
+def _most_advanced(
+    statuses: dict[str, records.InstanceStatus],
+    candidates: set[str],
+) -> str:
+    """Return the candidate that has received most, or '' without any."""
+    known = [
+        name
+        for name, status in statuses.items()
+        if status.received and name in candidates
+    ]
     if not known:
         return ''
     return max(known, key=lambda name: (statuses[name].received, name))
+
+
+def _leads_all(
+    statuses: dict[str, records.InstanceStatus],
+    chosen: str,
+) -> bool:
+    """Return whether no other instance has received more."""
+    mine = statuses[chosen].received
+    others = [status.received for status in statuses.values()]
+    return all(other is None or other <= mine for other in others)
--- a/jacinthhaven/sql/election_test.py
+++ b/jacinthhaven/sql/election_test.py
@@ -212,21 +212,55 @@
     assert fleet.group.primary != 'db-a'
 
 
-def test_acknowledging_replicas_are_paused_before_the_choice():
-    """Guards against acknowledgements that the chosen replica lacks."""
+def _acknowledging() -> Fleet:
     fleet = Fleet()
     for member in fleet.nodes:
         member.elections[builders.SERVICE].acknowledging = 1
+    return fleet
+
+
+def _sent(fleet: Fleet, word: str) -> set[str]:
+    """Return the instances that were sent a command."""
+    return {
+        name
+        for rig in fleet.rigs
+        for name, line in rig.lines
+        if f' {word}' in line
+    }
+
+
+def test_acknowledging_replicas_are_paused_before_the_choice():
+    """Guards against acknowledgements that the chosen one lacks."""
+    fleet = _acknowledging()
     fleet.silence('db-a', 3)
     fleet.run(4000)
     assert fleet.orders()
-    paused = [
-        line
-        for rig in fleet.rigs
-        for _name, line in rig.lines
-        if 'PAUSE' in line
+    assert _sent(fleet, 'PAUSE') == {'db-b', 'db-c'}
+
+
+def test_planned_replacement_keeps_what_another_replica_acknowledged():
+    """Guards against a successor that lacks an acknowledged commit."""
+    fleet = _acknowledging()
+    fleet.group.instances['db-c'].deaf = True
+    fleet.group.commit((('k', '1'),), ('w1',), fleet.now_ms)
+    fleet.documents.listed = [
+        builders.instance(name, leaving=name == 'db-a')
+        for name in builders.MEMBERS
     ]
-    assert len(paused) >= 2
+    fleet.run(4000)
+    assert fleet.group.primary == 'db-b'
+    assert _sent(fleet, 'PAUSE') == {'db-c'}
+    assert not fleet.group.rolled_back
+
+
+def test_replicas_are_resumed_when_a_promotion_is_given_up():
+    """Guards against replicas that stay paused for ever."""
+    fleet = _acknowledging()
+    fleet.silence('db-a', 3)
+    fleet.silence('db-c', 3)
+    fleet.run(3000)
+    assert not fleet.orders()
+    assert 'db-b' in _sent(fleet, 'RESUME')
 
 
 def test_keys_do_not_overlap():
