--- a/jacinthhaven/adapters/sql_settings_file_test.py
+++ b/jacinthhaven/adapters/sql_settings_file_test.py
@@ -17,7 +17,6 @@
         '{{internalPorts.0}}': '7440',
         '{{internalPorts.1}}': '7455',
         '{{platform.address|json}}': '"127.0.0.1:9105"',
-        '{{platform.minTtlMs|json}}': '1000',
         '{{bounds.contactMs|json}}': '4000',
         '{{bounds.graceS}}': '6',
         '{{cloudApi.address|json}}': '"127.0.0.1:9106"',
--- a/jacinthhaven/records/sql_settings.py
+++ b/jacinthhaven/records/sql_settings.py
@@ -40,7 +40,6 @@
         return hash(self.pair)
 
 
-Lease = typing.Annotated[int, msgspec.Meta(ge=100)]
 Wait = typing.Annotated[int, msgspec.Meta(ge=100, le=30_000)]
 Grace = typing.Annotated[int, msgspec.Meta(ge=1000)]
 Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
@@ -72,7 +71,6 @@
     """
 
     address: Address
-    minimum_lease_ms: Lease
     watch_wait_ms: Wait = 1500
 
 
--- a/jacinthhaven/sql/scripts.py
+++ b/jacinthhaven/sql/scripts.py
@@ -82,11 +82,6 @@
         self.running = True
         self._resume(None)
 
-    def cancel(self) -> None:
-        """End the script; results that still arrive are dropped."""
-        self.running = False
-        self.script.close()
-
     def _resume(self, outcome: typing.Any) -> None:
         if not self.running:
             return
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -24,7 +24,6 @@
   peers: {host}:{peers}
 store:
   address: {host}:{store}
-  minimum_lease_ms: 1000
 promotion:
   address: {host}:{store}
 grace_ms: 4000
