Rank the owners when the members change, not on every tick

Cause, found on reading: each node ranked all members for each service 50 times a second. Ruled out: a change of what is chosen; members and services change only where the owners are now kept.

--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -38,6 +38,7 @@
     Attributes:
       name: Name of the service.
       owned: Whether this node executes statements of all nodes.
+      owners: Nodes that do, sorted by name.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         )
         self.refreshing = False
         self.owned = True
+        self.owners: tuple[str, ...] = ()
 
     @property
     def active(self) -> bool:
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -166,7 +166,7 @@
         self.gateway.tick(now_ms)
         self.relay.tick(now_ms)
         for name, vote in self.elections.items():
-            owners = ownership.owners(name, self.peers)
+            owners = self.gateway.groups[name].owners
             if self.identity.name in owners:
                 vote.tick(owners, self.coordination.lease, now_ms)
         self.sleepers.wake(now_ms)
@@ -287,8 +287,9 @@
         """
         size = 1
         owned = set()
-        for name in self.gateway.groups:
+        for name, known in self.gateway.groups.items():
             owners = ownership.owners(name, self.peers)
+            known.owners = owners
             size = max(size, len(owners))
             if not owners or self.identity.name in owners:
                 owned.add(name)
