Use one connection class and one list of status commands

The relay sockets had a copy of the connection class of the client sockets, and the sockets and the test builders each listed the commands whose reply holds a status. Behaviour is unchanged.

--- a/jacinthhaven/platform/node_sockets.py
+++ b/jacinthhaven/platform/node_sockets.py
@@ -105,15 +105,6 @@
             self.on_returned(connection.number)
 
 
-class _RelayConnection:
-    __slots__ = ('stream', 'reader', 'number')
-
-    def __init__(self, stream: streams.Stream, number: int) -> None:
-        self.stream = stream
-        self.reader = words.LineReader()
-        self.number = number
-
-
 class RelaySockets(ports.Relays):
     """Connections to owners that execute sessions.
 
@@ -127,7 +118,7 @@
         """Start without connections."""
         self.poller = loop
         self.numbers = itertools.count(1)
-        self.connections: dict[int, _RelayConnection] = {}
+        self.connections: dict[int, sockets.ClientConnection] = {}
         self.on_line: typing.Callable[
             [int, str, statements.State | None],
             None,
@@ -145,7 +136,7 @@
         number = next(self.numbers)
         stream = streams.connect(self.poller, address)
         sockets.limit_silence(stream)
-        connection = _RelayConnection(stream, number)
+        connection = sockets.ClientConnection(stream, number)
         self.connections[number] = connection
         stream.on_bytes = functools.partial(self._on_bytes, connection)
         stream.on_close = functools.partial(self._on_close, connection)
@@ -171,7 +162,9 @@
         if connection is not None:
             connection.stream.send(chunk)
 
-    def _on_bytes(self, connection: _RelayConnection, chunk: bytes) -> None:
+    def _on_bytes(
+        self, connection: sockets.ClientConnection, chunk: bytes
+    ) -> None:
         try:
             lines = connection.reader.feed(chunk)
         except words.MalformedLineError:
@@ -186,6 +179,6 @@
             else:
                 self.on_line(connection.number, line, words.ready_state(line))
 
-    def _on_close(self, connection: _RelayConnection) -> None:
+    def _on_close(self, connection: sockets.ClientConnection) -> None:
         if self.connections.pop(connection.number, None) is not None:
             self.on_lost(connection.number)
--- a/jacinthhaven/platform/sockets.py
+++ b/jacinthhaven/platform/sockets.py
@@ -235,7 +235,7 @@
             return
         connection.replies.wants_status = isinstance(
             command,
-            commands.AskStatus | commands.Pause | commands.Resume,
+            commands.ASKS_STATUS,
         )
         connection.stream.send(instance_wire.encode_command(command))
 
--- a/jacinthhaven/sql/builders.py
+++ b/jacinthhaven/sql/builders.py
@@ -183,7 +183,7 @@
         """Send a command."""
         self.readers[number].wants_status = isinstance(
             command,
-            commands.AskStatus | commands.Pause | commands.Resume,
+            commands.ASKS_STATUS,
         )
         line = instance_wire.encode_command(command).decode().strip()
         self.pending.append((self.now_ms + self.work_ms, number, line, False))
--- a/jacinthhaven/sql/commands.py
+++ b/jacinthhaven/sql/commands.py
@@ -73,3 +73,6 @@
     | Pause
     | Resume
 )
+
+# Commands whose reply holds the status of the instance.
+ASKS_STATUS = (AskStatus, Pause, Resume)
