Send reads again to replicas that have caught up

Only reads bring samples of the replication delay, and a high average kept all reads away. Change: the average fades while it gets no samples, and a sample after a pause weighs more.

--- a/jacinthhaven/sql/evidence.py
+++ b/jacinthhaven/sql/evidence.py
@@ -108,7 +108,7 @@
             return
         if self.proofs.newest is not None:
             passed_ms = self.proofs.time_of(position) or now_ms
-            state.sample_replication(now_ms - passed_ms)
+            state.sample_replication(now_ms - passed_ms, now_ms)
 
     def _proves_lead(
         self,
--- a/jacinthhaven/sql/instances.py
+++ b/jacinthhaven/sql/instances.py
@@ -8,7 +8,7 @@
 # Weight of one sample in the moving averages.
 _SAMPLE_WEIGHT = 0.15
 # An average without samples returns to the first value within this time,
-# so that a slow instance is tried again.
+# so that an instance that was slow or lagged is tried again.
 _FORGET_MS = 1500
 # Added to the measured replication delay before a read is sent.
 _REPLICATION_MARGIN_MS = 30
@@ -30,7 +30,9 @@
       entry: Registry entry.
       links: Open and opening links.
       latency_ms: Moving average of the time of single statements.
+      sampled_ms: When the latency was last sampled.
       replication_ms: Moving average of how far the instance lags.
+      lag_sampled_ms: When the replication delay was last sampled.
       applied: Newest position that the instance has shown.
       behind_until_ms: Until when it is not offered reads after it lagged.
       closed_until_ms: Until when no link is opened after a failure.
@@ -49,6 +51,7 @@
         'latency_ms',
         'sampled_ms',
         'replication_ms',
+        'lag_sampled_ms',
         'applied',
         'behind_until_ms',
         'closed_until_ms',
@@ -68,6 +71,7 @@
         self.latency_ms = _FIRST_LATENCY_MS
         self.sampled_ms = now_ms
         self.replication_ms = _FIRST_REPLICATION_MS
+        self.lag_sampled_ms = now_ms
         self.applied: records.Position | None = None
         self.behind_until_ms = 0
         self.closed_until_ms = 0
@@ -133,16 +137,29 @@
         self.latency_ms += _SAMPLE_WEIGHT * (spent_ms - self.latency_ms)
         self.sampled_ms = now_ms
 
-    def sample_replication(self, lag_ms: int) -> None:
+    def sample_replication(self, lag_ms: int, now_ms: int) -> None:
         """Add how far the instance was behind the primary."""
-        self.replication_ms += _SAMPLE_WEIGHT * (lag_ms - self.replication_ms)
+        since_ms = now_ms - self.lag_sampled_ms
+        # After a pause the old average says little.
+        weight = max(_SAMPLE_WEIGHT, min(since_ms / _FORGET_MS, 1.0))
+        self.replication_ms += weight * (lag_ms - self.replication_ms)
+        self.lag_sampled_ms = now_ms
+
+    def expected_replication_ms(self, now_ms: int) -> float:
+        """Return how far the instance is expected to lag."""
+        return _faded(
+            self.replication_ms,
+            _FIRST_REPLICATION_MS,
+            now_ms - self.lag_sampled_ms,
+        )
 
     def expected_ms(self, now_ms: int) -> float:
         """Return the expected time of a further statement."""
-        forget = min((now_ms - self.sampled_ms) / _FORGET_MS, 1.0)
-        latency = self.latency_ms
-        if latency > _FIRST_LATENCY_MS:
-            latency -= forget * (latency - _FIRST_LATENCY_MS)
+        latency = _faded(
+            self.latency_ms,
+            _FIRST_LATENCY_MS,
+            now_ms - self.sampled_ms,
+        )
         busy = sum(not link.free for link in self.links)
         return latency * (1 + busy / max(self.entry.slots, 1))
 
@@ -157,4 +174,16 @@
             return True
         if now_ms < self.behind_until_ms:
             return False
-        return age_ms >= self.replication_ms + _REPLICATION_MARGIN_MS
+        delay_ms = self.expected_replication_ms(now_ms)
+        return age_ms >= delay_ms + _REPLICATION_MARGIN_MS
+
+
+def _faded(average: float, first: float, since_ms: int) -> float:
+    """Return a moving average that fades while it gets no samples.
+
+    Only use brings samples, so an average that prevents the use of an
+    instance would otherwise stay as it is.
+    """
+    if average <= first:
+        return average
+    return average - min(since_ms / _FORGET_MS, 1.0) * (average - first)
--- a/jacinthhaven/sql/reads_test.py
+++ b/jacinthhaven/sql/reads_test.py
@@ -113,6 +113,34 @@
     assert refused <= 4
 
 
+def test_replica_that_has_caught_up_gets_reads_again():
+    """Guards against replicas that stay unused after they have lagged.
+
+    Reads were the only source of their delay, so that a high estimate
+    sent all further reads to the primary.
+    """
+    rig = builders.Rig()
+    writer = rig.connect(builders.STRICT)
+    reader = rig.connect(builders.OWN)
+    replicas = ('db-b', 'db-c')
+    for replica in replicas:
+        rig.group.instances[replica].lag_ms = 6000
+    for step in range(100):
+        rig.ask(writer, f'WRITE k {step}', f'w{step}')
+        rig.ask(reader, 'READ k', f'r{step}')
+        rig.run(60)
+    for replica in replicas:
+        rig.group.instances[replica].lag_ms = 60
+    rig.lines.clear()
+    for step in range(100):
+        rig.ask(writer, f'WRITE k {step}', f'x{step}')
+        rig.ask(reader, 'READ k', f's{step}')
+        rig.run(60)
+    places = builders.ran(rig, 'READ k')
+    at_replicas = sum(name in replicas for name in places[-20:])
+    assert at_replicas >= 15
+
+
 def test_leaving_replica_gets_no_reads():
     """Guards against new work for an instance that is about to stop."""
     rig = builders.Rig()
