Prove the lead by a transaction instead of a status question

A plain transaction succeeds only while its instance leads, so that a strict read inside a transaction of its own needs no question, and its answer is a proof. A read that finds no recent proof takes the same way. Change: guarded reads; one node for each service asks an idle primary, the others after five seconds or once another node doubts it. A control command that was sent to a silent instance is given up after 400 ms; it held up a choice for five seconds (found by an existing test whose timing changed; the new test of a silent replica fails without it).

--- a/jacinthhaven/sql/election.py
+++ b/jacinthhaven/sql/election.py
@@ -24,6 +24,8 @@
 
 # Silence after which a node says that it does not reach the primary.
 DOUBT_MS = 700
+# The same if another node has said so already.
+SECOND_DOUBT_MS = 400
 # A node that is not the first to act waits so long for each one before it.
 _STAGGER_MS = 700
 # Nodes beyond these wait no longer than the last of them.
@@ -138,6 +140,7 @@
     def tick(self, members: tuple[str, ...], lease: int, now_ms: int) -> None:
         """Say what this node sees, and act if it is its turn."""
         self.now_ms = now_ms
+        self.service.alerted = self._others_doubt()
         self._say(lease)
         cause = self._cause(members)
         if cause is None:
@@ -195,10 +198,20 @@
         votes = len(self._voters(members))
         return 'unreachable' if 2 * votes > len(members) else None
 
+    def _others_doubt(self) -> bool:
+        """Return whether another node does not reach the primary."""
+        name = self.service.presumed_leader()
+        return any(
+            doubted == name and node != self.node
+            for node, doubted in self.doubts.items()
+            if doubted
+        )
+
     def _say(self, lease: int) -> None:
         """Write or remove this node's doubt about the primary."""
         doubted = ''
-        if self.service.leader_silent_ms(self.now_ms) >= DOUBT_MS:
+        limit_ms = SECOND_DOUBT_MS if self.service.alerted else DOUBT_MS
+        if self.service.leader_silent_ms(self.now_ms) >= limit_ms:
             doubted = self.service.presumed_leader()
         if doubted == self.opinion.said or self.opinion.saying or not lease:
             return
--- a/jacinthhaven/sql/election_test.py
+++ b/jacinthhaven/sql/election_test.py
@@ -123,6 +123,39 @@
     assert leaders == {fleet.group.primary}
 
 
+def test_doubt_of_one_node_makes_the_others_check():
+    """Guards against a long wait for the votes of nodes without traffic."""
+    fleet = Fleet()
+    services = [
+        member.gateway.groups[builders.SERVICE] for member in fleet.nodes
+    ]
+    services[0].check_ms = 300
+    for service in services[1:]:
+        service.check_ms = 60_000
+    fleet.silence('db-a', 3)
+    fleet.run(2600)
+    assert len(fleet.orders()) == 1
+
+
+def test_silent_replica_does_not_hold_up_a_promotion():
+    """Guards against a choice that waits for an instance without an answer."""
+    fleet = Fleet()
+    fleet.silence('db-a', 3)
+    fleet.silence('db-c', 3)
+    fleet.run(3200)
+    assert fleet.group.primary == 'db-b'
+
+
+def test_idle_fleet_asks_little():
+    """Guards against questions of every node, which occupy slots."""
+    fleet = Fleet()
+    for known in fleet.rigs:
+        known.lines.clear()
+    fleet.run(10_000)
+    lines = [line for rig in fleet.rigs for line in rig.lines]
+    assert len(lines) <= 20
+
+
 def test_one_node_without_contact_does_not_promote():
     """Guards against replacing a primary that most nodes reach."""
     fleet = Fleet()
--- a/jacinthhaven/sql/execution.py
+++ b/jacinthhaven/sql/execution.py
@@ -18,8 +18,6 @@
     statements,
 )
 
-# Questions for the proof of the lead behind one read.
-_MAX_PROOF_TRIES = 3
 # How long a replica that lagged is not offered reads.
 _BEHIND_MS = 200
 
@@ -61,7 +59,7 @@
             work = link.work
             if not isinstance(work, sessions.Work) or work.done:
                 return False
-            return work.needs_primary and not work.prove_lead
+            return work.needs_primary or work.guarded
     return False
 
 
@@ -115,6 +113,7 @@
         if transaction is not None:
             choice.link.pinned = work.session
             transaction.link = choice.link
+        work.guarded = choice.guarded
         self.start(group, work, choice.link, choice.after, now_ms)
 
     def start(
@@ -132,13 +131,15 @@
         begins = transaction is not None and not transaction.begun
         link.work = work
         link.steps.extend(links.setup_steps(link, session, work.statement))
-        if begins:
-            read_only = not work.needs_primary
+        if begins or work.guarded:
+            # The instance runs a transaction that may write only as long as
+            # it leads, so that such a read needs no other proof of the lead.
+            read_only = not (work.needs_primary or work.guarded)
             link.steps.append(commands.Begin(read_only, after))
             after = None
         link.steps.append(links.run_command(session, work.statement, after))
-        if work.prove_lead:
-            link.steps.append(commands.AskStatus())
+        if work.guarded and transaction is None:
+            link.steps.append(commands.Rollback())
         self.send_next(group, link, now_ms)
 
     def send_next(
@@ -175,8 +176,6 @@
                 self._discard(group, link, reply, now_ms)
             case commands.Run():
                 self._finish_run(group, link, reply, now_ms)
-            case commands.AskStatus() if isinstance(work, sessions.Work):
-                self._finish_proof(group, link, reply, now_ms)
             case commands.Rollback():
                 self._finish_rollback(group, link, reply, now_ms)
             case commands.AskStatus() | commands.Pause() | commands.Resume():
@@ -297,10 +296,6 @@
                 # which they would make look faster than its replicas.
                 state.sample_latency(spent_ms, now_ms)
             group.backlog.sample(spent_ms)
-            if work.prove_lead:
-                work.held = reply
-                self.send_next(group, link, now_ms)
-                return
             self._succeed(group, link, reply, now_ms)
             return
         self._run_failed(group, link, reply, now_ms)
@@ -343,6 +338,8 @@
             return
         link.work = None
         link.steps.clear()
+        if reply.state is not statements.State.IDLE:
+            link.steps.append(commands.Rollback())
         self.send_next(group, link, now_ms)
         if reply.code in statements.NOT_RUN or (
             reply.code is statements.Code.UNKNOWN_STATEMENT
@@ -374,6 +371,7 @@
                 'service': group.name,
                 'instance': link.instance,
                 'code': reply.code.value,
+                'position': str(reply.position),
             },
         )
         group.requeue(work, now_ms)
@@ -391,27 +389,6 @@
         reason = f'instance said {reply.code}: {reply.detail}'
         self.fail(work, outcomes.in_transaction(reply.code), reason, now_ms)
 
-    def _finish_proof(
-        self,
-        group: Owner,
-        link: links.Link,
-        reply: statements.Reply,
-        now_ms: int,
-    ) -> None:
-        work = link.work
-        if work.done:
-            self._discard(group, link, reply, now_ms)
-        elif reply.status is None and work.proof_tries < _MAX_PROOF_TRIES:
-            work.proof_tries += 1
-            link.steps.append(commands.AskStatus())
-            self.send_next(group, link, now_ms)
-        elif reply.status is not None and reply.status.is_primary:
-            self._succeed(group, link, work.held, now_ms)
-        else:
-            link.work = None
-            self.send_next(group, link, now_ms)
-            group.requeue(work, now_ms)
-
     def _finish_setup(
         self,
         group: Owner,
@@ -487,6 +464,9 @@
         if reply.state is statements.State.IDLE:
             link.pinned = None
             self._free(link, now_ms)
+        elif link.pinned is None:
+            link.steps.append(commands.Rollback())
+            self.send_next(group, link, now_ms)
         else:
             group.pool.drop(link)
 
--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -22,13 +22,16 @@
     statements,
 )
 
-# Age of the newest proof at which the primary is asked for another one,
-# below the ages that routes allow in practice (1,500 ms and more).
-_REFRESH_MS = 800
 # Silence of an instance after which its reads run elsewhere; longer than
 # nearly all statements take on a busy instance.
 _MOVE_MS = 350
-# Time within which a control command must find a link.
+# Time without a word of the primary after which a node asks for its status,
+# so that its loss is noticed without traffic too: one node, the others, and
+# those that have learned that another node does not reach it.
+CHECK_MS = 800
+OTHERS_CHECK_MS = 5000
+ALERTED_CHECK_MS = 150
+# Time within which a control command must find a link, and then its reply.
 _QUESTION_MS = 400
 
 
@@ -39,6 +42,8 @@
       name: Name of the service.
       owned: Whether this node executes statements of all nodes.
       owners: Nodes that do, sorted by name.
+      check_ms: Time without a word of the primary before it is asked.
+      alerted: Whether another node does not reach the primary.
     """
 
     def __init__(
@@ -70,7 +75,9 @@
             self.journal,
             now_ms,
         )
-        self.refreshing = False
+        self.check_ms = CHECK_MS
+        self.checked_ms = 0
+        self.alerted = False
         self.owned = True
         self.owners: tuple[str, ...] = ()
 
@@ -102,6 +109,7 @@
             self.proofs,
             self.zone,
             now_ms,
+            renew=self.proofs.renewal_due(now_ms),
         )
 
     def submit(self, work: sessions.Work, now_ms: int) -> None:
@@ -122,7 +130,7 @@
             return
         work.link = None
         work.sent = False
-        work.held = None
+        work.guarded = False
         if work.tried.issuperset(self.pool.states):
             work.tried.clear()
         self.backlog.add(work)
@@ -133,24 +141,19 @@
 
     def dispatch(self, now_ms: int) -> None:
         """Give free links to control commands and waiting statements."""
-        for state in self.pool.states.values():
-            for link in state.free_links:
-                question = self.pool.next_question(link)
-                if question is not None:
-                    self._carry(link, question, now_ms)
-        view = self.view(now_ms)
+        self._carry_questions(now_ms)
         for work in tuple(self.backlog.waiting):
+            view = self.view(now_ms)
             choice = placement.choose(work, view)
             if choice is not None:
-                self.backlog.remove(work)
-                self.executor.place(self, work, choice, now_ms)
+                self._place(work, choice, now_ms)
         self._want_links(now_ms)
 
     def tick(self, now_ms: int) -> None:
-        """Open links, give up what is overdue and refresh the proofs."""
+        """Open links and give up what is overdue."""
         self._end_overdue(now_ms)
         self._tend_links(now_ms)
-        self._refresh(now_ms)
+        self._check_leader(now_ms)
         self._look_for_leader(now_ms)
         self.dispatch(now_ms)
         self._refuse_expired(now_ms)
@@ -323,29 +326,45 @@
         if news:
             self.pool.open_missing(now_ms)
 
+    def _place(
+        self,
+        work: sessions.Work,
+        choice: placement.Choice,
+        now_ms: int,
+    ) -> None:
+        self.backlog.remove(work)
+        if choice.guarded:
+            self.proofs.renewing_ms = now_ms
+        self.executor.place(self, work, choice, now_ms)
+
+    def _carry_questions(self, now_ms: int) -> None:
+        for state in self.pool.states.values():
+            for link in state.free_links:
+                question = self.pool.next_question(link)
+                if question is not None:
+                    self._carry(link, question, now_ms)
+
     def _carry(
         self,
         link: links.Link,
         question: pool.Question,
         now_ms: int,
     ) -> None:
+        question.until_ms = now_ms + _QUESTION_MS
         link.work = question
         link.steps.append(question.command)
         self.executor.send_next(self, link, now_ms)
 
-    def _refresh(self, now_ms: int) -> None:
-        """Ask the primary for a proof if traffic brought none."""
-        leader = self.leadership.leader
-        if leader is None or self.refreshing or not self.active:
-            return
-        age_ms = self.proofs.age_ms(now_ms)
-        if age_ms is not None and age_ms < _REFRESH_MS:
+    def _check_leader(self, now_ms: int) -> None:
+        """Ask the primary for its status if nothing was heard of it."""
+        state = self.leader_state
+        if state is None or not self.active:
             return
-        self.refreshing = True
-        self.ask(leader, commands.AskStatus(), self._refreshed, now_ms)
-
-    def _refreshed(self, _reply: statements.Reply | None) -> None:
-        self.refreshing = False
+        wait_ms = ALERTED_CHECK_MS if self.alerted else self.check_ms
+        if now_ms - max(state.heard_ms, self.checked_ms) >= wait_ms:
+            self.checked_ms = now_ms
+            name = state.entry.name
+            self.ask(name, commands.AskStatus(), _ignore, now_ms)
 
     def _look_for_leader(self, now_ms: int) -> None:
         silent = self.leader_silent_ms(now_ms) >= instances.SUSPECT_MS
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -8,11 +8,13 @@
 
 import msgspec
 
+from jacinthhaven.kernel import ranking
 from jacinthhaven.records import store
 from jacinthhaven.sql import (
     coordination,
     election,
     gateway,
+    group,
     lending,
     ownership,
     ports,
@@ -290,6 +292,10 @@
         for name, known in self.gateway.groups.items():
             owners = ownership.owners(name, self.peers)
             known.owners = owners
+            checker = ranking.ranked(name, owners)[:1]
+            known.check_ms = group.OTHERS_CHECK_MS
+            if not owners or checker == [self.identity.name]:
+                known.check_ms = group.CHECK_MS
             size = max(size, len(owners))
             if not owners or self.identity.name in owners:
                 owned.add(name)
--- a/jacinthhaven/sql/placement.py
+++ b/jacinthhaven/sql/placement.py
@@ -25,12 +25,15 @@
       after: Position that the instance must have applied, if any.
       reason: Why this instance was chosen, for the log.
       age_ms: Age of the proof behind `after`.
+      guarded: Whether the statement runs inside a transaction of its own,
+        which only succeeds while the instance leads.
     """
 
     link: links.Link
     after: records.Position | None
     reason: str
     age_ms: int = 0
+    guarded: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +46,7 @@
       proofs: Proved positions of the primary.
       zone: Availability zone of this node.
       now_ms: Current time.
+      renew: Whether a further proof is due.
     """
 
     states: dict[str, instances.InstanceState]
@@ -50,19 +54,23 @@
     proofs: proofs.Proofs
     zone: str
     now_ms: int
+    renew: bool = False
 
 
 def choose(work: sessions.Work, view: View) -> Choice | None:
     """Return where a statement goes now, or None if it has to wait."""
     if work.needs_primary:
-        return _primary(work, view)
+        return _primary(work, view, guarded=work.strict_read)
     proof = view.proofs.required(
         work.route.max_age_ms,
         view.now_ms,
         work.session.position,
     )
-    if proof is None:
-        return None
+    if proof is None or view.renew:
+        # A guarded read proves the position that it has seen.
+        choice = _primary(work, view, guarded=True)
+        if proof is None or choice is not None:
+            return choice
     age_ms = view.now_ms - proof.at_ms
     able = [
         state
@@ -121,13 +129,18 @@
     return best.entry.name
 
 
-def _primary(work: sessions.Work, view: View) -> Choice | None:
+def _primary(
+    work: sessions.Work,
+    view: View,
+    *,
+    guarded: bool,
+) -> Choice | None:
     state = view.states.get(view.leader or '')
     if state is None or not state.free_links:
         return None
     if not state.reachable_at(view.now_ms):
         return None
-    return Choice(_pick(state, work), None, 'primary')
+    return Choice(_pick(state, work), None, 'primary', guarded=guarded)
 
 
 def _pick(
--- a/jacinthhaven/sql/pool.py
+++ b/jacinthhaven/sql/pool.py
@@ -52,7 +52,7 @@
     Attributes:
       command: Command to send.
       on_reply: Receives the reply, or None if there is none in time.
-      until_ms: When it is given up.
+      until_ms: When it is given up, before and again after it was sent.
     """
 
     command: commands.Command
@@ -180,10 +180,16 @@
         ]
 
     def expire_questions(self, now_ms: int) -> None:
-        """Give up control commands that found no link in time."""
+        """Give up control commands without a link or a reply in time."""
         for waiting in self.questions.values():
             while waiting and waiting[0].until_ms <= now_ms:
                 waiting.popleft().on_reply(None)
+        for link in tuple(self.by_number.values()):
+            asked = link.work
+            if isinstance(asked, Question) and asked.until_ms <= now_ms:
+                # A late reply still frees the link.
+                link.work = None
+                asked.on_reply(None)
 
     def next_question(self, link: links.Link) -> Question | None:
         """Return the control command that a free link should carry."""
--- a/jacinthhaven/sql/proofs.py
+++ b/jacinthhaven/sql/proofs.py
@@ -17,6 +17,12 @@
 # Part of the allowed age that is used: older positions are more likely to
 # be applied everywhere, and the rest covers the way to the instance.
 _AGE_SHARE = 0.85
+# Age of the newest proof at which the next read goes to the primary for
+# another one, below the ages that routes allow in practice (1,500 ms and
+# more).
+_RENEW_MS = 800
+# Time for the reply to such a read before another one is sent there.
+_RENEW_AGAIN_MS = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,7 +35,12 @@
 
 
 class Proofs:
-    """History of proofs of one service, oldest first."""
+    """History of proofs of one service, oldest first.
+
+    Attributes:
+      newest: Newest proof, if any.
+      renewing_ms: When a read that brings a proof was last sent.
+    """
 
     def __init__(self) -> None:
         """Start without a proof."""
@@ -37,6 +48,7 @@
             maxlen=_MAX_PROOFS,
         )
         self.newest: Proof | None = None
+        self.renewing_ms = 0
 
     def add(self, proof: Proof) -> None:
         """Keep a proof unless it is older than the newest one."""
@@ -65,6 +77,13 @@
             return None
         return now_ms - self.newest.at_ms
 
+    def renewal_due(self, now_ms: int) -> bool:
+        """Return whether traffic has brought no proof for a while."""
+        if now_ms - self.renewing_ms < _RENEW_AGAIN_MS:
+            return False
+        age_ms = self.age_ms(now_ms)
+        return age_ms is None or age_ms >= _RENEW_MS
+
     def oldest_within(self, max_age_ms: int, now_ms: int) -> Proof | None:
         """Return the oldest proof that is safely within an age."""
         since_ms = now_ms - int(max_age_ms * _AGE_SHARE)
--- a/jacinthhaven/sql/sessions.py
+++ b/jacinthhaven/sql/sessions.py
@@ -122,16 +122,16 @@
       statement: Statement to execute.
       route: Route in force.
       needs_primary: Whether only the primary may execute it.
-      prove_lead: Whether the answer waits for a later proof of the lead.
+      strict_read: Whether it reads the newest data outside a transaction.
       repeatable: Whether it may run again after an unknown outcome.
       arrived_ms: When it arrived.
       deadline_ms: When it must be answered.
       link: Link that executes it, if any.
       started_ms: When the statement itself was sent.
       sent: Whether the statement itself was sent.
-      held: Reply that waits for the proof of the lead.
+      guarded: Whether it runs inside a transaction of its own, which only
+        succeeds while the instance leads.
       tried: Instances that cannot execute it now.
-      proof_tries: Questions for the proof of the lead so far.
       done: Whether the client has its answer.
     """
 
@@ -140,16 +140,15 @@
         'statement',
         'route',
         'needs_primary',
-        'prove_lead',
+        'strict_read',
         'repeatable',
         'arrived_ms',
         'deadline_ms',
         'link',
         'started_ms',
         'sent',
-        'held',
+        'guarded',
         'tried',
-        'proof_tries',
         'done',
     )
 
@@ -169,16 +168,15 @@
         strict = route.mode is records.Mode.PRIMARY
         plain = transaction is not None and not transaction.read_only
         self.needs_primary = writes or strict or plain
-        self.prove_lead = strict and transaction is None and not writes
         self.repeatable = transaction is None and not writes
+        self.strict_read = strict and self.repeatable
         self.arrived_ms = now_ms
         self.deadline_ms = now_ms + route.timeout_ms
         self.link: typing.Any = None
         self.started_ms = 0
         self.sent = False
-        self.held: statements.Reply | None = None
+        self.guarded = False
         self.tried: set[str] = set()
-        self.proof_tries = 0
         self.done = False
 
     @property
