Read at a successor that lacks the proved position

Cause: after a promotion that loses commits, nodes that learn the leader from the store still hold proofs of the old term. Change: a refusal by the leader drops all proofs, and a newer term makes the next read renew the proof.

--- a/jacinthhaven/sql/execution.py
+++ b/jacinthhaven/sql/execution.py
@@ -361,7 +361,7 @@
         if reply.code is statements.Code.BEHIND:
             state.behind_until_ms = now_ms + _BEHIND_MS
             if link.instance == group.leadership.leader:
-                group.proofs.forget_older()
+                group.proofs.forget()
         elif reply.code in _TRY_ELSEWHERE:
             work.tried.add(link.instance)
         self.journal.write(
--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -109,7 +109,7 @@
             self.proofs,
             self.zone,
             now_ms,
-            renew=self.proofs.renewal_due(now_ms),
+            renew=self.proofs.renewal_due(self.leadership.term, now_ms),
         )
 
     def submit(self, work: sessions.Work, now_ms: int) -> None:
--- a/jacinthhaven/sql/proofs.py
+++ b/jacinthhaven/sql/proofs.py
@@ -65,24 +65,25 @@
         if last is None or proof.at_ms - last >= _SPACING_MS:
             self.history.append(proof)
 
-    def forget_older(self) -> None:
-        """Keep the newest proof only, after an instance lacked an older one."""
+    def forget(self) -> None:
+        """Drop all proofs, after the primary lacked the position of one."""
         self.history.clear()
-        if self.newest is not None:
-            self.history.append(self.newest)
+        self.newest = None
+        self.renewing_ms = 0
 
-    def age_ms(self, now_ms: int) -> int | None:
-        """Return the age of the newest proof, or None without one."""
-        if self.newest is None:
-            return None
-        return now_ms - self.newest.at_ms
+    def renewal_due(self, term: int, now_ms: int) -> bool:
+        """Return whether traffic has brought no proof for a while.
 
-    def renewal_due(self, now_ms: int) -> bool:
-        """Return whether traffic has brought no proof for a while."""
+        Args:
+          term: Newest known term; positions of older ones may be lost.
+          now_ms: Current time.
+        """
         if now_ms - self.renewing_ms < _RENEW_AGAIN_MS:
             return False
-        age_ms = self.age_ms(now_ms)
-        return age_ms is None or age_ms >= _RENEW_MS
+        newest = self.newest
+        if newest is None or newest.term < term:
+            return True
+        return now_ms - newest.at_ms >= _RENEW_MS
 
     def oldest_within(self, max_age_ms: int, now_ms: int) -> Proof | None:
         """Return the oldest proof that is safely within an age."""
--- a/jacinthhaven/sql/reads_test.py
+++ b/jacinthhaven/sql/reads_test.py
@@ -141,6 +141,27 @@
     assert at_replicas >= 15
 
 
+def test_successor_without_the_proved_position_is_read_at_once():
+    """Guards against asking a new primary for commits that it has lost."""
+    rig = builders.Rig()
+    writer = rig.connect(builders.STRICT)
+    rig.ask(writer, 'WRITE k a', 'w0')
+    rig.run(200)
+    for replica in ('db-b', 'db-c'):
+        rig.group.instances[replica].deaf = True
+    for step in range(1, 5):
+        rig.ask(writer, f'WRITE k {step}', f'w{step}')
+    rig.run(600)
+    rig.databases.silent.add('db-a')
+    rig.group.promote('db-b')
+    rig.service.evidence.follow('db-b', 2, 'store')
+    before_ms = rig.now_ms
+    answer = rig.ask(rig.connect(builders.OWN), 'READ k', 'r')
+    assert answer.rows == ('a',)
+    assert rig.now_ms - before_ms <= 100
+    assert rig.journal.counts['refused_by_instance.behind'] <= 3
+
+
 def test_leaving_replica_gets_no_reads():
     """Guards against new work for an instance that is about to stop."""
     rig = builders.Rig()
