--- a/jacinthhaven/sql/evidence.py
+++ b/jacinthhaven/sql/evidence.py
@@ -13,6 +13,9 @@
     statements,
 )
 
+# Commands that ask for a position.
+_POSITIONED = (commands.Run, commands.Begin)
+
 
 class Evidence:
     """Knowledge about one service that replies bring.
@@ -57,6 +60,8 @@
             self._learn_delay(state, reply.position, now_ms)
         if reply.status is not None:
             self._learn_status(link, reply.status)
+        if reply.code is statements.Code.BEHIND:
+            self._learn_refusal(link, command, reply)
         if reply.code is statements.Code.READ_ONLY:
             self.deny(link.instance, 0, 'refused a write')
         elif reply.code is None and self._proves_lead(link, command, reply):
@@ -98,6 +103,24 @@
         else:
             self.deny(link.instance, status.term, 'status')
 
+    def _learn_refusal(
+        self,
+        link: links.Link,
+        command: commands.Command,
+        reply: statements.Reply,
+    ) -> None:
+        """Drop the proofs if the position that was asked for is lost.
+
+        That is certain if the leader lacks it, or an instance that has
+        applied a later one.
+        """
+        asked = command.after if isinstance(command, _POSITIONED) else None
+        if asked is None:
+            return
+        passed = reply.position is not None and reply.position >= asked
+        if passed or link.instance == self.leadership.leader:
+            self.proofs.forget()
+
     def _learn_delay(
         self,
         state: instances.InstanceState,
--- a/jacinthhaven/sql/execution.py
+++ b/jacinthhaven/sql/execution.py
@@ -360,8 +360,6 @@
         state = group.pool.states[link.instance]
         if reply.code is statements.Code.BEHIND:
             state.behind_until_ms = now_ms + _BEHIND_MS
-            if link.instance == group.leadership.leader:
-                group.proofs.forget()
         elif reply.code in _TRY_ELSEWHERE:
             work.tried.add(link.instance)
         self.journal.write(
--- a/jacinthhaven/sql/instances.py
+++ b/jacinthhaven/sql/instances.py
@@ -170,10 +170,10 @@
         now_ms: int,
     ) -> bool:
         """Return whether a position is probably applied."""
-        if self.applied is not None and self.applied >= position:
-            return True
         if now_ms < self.behind_until_ms:
             return False
+        if self.applied is not None and self.applied >= position:
+            return True
         delay_ms = self.expected_replication_ms(now_ms)
         return age_ms >= delay_ms + _REPLICATION_MARGIN_MS
 
--- a/jacinthhaven/sql/reads_test.py
+++ b/jacinthhaven/sql/reads_test.py
@@ -162,6 +162,28 @@
     assert rig.journal.counts['refused_by_instance.behind'] <= 3
 
 
+def test_lost_position_is_not_asked_for_again_and_again():
+    """Guards against an instance that is past a position that was lost."""
+    rig = builders.Rig()
+    writer = rig.connect(builders.STRICT)
+    for replica in ('db-b', 'db-c'):
+        rig.group.instances[replica].deaf = True
+    for step in range(1, 5):
+        rig.ask(writer, f'WRITE k {step}', f'w{step}')
+    rig.run(600)
+    rig.group.promote('db-b')
+    rig.group.instances['db-c'].deaf = False
+    for step in range(9):
+        rig.group.commit((('k', 'new'),), (f'o{step}',), rig.now_ms)
+    rig.run(200)
+    rig.databases.silent.add('db-a')
+    state = rig.service.pool.states['db-c']
+    state.applied = rig.group.instances['db-c'].position(rig.now_ms)
+    rig.send(rig.connect(builders.OWN), 'READ k', 'r')
+    rig.run(300)
+    assert rig.journal.counts['refused_by_instance.behind'] <= 3
+
+
 def test_leaving_replica_gets_no_reads():
     """Guards against new work for an instance that is about to stop."""
     rig = builders.Rig()
