Limit what is in flight at an instance and order the rest by its cost

Change: a window for each instance, smaller after refusals; short statements first within a priority; a statement that cannot be in time any more is refused while others still can.

--- a/jacinthhaven/sql/backlog.py
+++ b/jacinthhaven/sql/backlog.py
@@ -1,15 +1,16 @@
 """Statements that wait for a link, and which of them are refused.
 
 The load that this answers: more statements than the slots of the instances
-can execute in time. A statement that will not be executed within its
-target is refused at once, so that its client can try another node, and the
-statements that remain are executed early enough to count.
+can execute in time. Within a priority, short statements go first, so that
+the slots serve as many callers as they can. A statement that cannot be
+executed within its target while others still can is refused at once: its
+client can come back or try another node, and nobody else becomes late.
 """
 
 import bisect
 import typing
 
-from jacinthhaven.sql import sessions
+from jacinthhaven.sql import records, sessions
 
 # Part of the target latency that a statement may be expected to wait.
 WAIT_SHARE = 0.9
@@ -21,6 +22,7 @@
 _RUN_RESERVE_MS = 60
 # Assumed time of one statement until some were measured.
 _FIRST_SERVICE_MS = 25.0
+# Weight of one sample of a time that varies from statement to statement.
 _SAMPLE_WEIGHT = 0.05
 
 
@@ -29,20 +31,23 @@
 
     Attributes:
       waiting: Statements in the order in which they are offered links.
-      service_ms: Moving average of how long a statement holds a link.
+      service_ms: Moving averages of how long statements hold a link, by the
+        mode of their route.
     """
 
     def __init__(self) -> None:
         """Start empty."""
         self.waiting: list[sessions.Work] = []
-        self.service_ms = _FIRST_SERVICE_MS
+        self.service_ms = dict.fromkeys(records.Mode, _FIRST_SERVICE_MS)
 
-    def sample(self, spent_ms: int) -> None:
+    def sample(self, mode: records.Mode, spent_ms: int) -> None:
         """Add how long one statement held its link."""
-        self.service_ms += _SAMPLE_WEIGHT * (spent_ms - self.service_ms)
+        average = self.service_ms[mode]
+        self.service_ms[mode] += _SAMPLE_WEIGHT * (spent_ms - average)
 
     def add(self, work: sessions.Work) -> None:
-        """Insert a statement behind those that are as important."""
+        """Insert a statement behind those that go first."""
+        work.service_ms = self.service_ms[work.route.mode]
         bisect.insort_right(self.waiting, work, key=_order)
 
     def remove(self, work: sessions.Work) -> None:
@@ -57,14 +62,14 @@
           work: Statement that has just arrived.
           links: Links that may execute it.
         """
-        ahead = [
-            waiting
+        work.service_ms = self.service_ms[work.route.mode]
+        ahead_ms = sum(
+            waiting.service_ms
             for waiting in self.waiting
             if _order(waiting) <= _order(work)
-        ]
-        if work.needs_primary:
-            ahead = [waiting for waiting in ahead if waiting.needs_primary]
-        return len(ahead) * self.service_ms / max(links, 1)
+            and (waiting.needs_primary or not work.needs_primary)
+        )
+        return ahead_ms / max(links, 1)
 
     def accepts(self, work: sessions.Work, links: int) -> bool:
         """Return whether a new statement can be expected to be in time."""
@@ -85,17 +90,26 @@
             that is not known.
           served: Whether some instance can serve a statement at present.
         """
-        return [
-            work
-            for work in self.waiting
-            if _too_late(work, now_ms)
-            or not served(work)
-            and _hopeless(work, now_ms, primary_ms)
-        ]
+        crowded = any(_in_time(work, now_ms) for work in self.waiting)
 
+        def is_expired(work: sessions.Work) -> bool:  # noqa: WPS430
+            if _too_late(work, now_ms):
+                return True
+            if served(work):
+                return crowded and not _in_time(work, now_ms)
+            return _hopeless(work, now_ms, primary_ms)
 
-def _order(work: sessions.Work) -> tuple[int, int]:
-    return (work.route.priority, work.arrived_ms)
+        return [work for work in self.waiting if is_expired(work)]
+
+
+def _order(work: sessions.Work) -> tuple[int, float, int]:
+    return (work.route.priority, work.service_ms, work.arrived_ms)
+
+
+def _in_time(work: sessions.Work, now_ms: int) -> bool:
+    """Return whether a statement may still be executed within its target."""
+    waited_ms = now_ms - work.arrived_ms
+    return waited_ms + work.service_ms < work.route.target_ms
 
 
 def _too_late(work: sessions.Work, now_ms: int) -> bool:
--- a/jacinthhaven/sql/builders.py
+++ b/jacinthhaven/sql/builders.py
@@ -1,6 +1,7 @@
 """Builders of test data: a gateway on a model of a database group."""
 
 import collections
+import itertools
 import random
 import typing
 
@@ -264,10 +265,12 @@
       lines: Statements that each instance has run, in order.
     """
 
+    databases_type = FakeDatabases
+
     def __init__(self, members: int = 8) -> None:
         """Start and let the links open."""
         self.group = sql_group.SqlGroup(SERVICE, MEMBERS)
-        self.databases = FakeDatabases(self.group)
+        self.databases = self.databases_type(self.group)
         self.clients = FakeClients()
         self.journal = FakeJournal()
         self.gateway = gateway.Gateway(
@@ -278,7 +281,7 @@
         )
         self.now_ms = 1000
         self.lines: list[tuple[str, str]] = []
-        self.numbers = iter(range(1, 1000))
+        self.numbers = itertools.count(1)
         self.gateway.configure(configuration(), self.now_ms)
         self.gateway.share_links(members)
         self.gateway.register(
--- a/jacinthhaven/sql/evidence.py
+++ b/jacinthhaven/sql/evidence.py
@@ -60,6 +60,10 @@
             self._learn_delay(state, reply.position, now_ms)
         if reply.status is not None:
             self._learn_status(link, reply.status)
+        if reply.code is statements.Code.BUSY:
+            state.window.refused(now_ms)
+        elif reply.code is None:
+            state.window.executed()
         if reply.code is statements.Code.BEHIND:
             self._learn_refusal(link, command, reply)
         if reply.code is statements.Code.READ_ONLY:
@@ -131,7 +135,7 @@
             return
         if self.proofs.newest is not None:
             passed_ms = self.proofs.time_of(position) or now_ms
-            state.sample_replication(now_ms - passed_ms, now_ms)
+            state.replication.sample(now_ms - passed_ms, now_ms)
 
     def _proves_lead(
         self,
--- a/jacinthhaven/sql/execution.py
+++ b/jacinthhaven/sql/execution.py
@@ -294,8 +294,8 @@
             if not work.needs_primary:
                 # Other statements are shorter and only run at the primary,
                 # which they would make look faster than its replicas.
-                state.sample_latency(spent_ms, now_ms)
-            group.backlog.sample(spent_ms)
+                state.latency.sample(spent_ms, now_ms)
+            group.backlog.sample(work.route.mode, spent_ms)
             self._succeed(group, link, reply, now_ms)
             return
         self._run_failed(group, link, reply, now_ms)
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -124,6 +124,7 @@
             share = service.max_connections // (members + 1)
             known.pool.share = max(share, 1) if known.owned else 1
             known.pool.standing = int(known.owned)
+            known.pool.owners = members
 
     def register(
         self,
--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -251,10 +251,14 @@
             self.executor.refuse(work, 'no instance in time', now_ms)
 
     def _links_for(self, work: sessions.Work) -> int:
-        if not work.needs_primary:
-            return len(self.pool.by_number)
-        state = self.leader_state
-        return 1 if state is None else len(state.links)
+        states = list(self.pool.states.values())
+        if work.needs_primary:
+            leader = self.leader_state
+            states = [] if leader is None else [leader]
+        usable = sum(
+            min(len(state.links), state.window.largest) for state in states
+        )
+        return max(usable, 1)
 
     def _tend_links(self, now_ms: int) -> None:
         """Give up silent links, close unused ones and open missing ones."""
--- a/jacinthhaven/sql/instances.py
+++ b/jacinthhaven/sql/instances.py
@@ -1,15 +1,10 @@
 """What this node knows about one instance: links, load and reachability."""
 
-from jacinthhaven.sql import links, records
+from jacinthhaven.sql import averages, links, records, window
 
 # Assumed until statements were measured.
 _FIRST_LATENCY_MS = 25.0
 _FIRST_REPLICATION_MS = 120.0
-# Weight of one sample in the moving averages.
-_SAMPLE_WEIGHT = 0.15
-# An average without samples returns to the first value within this time,
-# so that an instance that was slow or lagged is tried again.
-_FORGET_MS = 1500
 # Added to the measured replication delay before a read is sent.
 _REPLICATION_MARGIN_MS = 30
 # A reply that is missing for longer than the slowest statements of a busy
@@ -29,10 +24,9 @@
     Attributes:
       entry: Registry entry.
       links: Open and opening links.
-      latency_ms: Moving average of the time of single statements.
-      sampled_ms: When the latency was last sampled.
-      replication_ms: Moving average of how far the instance lags.
-      lag_sampled_ms: When the replication delay was last sampled.
+      window: Limit of the statements in flight.
+      latency: Time of single reads in milliseconds.
+      replication: How far the instance lags in milliseconds.
       applied: Newest position that the instance has shown.
       behind_until_ms: Until when it is not offered reads after it lagged.
       closed_until_ms: Until when no link is opened after a failure.
@@ -48,10 +42,9 @@
     __slots__ = (
         'entry',
         'links',
-        'latency_ms',
-        'sampled_ms',
-        'replication_ms',
-        'lag_sampled_ms',
+        'window',
+        'latency',
+        'replication',
         'applied',
         'behind_until_ms',
         'closed_until_ms',
@@ -68,10 +61,12 @@
         """Start without links."""
         self.entry = entry
         self.links: list[links.Link] = []
-        self.latency_ms = _FIRST_LATENCY_MS
-        self.sampled_ms = now_ms
-        self.replication_ms = _FIRST_REPLICATION_MS
-        self.lag_sampled_ms = now_ms
+        self.window = window.Window()
+        self.latency = averages.FadingAverage(_FIRST_LATENCY_MS, now_ms)
+        self.replication = averages.FadingAverage(
+            _FIRST_REPLICATION_MS,
+            now_ms,
+        )
         self.applied: records.Position | None = None
         self.behind_until_ms = 0
         self.closed_until_ms = 0
@@ -118,6 +113,18 @@
         """Return the links that can take new work."""
         return [link for link in self.links if link.free]
 
+    @property
+    def running(self) -> int:
+        """Return how many commands have no reply yet."""
+        return sum(link.sent is not None for link in self.links)
+
+    @property
+    def open_links(self) -> list[links.Link]:
+        """Return the links that may carry a further statement now."""
+        if self.window.allows(self.running):
+            return self.free_links
+        return []
+
     def heard(self, now_ms: int) -> None:
         """Note any sign of life."""
         self.heard_ms = now_ms
@@ -132,36 +139,10 @@
             return 0
         return now_ms - max(min(since), self.heard_ms)
 
-    def sample_latency(self, spent_ms: int, now_ms: int) -> None:
-        """Add the time of one statement."""
-        self.latency_ms += _SAMPLE_WEIGHT * (spent_ms - self.latency_ms)
-        self.sampled_ms = now_ms
-
-    def sample_replication(self, lag_ms: int, now_ms: int) -> None:
-        """Add how far the instance was behind the primary."""
-        since_ms = now_ms - self.lag_sampled_ms
-        # After a pause the old average says little.
-        weight = max(_SAMPLE_WEIGHT, min(since_ms / _FORGET_MS, 1.0))
-        self.replication_ms += weight * (lag_ms - self.replication_ms)
-        self.lag_sampled_ms = now_ms
-
-    def expected_replication_ms(self, now_ms: int) -> float:
-        """Return how far the instance is expected to lag."""
-        return _faded(
-            self.replication_ms,
-            _FIRST_REPLICATION_MS,
-            now_ms - self.lag_sampled_ms,
-        )
-
     def expected_ms(self, now_ms: int) -> float:
         """Return the expected time of a further statement."""
-        latency = _faded(
-            self.latency_ms,
-            _FIRST_LATENCY_MS,
-            now_ms - self.sampled_ms,
-        )
-        busy = sum(not link.free for link in self.links)
-        return latency * (1 + busy / max(self.entry.slots, 1))
+        waiting = self.running / max(self.entry.slots, 1)
+        return self.latency.expected(now_ms) * (1 + waiting)
 
     def has_applied(
         self,
@@ -174,16 +155,5 @@
             return False
         if self.applied is not None and self.applied >= position:
             return True
-        delay_ms = self.expected_replication_ms(now_ms)
+        delay_ms = self.replication.expected(now_ms)
         return age_ms >= delay_ms + _REPLICATION_MARGIN_MS
-
-
-def _faded(average: float, first: float, since_ms: int) -> float:
-    """Return a moving average that fades while it gets no samples.
-
-    Only use brings samples, so an average that prevents the use of an
-    instance would otherwise stay as it is.
-    """
-    if average <= first:
-        return average
-    return average - min(since_ms / _FORGET_MS, 1.0) * (average - first)
--- /dev/null
+++ b/jacinthhaven/sql/load_test.py
@@ -0,0 +1,147 @@
+"""Tests of queueing and refusing under more load than the slots can take."""
+
+import collections
+import random
+import types
+
+from jacinthhaven.sql import builders, records, statements
+
+_SLOTS = 5
+_QUEUE = 40
+# Work of a statement in milliseconds and arrivals a second, by item prefix.
+_SETTLE = 'settle'
+_BOARD = 'board'
+_CERT = 'cert'
+_WORK_MS = types.MappingProxyType({_SETTLE: 8, _BOARD: 40, _CERT: 24})
+_PER_S = types.MappingProxyType({_SETTLE: 40, _BOARD: 40, _CERT: 190})
+_TARGET_MS = types.MappingProxyType({_SETTLE: 200, _BOARD: 600, _CERT: 400})
+_TEXT = types.MappingProxyType(
+    {
+        _SETTLE: (builders.STRICT, 'WRITE settle 1'),
+        _BOARD: (builders.BOUNDED, 'READ board'),
+        _CERT: (builders.OWN, 'READ cert'),
+    }
+)
+
+
+def _free_slots() -> list[int]:
+    return [0 for _slot in range(_SLOTS)]
+
+
+class _SlottedDatabases(builders.FakeDatabases):
+    """Instances that execute few statements at a time."""
+
+    def __init__(self, group) -> None:
+        super().__init__(group)
+        self.free_ms = collections.defaultdict(_free_slots)
+        self.starts = collections.defaultdict(list)
+        self.busy: set[tuple[int, str]] = set()
+        self.longest = 0
+
+    def send(self, number, command) -> None:
+        """Put a command into the queue of its instance."""
+        super().send(number, command)
+        _at_ms, number, line, starts = self.pending.pop()
+        name = self.connections[number].instance.name
+        work_ms = sum(ms for kind, ms in _WORK_MS.items() if kind in line)
+        at_ms = self.now_ms + 1
+        if work_ms:
+            waiting = [at for at in self.starts[name] if at > self.now_ms]
+            self.starts[name] = waiting
+            self.longest = max(self.longest, len(waiting))
+            if len(waiting) >= _QUEUE:
+                self.busy.add((number, line))
+            else:
+                slots = self.free_ms[name]
+                begin_ms = max(min(slots), at_ms)
+                slots[slots.index(min(slots))] = begin_ms + work_ms
+                waiting.append(begin_ms)
+                at_ms = begin_ms + work_ms
+        self.pending.append((at_ms, number, line, starts))
+
+
+class _LoadedRig(builders.Rig):
+    """Rig whose clients send more than the primary can take."""
+
+    databases_type = _SlottedDatabases
+
+    def __init__(self) -> None:
+        super().__init__(members=1)
+        self.service.pool.share = 60
+        for state in self.service.pool.states.values():
+            state.window.resize(_SLOTS, 1)
+        for name in builders.MEMBERS[1:]:
+            self.group.instances[name].lag_ms = 60_000
+        self.sent: dict[int, tuple[str, int]] = {}
+        self.spent: dict[str, list[int | None]] = collections.defaultdict(list)
+        self.refused: dict[str, list[int]] = collections.defaultdict(list)
+
+    def play(self, for_ms: int, factor: float) -> None:
+        """Let clients arrive at random for a while."""
+        rng = random.Random(3)
+        until_ms = self.now_ms + for_ms
+        while self.now_ms < until_ms:
+            for kind, per_s in _PER_S.items():
+                if rng.random() < per_s * factor * 5 / 1000:
+                    database, text = _TEXT[kind]
+                    number = self.connect(database)
+                    self.sent[number] = (kind, self.now_ms)
+                    self.send(number, text, f'r{number}')
+            self.run(5)
+            self._collect()
+
+    def share_in_time(self, kind: str) -> float:
+        """Return the part of the requests that were served in time."""
+        served = self.spent[kind]
+        limit = _TARGET_MS[kind]
+        good = sum(spent <= limit for spent in served)
+        return good / (len(served) + len(self.refused[kind]))
+
+    def _collect(self) -> None:
+        for number, (kind, at_ms) in tuple(self.sent.items()):
+            told = self.clients.answers[number]
+            if not told:
+                continue
+            self.sent.pop(number)
+            spent = self.now_ms - at_ms
+            done = told[0].code is None
+            (self.spent if done else self.refused)[kind].append(spent)
+
+    def _run_line(self, number: int, line: str, starts: bool) -> None:
+        if (number, line) not in self.databases.busy:
+            super()._run_line(number, line, starts)
+            return
+        self.databases.busy.remove((number, line))
+        reply = statements.Reply()
+        reply.code = statements.Code.BUSY
+        reply.position = records.Position(1, 0)
+        self.service.on_reply(number, reply, self.now_ms)
+
+
+def _overloaded() -> _LoadedRig:
+    rig = _LoadedRig()
+    rig.play(1000, 0.5)
+    rig.spent.clear()
+    rig.refused.clear()
+    rig.play(4000, 1.2)
+    return rig
+
+
+def test_overloaded_primary_serves_most_callers_in_time():
+    """Guards against a queue in which everybody becomes late."""
+    rig = _overloaded()
+    assert rig.share_in_time(_SETTLE) * 100 >= 95
+    assert rig.share_in_time(_CERT) * 100 >= 80
+
+
+def test_overload_waits_here_and_not_at_the_instance():
+    """Guards against a queue that knows no importance, and its refusals."""
+    rig = _overloaded()
+    assert rig.databases.longest <= 3 * _SLOTS
+
+
+def test_refusals_come_before_the_target_is_over():
+    """Guards against holding statements that cannot be served in time."""
+    rig = _overloaded()
+    for kind, spent in rig.refused.items():
+        assert max(spent) <= _TARGET_MS[kind] + 30
--- a/jacinthhaven/sql/placement.py
+++ b/jacinthhaven/sql/placement.py
@@ -93,7 +93,7 @@
     """Return whether an instance can take a read with an age now."""
     name = state.entry.name
     if (
-        not state.free_links
+        not state.open_links
         or not state.usable_at(view.now_ms)
         or name in work.tried
     ):
@@ -136,7 +136,7 @@
     guarded: bool,
 ) -> Choice | None:
     state = view.states.get(view.leader or '')
-    if state is None or not state.free_links:
+    if state is None or not state.open_links:
         return None
     if not state.reachable_at(view.now_ms):
         return None
--- a/jacinthhaven/sql/pool.py
+++ b/jacinthhaven/sql/pool.py
@@ -67,6 +67,7 @@
       states: Instances by name.
       by_number: Links by the number of their connection.
       share: Links that this node may open to each instance.
+      owners: Nodes that send statements to the instances.
       standing: Links that stand open to each instance; more are opened
         while statements wait, since connections of a dead node block
         others for three seconds.
@@ -82,6 +83,7 @@
         self.by_number: dict[int, links.Link] = {}
         self.share = 1
         self.standing = 1
+        self.owners = 1
         self.questions: dict[str, collections.deque[Question]] = {}
         self.wanted: set[str] = set()
         self.lenders: list[records.Address] = []
@@ -100,6 +102,7 @@
                 state = instances.InstanceState(entry, now_ms)
                 self.states[name] = state
             state.describe(entry, now_ms)
+            state.window.resize(entry.slots, self.owners)
         for name, state in tuple(self.states.items()):
             if name in listed:
                 continue
@@ -259,7 +262,7 @@
         if state.leaving_ms is not None and not state.reachable_at(now_ms):
             return 0
         standing = min(self.standing, self.share)
-        if name not in self.wanted:
+        if name not in self.wanted or not state.window.allows(state.running):
             return standing
         return min(max(len(own) + 1, standing), self.share)
 
--- a/jacinthhaven/sql/sessions.py
+++ b/jacinthhaven/sql/sessions.py
@@ -126,6 +126,7 @@
       repeatable: Whether it may run again after an unknown outcome.
       arrived_ms: When it arrived.
       deadline_ms: When it must be answered.
+      service_ms: Expected time of its execution when it was queued.
       link: Link that executes it, if any.
       started_ms: When the statement itself was sent.
       sent: Whether the statement itself was sent.
@@ -144,6 +145,7 @@
         'repeatable',
         'arrived_ms',
         'deadline_ms',
+        'service_ms',
         'link',
         'started_ms',
         'sent',
@@ -172,6 +174,7 @@
         self.strict_read = strict and self.repeatable
         self.arrived_ms = now_ms
         self.deadline_ms = now_ms + route.timeout_ms
+        self.service_ms: float = 0
         self.link: typing.Any = None
         self.started_ms = 0
         self.sent = False
