Keep sessions of a large fleet at the owners

Further, each note of an owner in the store woke the watches of all nodes, and each new session ranked all members (0.1 ms). Ruled out: connections of dead nodes, which are gone after three seconds. Change: sessions wait until the members are known, a second at most; a session that is executed here returns to the owners when it is quiet. Nodes without a service watch the configuration only, for 20 s at a time. The ranking is kept until the members change.

--- a/jacinthhaven/platform/kv.py
+++ b/jacinthhaven/platform/kv.py
@@ -89,6 +89,7 @@
     def start(self, request: store.WatchRequest, timeout_ms: int) -> None:
         """Send the request."""
         self.prefix = kv_requests.quote(request.prefix)
+        self.wait_ms = request.wait_ms or self.wait_ms
         # The store reports what comes after a revision, not from it on.
         self.revision = request.start_revision - 1
         self._ask()
--- a/jacinthhaven/platform/plugin.py
+++ b/jacinthhaven/platform/plugin.py
@@ -62,11 +62,17 @@
             settings.node,
         )
 
-    def call(self, request: store.Request, on_reply: ports.OnStore) -> None:
+    def call(self, request: store.Request, on_reply: ports.OnStore) -> int:
         """Call the store; the callback gets a reply or a failure."""
         number = next(self.numbers)
         self.waiting[number] = on_reply
         self.store.call(messages.StoreCall(number, request))
+        return number
+
+    def end_watch(self, number: int) -> None:
+        """End a watch; nothing is reported about it afterwards."""
+        self.waiting.pop(number, None)
+        self.store.cancel(messages.StoreCancel(number))
 
     def promote(
         self,
--- a/jacinthhaven/records/store.py
+++ b/jacinthhaven/records/store.py
@@ -93,10 +93,13 @@
     Attributes:
       prefix: Start of the watched keys.
       start_revision: First revision to report.
+      wait_ms: How long the store may wait for a change before it answers;
+        0 for the client's own setting.
     """
 
     prefix: str
     start_revision: int
+    wait_ms: int = 0
 
 
 class ReadReply(msgspec.Struct, frozen=True):
--- a/jacinthhaven/sql/builders.py
+++ b/jacinthhaven/sql/builders.py
@@ -391,6 +391,7 @@
     Attributes:
       orders: Accepted orders as (service, instance, fence).
       down: Whether all store calls fail.
+      calls: Calls to the store so far.
     """
 
     def __init__(self, model: typing.Any, group: sql_group.SqlGroup) -> None:
@@ -398,20 +399,28 @@
         self.model = model
         self.group = group
         self.orders: list[tuple[str, str, int]] = []
+        self.calls: list[store.Request] = []
         self.down = False
         self.late: collections.deque = collections.deque()
         self.watches: list[tuple[typing.Any, ports.OnStore]] = []
         self.now_ms = 0
         self.promote_ms = 300
 
-    def call(self, request: store.Request, on_reply: ports.OnStore) -> None:
+    def call(self, request: store.Request, on_reply: ports.OnStore) -> int:
         """Run a call; its reply comes with the next `run`."""
+        number = id(on_reply)
+        self.calls.append(request)
         if isinstance(request, store.WatchRequest):
-            self.model.open_watch(id(on_reply), request)
-            self.watches.append((id(on_reply), on_reply))
-            return
-        reply = self.model.call(request, self.now_ms)
-        self.late.append((self.now_ms + 4, on_reply, reply))
+            self.model.open_watch(number, request)
+            self.watches.append((number, on_reply))
+        else:
+            reply = self.model.call(request, self.now_ms)
+            self.late.append((self.now_ms + 4, on_reply, reply))
+        return number
+
+    def end_watch(self, number: int) -> None:
+        """Forget a watch."""
+        self.watches = [known for known in self.watches if known[0] != number]
 
     def promote(
         self,
--- a/jacinthhaven/sql/coordination.py
+++ b/jacinthhaven/sql/coordination.py
@@ -1,7 +1,7 @@
 """What this node learns from the store, and its own membership.
 
-One watch brings the operator's configuration and the keys of this product;
-the registry is read at intervals, mostly in the cheap way that may be old.
+One watch brings the operator's configuration and the keys of this product,
+or the configuration alone where the node owns no service; the registry is read at intervals, mostly in the cheap way that may be old.
 After any failure everything is read again, so that nothing is missed.
 """
 
@@ -28,6 +28,9 @@
 _LARGE_FLEET = 16
 # A node that owns no service needs the registry only to help out.
 _IDLE_REGISTRY_FACTOR = 5
+# Such a node leaves decisions on the configuration to the owners, so that it
+# may notice late that its watch went silent.
+_IDLE_WATCH_MS = 20_000
 
 Entries = tuple[store.KeyValue, ...]
 
@@ -52,12 +55,14 @@
       known: Revision of each watched key that exists.
       keeper: Lease and key of this node.
       connected: Whether the last call succeeded.
+      watch_number: Number of the watch; 0 while what it starts from is read,
+        None while there is none.
     """
 
     def __init__(
         self,
         platform: ports.Platform,
-        prefixes: tuple[str, str, str],
+        prefixes: tuple[str, str, str, str],
         listener: Listener,
         journal: ports.Journal,
         rng: random.Random,
@@ -66,8 +71,8 @@
 
         Args:
           platform: Calls to the store.
-          prefixes: Watched prefix, prefix of the registry and prefix of
-            the members.
+          prefixes: Watched prefix, prefix of the registry, prefix of the
+            members, and what a node watches that owns no service.
           listener: Receiver of what the store holds.
           journal: Log and metrics.
           rng: Source of jitter.
@@ -79,7 +84,7 @@
         self.backoff = backoff.Backoff(rng, _RETRY_FIRST_MS, _RETRY_LAST_MS)
         self.known: dict[str, int] = {}
         self.connected = False
-        self.watching = False
+        self.watch_number: int | None = None
         self.reading = False
         self.registry_ms = 0
         self.members_ms = 0
@@ -101,23 +106,43 @@
             self.started_ms = now_ms
         if now_ms < self.backoff.retry_ms:
             return
-        if not self.watching:
-            self.watching = True
-            self.call(store.ReadRequest(self.prefixes[0]), self._on_snapshot)
+        if self.watch_number is None:
+            self.watch_number = 0
+            self.call(
+                store.ReadRequest(self.watched),
+                functools.partial(self._on_snapshot, self.watched),
+            )
         if now_ms >= self.registry_ms and not self.reading:
             self._read_registry(now_ms)
         if now_ms >= self.members_ms:
             self._read_members(now_ms)
         self.keeper.tick(now_ms)
 
+    @property
+    def watched(self) -> str:
+        """Return the prefix that this node watches."""
+        return self.prefixes[0 if self.owns_service else 3]
+
+    def own_services(self, owns: bool) -> None:
+        """Watch the notes of other owners too, or the configuration only."""
+        if owns == self.owns_service:
+            return
+        self.owns_service = owns
+        if self.watch_number:
+            self.platform.end_watch(self.watch_number)
+            self.watch_number = None
+
     def call(
         self,
         request: store.Request,
         on_reply: typing.Callable[[typing.Any], None],
-    ) -> None:
+    ) -> int:
         """Call the store and note whether it answers."""
         self.journal.count('store_calls', type(request).__name__)
-        self.platform.call(request, functools.partial(self._reply, on_reply))
+        return self.platform.call(
+            request,
+            functools.partial(self._reply, on_reply),
+        )
 
     def _reply(
         self,
@@ -136,22 +161,30 @@
             self.backoff.reset()
         on_reply(None if failed else reply)
 
-    def _on_snapshot(self, reply: store.ReadReply | None) -> None:
-        if reply is None:
-            self.watching = False
+    def _on_snapshot(
+        self,
+        prefix: str,
+        reply: store.ReadReply | None,
+    ) -> None:
+        if reply is None or prefix != self.watched:
+            self.watch_number = None
             return
         found = {entry.key for entry in reply.entries}
         for key in tuple(self.known):
-            if key not in found:
+            if key.startswith(prefix) and key not in found:
                 self._remove(key, reply.revision)
         for entry in reply.entries:
             self._accept(entry)
-        request = store.WatchRequest(self.prefixes[0], reply.revision + 1)
-        self.call(request, self._on_events)
+        request = store.WatchRequest(
+            prefix,
+            reply.revision + 1,
+            0 if self.owns_service else _IDLE_WATCH_MS,
+        )
+        self.watch_number = self.call(request, self._on_events)
 
     def _on_events(self, reply: store.WatchEvents | None) -> None:
         if reply is None:
-            self.watching = False
+            self.watch_number = None
             return
         for entry in reply.changed:
             self._accept(entry)
@@ -172,7 +205,9 @@
         self.reading = True
         factor = 1 if self.owns_service else _IDLE_REGISTRY_FACTOR
         self.registry_ms = now_ms + _STALE_READ_MS * factor
-        fresh = self.registry_reads % _FRESH_READ_EVERY == 0
+        fresh = self.owns_service and (
+            self.registry_reads % _FRESH_READ_EVERY == 0
+        )
         self.call(
             store.ReadRequest(self.prefixes[1], may_be_stale=not fresh),
             functools.partial(self._on_registry, fresh),
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -224,6 +224,14 @@
             if transaction.link is not None:
                 self._expire_transaction(session, now_ms)
 
+    def close_if_quiet(self, session: sessions.Session, now_ms: int) -> bool:
+        """Close a session that nobody uses; return whether it was closed."""
+        if not session.idle or not self._is_quiet(session, now_ms):
+            return False
+        self.clients.close(session.number)
+        self.on_closed(session.number, now_ms)
+        return True
+
     def _on_done(self, session: sessions.Session, now_ms: int) -> None:
         session.active_ms = now_ms
         transaction = session.transaction
@@ -235,9 +243,7 @@
     def _close_quiet(self, now_ms: int) -> None:
         """Close the sessions whose clients have sent nothing for a while."""
         for session in tuple(self.sessions.values()):
-            if session.idle and self._is_quiet(session, now_ms):
-                self.clients.close(session.number)
-                self.on_closed(session.number, now_ms)
+            self.close_if_quiet(session, now_ms)
 
     def _is_quiet(self, session: sessions.Session, now_ms: int) -> bool:
         if now_ms - session.active_ms < QUIET_MS:
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -122,6 +122,7 @@
                 documents.watched_prefix,
                 documents.registry_prefix,
                 documents.member_prefix,
+                documents.configuration_key,
             ),
             self,
             around.journal,
@@ -159,7 +160,7 @@
     @property
     def ready(self) -> bool:
         """Return whether the balancer should send sessions."""
-        return self.gateway.configured and self.stopping_ms is None
+        return self.relay.settled and self.stopping_ms is None
 
     def tick(self, now_ms: int) -> None:
         """Advance all timers."""
@@ -239,7 +240,7 @@
         if peers == self.peers:
             return
         self.peers = peers
-        self.relay.peers = peers
+        self.relay.know(peers)
         self._choose_lenders()
         self._share_links()
 
@@ -271,14 +272,14 @@
         """Borrow from the other owners, beginning at a random one."""
         start = self.around.rng.randrange(_SPREAD)
         for name, known in self.gateway.groups.items():
+            seen = ownership.seen_from(
+                self.identity.peer.zone,
+                name,
+                self.peers,
+            )
             known.pool.lenders = [
                 self.peers[owner].address
-                for owner in ownership.preferred(
-                    name,
-                    self.peers,
-                    self.identity.peer.zone,
-                    start,
-                )
+                for owner in seen.order(start)
                 if owner != self.identity.name
             ]
 
@@ -299,7 +300,7 @@
             size = max(size, len(owners))
             if not owners or self.identity.name in owners:
                 owned.add(name)
-        self.coordination.owns_service = bool(owned)
+        self.coordination.own_services(bool(owned))
         if size >= self.gateway.members or self.now_ms >= self.shrink_ms:
             self.shrink_ms = self.now_ms + _SHRINK_MS
             self.gateway.share_links(size, owned)
--- a/jacinthhaven/sql/ownership.py
+++ b/jacinthhaven/sql/ownership.py
@@ -60,24 +60,33 @@
     return tuple(sorted(name for names in chosen for name in names))
 
 
-def preferred(
-    service: str,
-    peers: Peers,
-    zone: str,
-    start: int,
-) -> list[str]:
-    """Return the owners in the order in which a session tries them.
-
-    Args:
-      service: Service of the session.
-      peers: All known nodes.
-      zone: Zone whose owners come first.
-      start: Number that spreads the sessions over the owners.
+class Owners(msgspec.Struct, frozen=True):
+    """Owners of one service as seen from one zone.
+
+    Attributes:
+      near: Those in the zone.
+      far: The others.
     """
+
+    near: tuple[str, ...]
+    far: tuple[str, ...]
+
+    def order(self, start: int) -> list[str]:
+        """Return the order in which a session tries them.
+
+        Args:
+          start: Number that spreads the sessions over the owners.
+        """
+        return [*_rotated(self.near, start), *_rotated(self.far, start)]
+
+
+def seen_from(zone: str, service: str, peers: Peers) -> Owners:
+    """Return the owners of a service, those of a zone apart."""
     known = owners(service, peers)
-    near = [name for name in known if peers[name].zone == zone]
-    far = [name for name in known if peers[name].zone != zone]
-    return _rotated(near, start) + _rotated(far, start)
+    return Owners(
+        tuple(name for name in known if peers[name].zone == zone),
+        tuple(name for name in known if peers[name].zone != zone),
+    )
 
 
 def _zone_owners(service: str, peers: Peers, zone: str) -> list[str]:
@@ -88,7 +97,7 @@
     return ranked[:_PER_ZONE]
 
 
-def _rotated(names: list[str], start: int) -> list[str]:
+def _rotated(names: tuple[str, ...], start: int) -> tuple[str, ...]:
     if not names:
         return names
     first = start % len(names)
--- a/jacinthhaven/sql/ports.py
+++ b/jacinthhaven/sql/ports.py
@@ -160,8 +160,16 @@
     """Store and promotion orders of the platform."""
 
     @abc.abstractmethod
-    def call(self, request: store.Request, on_reply: OnStore) -> None:
-        """Call the store; the callback gets a reply or a failure."""
+    def call(self, request: store.Request, on_reply: OnStore) -> int:
+        """Call the store; the callback gets a reply or a failure.
+
+        Returns:
+          Number of the call, which ends a watch.
+        """
+
+    @abc.abstractmethod
+    def end_watch(self, number: int) -> None:
+        """End a watch; nothing is reported about it afterwards."""
 
     @abc.abstractmethod
     def promote(
--- a/jacinthhaven/sql/relaying.py
+++ b/jacinthhaven/sql/relaying.py
@@ -20,6 +20,12 @@
 _OPEN_MS = 150
 # Owners that a session tries before it is served here.
 _MAX_TRIES = 3
+# Time to learn the members after a start before sessions are served here.
+_LEARN_MS = 1000
+# Range of the random starts that spread the nodes over the owners.
+_SPREAD = 1000
+# Pause between two sessions that are sent back to the owners.
+_RETURN_MS = 20
 
 _READS = frozenset((statements.Verb.READ, statements.Verb.BEGIN_READ))
 _HARMLESS = frozenset(
@@ -101,15 +107,37 @@
         self.node = node
         self.local = local
         self.relays = relays
-        self.rng = rng
         self.journal = local.journal
         self.peers: dict[str, ownership.Peer] = {}
         self.sessions: dict[int, RelayedSession] = {}
         self.by_relay: dict[int, RelayedSession] = {}
         self.avoided: dict[str, int] = {}
+        self.ranked: dict[str, ownership.Owners] = {}
+        self.turn = rng.randrange(_SPREAD)
+        self.early: list[tuple[int, str]] = []
+        self.configured_ms: int | None = None
+        self.return_ms = 0
+        self.now_ms = 0
+
+    @property
+    def settled(self) -> bool:
+        """Return whether it is known who executes sessions."""
+        if not self.local.configured:
+            return False
+        if self.peers or self.configured_ms is None:
+            return bool(self.peers)
+        return self.now_ms - self.configured_ms >= _LEARN_MS
+
+    def know(self, peers: dict[str, ownership.Peer]) -> None:
+        """Take over the members of the fleet."""
+        self.peers = peers
+        self.ranked = {}
 
     def on_start(self, number: int, database: str, now_ms: int) -> None:
         """Find out who executes a new session."""
+        if not self.settled:
+            self.early.append((number, database))
+            return
         route = self.local.configuration.routes.get(database)
         owners = [] if route is None else self._owners(route.service, now_ms)
         if not owners or self.node in owners:
@@ -143,10 +171,11 @@
     def on_closed(self, number: int, now_ms: int) -> None:
         """Forget a session whose client has gone."""
         session = self.sessions.pop(number, None)
-        if session is None:
-            self.local.on_closed(number, now_ms)
-        else:
+        if session is not None:
             self._drop(session)
+            return
+        self.early = [start for start in self.early if start[0] != number]
+        self.local.on_closed(number, now_ms)
 
     def on_line(
         self,
@@ -188,6 +217,12 @@
 
     def tick(self, now_ms: int) -> None:
         """Look after owners that do not answer, and close quiet sessions."""
+        self.now_ms = now_ms
+        if self.configured_ms is None and self.local.configured:
+            self.configured_ms = now_ms
+        if self.early and self.settled:
+            self._start_early(now_ms)
+        self._return_one(now_ms)
         if self.local.draining:
             self.close_quiet(now_ms)
         for session in tuple(self.sessions.values()):
@@ -200,14 +235,47 @@
             if session.accepted and self._is_quiet(session, now_ms):
                 self._close(session)
 
+    def _start_early(self, now_ms: int) -> None:
+        waiting = self.early
+        self.early = []
+        for number, database in waiting:
+            self.on_start(number, database, now_ms)
+
+    def _return_one(self, now_ms: int) -> None:
+        """Close a quiet session that an owner can execute again.
+
+        Its client connects again. Sessions that are executed here need
+        connections to the instances that the owners have to spare.
+        """
+        if now_ms < self.return_ms or not self.local.sessions:
+            return
+        for session in self.local.sessions.values():
+            if self._belongs_elsewhere(session.database, now_ms):
+                if self.local.close_if_quiet(session, now_ms):
+                    self.journal.count('relays', 'returned')
+                    self.return_ms = now_ms + _RETURN_MS
+                    return
+
+    def _belongs_elsewhere(self, database: str, now_ms: int) -> bool:
+        route = self.local.configuration.routes.get(database)
+        if route is None:
+            return False
+        owners = self._owners(route.service, now_ms)
+        return bool(owners) and self.node not in owners
+
     def _owners(self, service: str, now_ms: int) -> list[str]:
-        names = ownership.preferred(
-            service,
-            self.peers,
-            self.local.zone,
-            self.rng.randrange(len(self.peers) or 1),
-        )
-        return [name for name in names if self.avoided.get(name, 0) <= now_ms]
+        if service not in self.ranked:
+            self.ranked[service] = ownership.seen_from(
+                self.local.zone,
+                service,
+                self.peers,
+            )
+        self.turn += 1
+        return [
+            name
+            for name in self.ranked[service].order(self.turn)
+            if self.avoided.get(name, 0) <= now_ms
+        ]
 
     def _try_next(self, session: RelayedSession, now_ms: int) -> None:
         known = [name for name in session.candidates if name in self.peers]
--- a/jacinthhaven/sql/relaying_test.py
+++ b/jacinthhaven/sql/relaying_test.py
@@ -81,7 +81,7 @@
 def test_owner_of_the_own_zone_comes_first():
     """Guards against bytes between zones."""
     peers = _peers(30)
-    names = ownership.preferred('s', peers, 'b', 7)
+    names = ownership.seen_from('b', 's', peers).order(7)
     assert [peers[name].zone for name in names[:2]] == ['b', 'b']
 
 
@@ -182,3 +182,47 @@
     rig = builders.Rig()
     rig.gateway.on_relayed(_CLIENT, builders.OWN, 9)
     assert rig.clients.refused == {_CLIENT: statements.Code.BUSY}
+
+
+def test_sessions_wait_until_the_members_are_known():
+    """Guards against sessions that stay on a node without connections.
+
+    After a loss of power all clients come back before the members are read.
+    """
+    setup = _Setup()
+    peers = setup.relay.peers
+    setup.relay.know({})
+    setup.relay.on_start(_CLIENT, builders.OWN, setup.now_ms)
+    assert _CLIENT not in setup.rig.gateway.sessions
+    setup.relay.know(peers)
+    setup.relay.tick(setup.now_ms + 20)
+    assert len(setup.relays.opened) == 1
+
+
+def test_sessions_start_without_members_after_a_while():
+    """Guards against clients that wait for a store that does not answer."""
+    setup = _Setup()
+    setup.relay.know({})
+    setup.relay.tick(setup.now_ms)
+    setup.relay.on_start(_CLIENT, builders.OWN, setup.now_ms)
+    setup.relay.tick(setup.now_ms + 1100)
+    assert _CLIENT in setup.rig.gateway.sessions
+
+
+def test_session_executed_here_returns_to_the_owners():
+    """Guards against connections that the owners miss for good."""
+    setup = _Setup()
+    setup.rig.gateway.on_start(_CLIENT, builders.OWN)
+    setup.rig.run(1000)
+    setup.relay.tick(setup.rig.now_ms)
+    assert setup.rig.clients.closed == [_CLIENT]
+
+
+def test_sessions_are_spread_over_the_owners_of_the_zone():
+    """Guards against one owner that executes all sessions of a node."""
+    setup = _Setup()
+    for number in range(10, 20):
+        setup.relay.on_start(number, builders.OWN, setup.now_ms)
+    tried = [address for address, _database in setup.relays.opened]
+    counts = [tried.count(address) for address in set(tried)]
+    assert counts == [5, 5]
