Hand the lead over where no replica can read

Change: where all replicas have refused reads as too far behind for 1.5 s and the primary refuses work, an owner takes the duty and promotes a replica that has received everything; the old primary goes on as a replica that is up to date. At most once in ten seconds for each service.

--- a/jacinthhaven/sql/backlog.py
+++ b/jacinthhaven/sql/backlog.py
@@ -20,6 +20,8 @@
 # Time that a statement needs after it was sent, kept free before its
 # deadline.
 _RUN_RESERVE_MS = 60
+# How long a refusal for lack of slots counts as a sign of too much load.
+_PRESSED_MS = 1000
 # Assumed time of one statement until some were measured.
 _FIRST_SERVICE_MS = 25.0
 # Weight of one sample of a time that varies from statement to statement.
@@ -33,12 +35,14 @@
       waiting: Statements in the order in which they are offered links.
       service_ms: Moving averages of how long statements hold a link, by the
         mode of their route.
+      pressed_ms: When a statement was last refused for lack of slots.
     """
 
     def __init__(self) -> None:
         """Start empty."""
         self.waiting: list[sessions.Work] = []
         self.service_ms = dict.fromkeys(records.Mode, _FIRST_SERVICE_MS)
+        self.pressed_ms: int | None = None
 
     def sample(self, mode: records.Mode, spent_ms: int) -> None:
         """Add how long one statement held its link."""
@@ -74,7 +78,16 @@
     def accepts(self, work: sessions.Work, links: int) -> bool:
         """Return whether a new statement can be expected to be in time."""
         limit_ms = work.route.target_ms * WAIT_SHARE
-        return self.expected_wait_ms(work, links) <= limit_ms
+        accepted = self.expected_wait_ms(work, links) <= limit_ms
+        if not accepted:
+            self.pressed_ms = work.arrived_ms
+        return accepted
+
+    def pressed_at(self, now_ms: int) -> bool:
+        """Return whether there are more statements than the slots take."""
+        if self.pressed_ms is None:
+            return False
+        return now_ms - self.pressed_ms <= _PRESSED_MS
 
     def expired(
         self,
@@ -96,7 +109,10 @@
             if _too_late(work, now_ms):
                 return True
             if served(work):
-                return crowded and not _in_time(work, now_ms)
+                late = crowded and not _in_time(work, now_ms)
+                if late:
+                    self.pressed_ms = now_ms
+                return late
             return _hopeless(work, now_ms, primary_ms)
 
         return [work for work in self.waiting if is_expired(work)]
--- a/jacinthhaven/sql/election.py
+++ b/jacinthhaven/sql/election.py
@@ -6,6 +6,11 @@
 is the fencing number, so each attempt has a higher one than all before.
 A primary that leaves or has left the registry is replaced in the same way
 without a vote.
+
+Replicas that have received all commits but apply them late cannot read. If
+the primary alone cannot take the load either, one of them becomes the
+primary: it applies what it has received, and the old primary goes on as a
+replica that is up to date.
 """
 
 import functools
@@ -45,6 +50,14 @@
 # First estimate of the time of a promotion.
 _FIRST_PROMOTE_MS = 1200
 
+# Pause before the lead is handed over once more for want of replicas.
+_HANDOVER_PAUSE_MS = 10_000
+
+# Why a primary is replaced.
+_LEAVING = 'leaving'
+_UNREACHABLE = 'unreachable'
+_REPLICAS_LAG = 'replicas lag'
+
 Found = dict[str, records.InstanceStatus | None]
 
 
@@ -123,6 +136,7 @@
         self.runner: scripts.Runner | None = None
         self.cause_ms: int | None = None
         self.retry_ms = 0
+        self.handover_ms = 0
         self.acknowledging = 0
         self.promote_ms = _FIRST_PROMOTE_MS
         self.now_ms = 0
@@ -164,6 +178,7 @@
         return self.now_ms >= max(self.retry_ms, turn_ms)
 
     def _on_lead(self, lead: Lead) -> None:
+        self.handover_ms = self.now_ms + _HANDOVER_PAUSE_MS
         leadership = self.service.leadership
         if lead.moving:
             if lead.term >= leadership.term:
@@ -192,11 +207,15 @@
         name = self.service.presumed_leader()
         state = self.service.pool.states.get(name)
         if state is not None and state.leaving_ms is not None:
-            return 'leaving'
-        if not self.opinion.said or self.opinion.said != name:
+            return _LEAVING
+        if self.opinion.said and self.opinion.said == name:
+            votes = len(self._voters(members))
+            return _UNREACHABLE if 2 * votes > len(members) else None
+        if self.now_ms < self.handover_ms:
             return None
-        votes = len(self._voters(members))
-        return 'unreachable' if 2 * votes > len(members) else None
+        pressed = self.service.backlog.pressed_at(self.now_ms)
+        lagging = self.service.pool.replicas_lag(name, self.now_ms)
+        return _REPLICAS_LAG if pressed and lagging else None
 
     def _others_doubt(self) -> bool:
         """Return whether another node does not reach the primary."""
@@ -306,8 +325,10 @@
         statuses = _answered(found)
         if self._follow_primary(statuses, term):
             return ''
-        if cause == 'leaving':
-            yield from self._catch_up(old, statuses)
+        if cause != _UNREACHABLE:
+            complete = yield from self._catch_up(old, statuses)
+            if cause == _REPLICAS_LAG and not complete:
+                return ''
         chosen = _most_advanced(statuses, candidates)
         if self.acknowledging and chosen:
             settled = yield from self._settle(chosen, replicas, cause, term)
@@ -329,7 +350,7 @@
         the chosen one can. A primary that is lost sends it nothing more.
         """
         others = tuple(name for name in replicas if name != chosen)
-        stopped = others if cause == 'leaving' else replicas
+        stopped = others if cause == _LEAVING else replicas
         found = yield scripts.AskAll(stopped, commands.Pause(term + 1))
         statuses = _answered(found)
         if len(statuses) < len(stopped):
@@ -363,7 +384,11 @@
         old: str,
         statuses: dict[str, typing.Any],
     ) -> scripts.Script:
-        """Wait until some replica has nearly all that the primary has."""
+        """Wait until some replica has received all that the primary has.
+
+        Returns:
+          Whether one has; the primary may not answer, or replicas may lag.
+        """
         until_ms = self.now_ms + _CATCH_UP_MS
         while self.now_ms < until_ms:
             found = yield scripts.AskAll(
@@ -373,14 +398,15 @@
             primary = found.pop(old, None)
             statuses.update(_answered(found))
             if primary is None or primary.received is None:
-                return
+                return False
             if any(
                 status.received is not None
                 and status.received >= primary.received
                 for status in statuses.values()
             ):
-                return
+                return True
             yield scripts.Sleep(_CATCH_UP_STEP_MS)
+        return False
 
     def _await(self, chosen: str, started_ms: int) -> scripts.Script:
         """Wait until the successor leads, and tell all nodes."""
--- a/jacinthhaven/sql/election_test.py
+++ b/jacinthhaven/sql/election_test.py
@@ -309,3 +309,68 @@
 
 def _ignore_order(*_args: object) -> None:
     """Take an order and never answer."""
+
+
+def test_node_without_services_watches_the_configuration_only():
+    """Guards against a call of every node for each note of the owners."""
+    fleet = Fleet()
+    member, platform = fleet.nodes[0], fleet.platforms[0]
+    member.coordination.own_services(False)
+    platform.calls.clear()
+    fleet.run(1000)
+    watches = [
+        call for call in platform.calls if isinstance(call, store.WatchRequest)
+    ]
+    assert [watch.prefix for watch in watches] == ['op/config']
+    assert len(platform.watches) == 1
+
+
+def _press(fleet: Fleet, lagging: tuple[str, ...]) -> None:
+    """Let reads of all nodes be refused for lack of replicas and slots."""
+    for member in fleet.nodes:
+        service = member.gateway.groups[builders.SERVICE]
+        service.backlog.pressed_ms = fleet.now_ms
+        for name in lagging:
+            state = service.pool.states[name]
+            state.behind_ms = state.behind_ms or fleet.now_ms
+
+
+def _keep_pressing(fleet: Fleet, lagging: tuple[str, ...]) -> None:
+    until_ms = fleet.now_ms + 3000
+    while fleet.now_ms < until_ms:
+        _press(fleet, lagging)
+        fleet.run(100)
+
+
+def test_lead_is_handed_over_when_no_replica_can_read():
+    """Guards against a service with one usable instance out of three."""
+    fleet = Fleet()
+    _keep_pressing(fleet, ('db-b', 'db-c'))
+    assert len(fleet.orders()) == 1
+    assert fleet.group.primary != 'db-a'
+    assert not fleet.group.rolled_back
+
+
+def test_lead_stays_while_one_replica_can_read():
+    """Guards against handing over a lead that helps nobody."""
+    fleet = Fleet()
+    _keep_pressing(fleet, ('db-b',))
+    assert not fleet.orders()
+
+
+def test_lead_stays_where_the_replicas_lack_commits():
+    """Guards against losing acknowledged commits by a handover."""
+    fleet = Fleet()
+    for replica in ('db-b', 'db-c'):
+        fleet.group.instances[replica].deaf = True
+    fleet.group.commit((('k', '1'),), ('w1',), fleet.now_ms)
+    _keep_pressing(fleet, ('db-b', 'db-c'))
+    assert not fleet.orders()
+
+
+def test_lead_is_not_handed_over_again_and_again():
+    """Guards against a service that changes its primary all the time."""
+    fleet = Fleet()
+    _keep_pressing(fleet, ('db-b', 'db-c'))
+    _keep_pressing(fleet, tuple(builders.MEMBERS))
+    assert len(fleet.orders()) == 1
--- a/jacinthhaven/sql/evidence.py
+++ b/jacinthhaven/sql/evidence.py
@@ -64,8 +64,9 @@
             state.window.refused(now_ms)
         elif reply.code is None:
             state.window.executed()
-        if reply.code is statements.Code.BEHIND:
-            self._learn_refusal(link, command, reply)
+        asked = command.after if isinstance(command, _POSITIONED) else None
+        if asked is not None:
+            self._learn_lag(state, asked, reply, now_ms)
         if reply.code is statements.Code.READ_ONLY:
             self.deny(link.instance, 0, 'refused a write')
         elif reply.code is None and self._proves_lead(link, command, reply):
@@ -107,23 +108,26 @@
         else:
             self.deny(link.instance, status.term, 'status')
 
-    def _learn_refusal(
+    def _learn_lag(
         self,
-        link: links.Link,
-        command: commands.Command,
+        state: instances.InstanceState,
+        asked: records.Position,
         reply: statements.Reply,
+        now_ms: int,
     ) -> None:
-        """Drop the proofs if the position that was asked for is lost.
+        """Note whether an instance has the position that was asked for.
 
-        That is certain if the leader lacks it, or an instance that has
-        applied a later one.
+        The position is lost if the leader lacks it, or an instance that has
+        applied a later one; no proof is worth anything then.
         """
-        asked = command.after if isinstance(command, _POSITIONED) else None
-        if asked is None:
+        if reply.code is not statements.Code.BEHIND:
+            state.behind_ms = None
             return
         passed = reply.position is not None and reply.position >= asked
-        if passed or link.instance == self.leadership.leader:
+        if passed or state.entry.name == self.leadership.leader:
             self.proofs.forget()
+        elif state.behind_ms is None:
+            state.behind_ms = now_ms
 
     def _learn_delay(
         self,
--- a/jacinthhaven/sql/instances.py
+++ b/jacinthhaven/sql/instances.py
@@ -28,6 +28,7 @@
       latency: Time of single reads in milliseconds.
       replication: How far the instance lags in milliseconds.
       applied: Newest position that the instance has shown.
+      behind_ms: Since when it refuses reads as too far behind, or None.
       behind_until_ms: Until when it is not offered reads after it lagged.
       closed_until_ms: Until when no link is opened after a failure.
       borrow_until_ms: Until when links are borrowed instead of opened.
@@ -46,6 +47,7 @@
         'latency',
         'replication',
         'applied',
+        'behind_ms',
         'behind_until_ms',
         'closed_until_ms',
         'borrow_until_ms',
@@ -68,6 +70,7 @@
             now_ms,
         )
         self.applied: records.Position | None = None
+        self.behind_ms: int | None = None
         self.behind_until_ms = 0
         self.closed_until_ms = 0
         self.borrow_until_ms = 0
@@ -144,6 +147,10 @@
         waiting = self.running / max(self.entry.slots, 1)
         return self.latency.expected(now_ms) * (1 + waiting)
 
+    def behind_for(self, now_ms: int) -> int:
+        """Return for how long it has refused all reads as too far behind."""
+        return 0 if self.behind_ms is None else now_ms - self.behind_ms
+
     def has_applied(
         self,
         position: records.Position,
--- a/jacinthhaven/sql/pool.py
+++ b/jacinthhaven/sql/pool.py
@@ -42,6 +42,10 @@
 # Pause before own links to an instance that does not answer are tried.
 _CUT_RETRY_MS = 1000
 
+# Time for which replicas must have refused reads as too far behind before
+# the primary counts as the only instance that reads.
+_LAG_MS = 1500
+
 OnReply = typing.Callable[[statements.Reply | None], None]
 
 
@@ -127,6 +131,18 @@
         if instance in self.states:
             self.wanted.add(instance)
 
+    def replicas_lag(self, leader: str, now_ms: int) -> bool:
+        """Return whether no replica has read for a while because it lags."""
+        replicas = [
+            state
+            for name, state in self.states.items()
+            if name != leader and state.usable_at(now_ms)
+        ]
+        lagging = [
+            state for state in replicas if state.behind_for(now_ms) >= _LAG_MS
+        ]
+        return bool(replicas) and len(lagging) == len(replicas)
+
     def cut(self, state: instances.InstanceState, now_ms: int) -> None:
         """Stop using own links to an instance that does not answer here."""
         state.borrow_until_ms = now_ms + _BORROW_MS
