--- a/jacinthhaven/sql/pool.py
+++ b/jacinthhaven/sql/pool.py
@@ -44,7 +44,7 @@
 
 # Time for which replicas must have refused reads as too far behind before
 # the primary counts as the only instance that reads.
-_LAG_MS = 1500
+_LAG_MS = 1000
 
 OnReply = typing.Callable[[statements.Reply | None], None]
 
