Do not let lost answers use up the window and the connections

Each lost answer kept its link for five seconds, so that all 174 connections waited for nothing (connection_limit in the log), and held one of two places in the window. A read whose try was cut did not go back to the only instance that could serve it. Ruled out: the reset connections of another instance (few lines). Change: links on which nobody waits are replaced after 700 ms; replies that are missing for 350 ms do not count in the window; such reads run again if the instance answers others; instances that failed a read come last instead of never.

--- a/jacinthhaven/sql/coordination.py
+++ b/jacinthhaven/sql/coordination.py
@@ -19,6 +19,9 @@
 _FRESH_READ_EVERY = 3
 _RETRY_FIRST_MS = 150
 _RETRY_LAST_MS = 800
+_IDLE_RETRY_LAST_MS = 4000
+# Until the first answer nothing can be served.
+_START_RETRY_LAST_MS = 200
 # Intervals of reads of the members: soon after the start, in a small fleet,
 # and in a large one, where each read is longer.
 _FIRST_MEMBERS_MS = 400
@@ -81,7 +84,11 @@
         self.prefixes = prefixes
         self.listener = listener
         self.journal = journal
-        self.backoff = backoff.Backoff(rng, _RETRY_FIRST_MS, _RETRY_LAST_MS)
+        self.backoff = backoff.Backoff(
+            rng,
+            _RETRY_FIRST_MS,
+            _START_RETRY_LAST_MS,
+        )
         self.known: dict[str, int] = {}
         self.connected = False
         self.watch_number: int | None = None
@@ -158,6 +165,10 @@
         if failed:
             self.backoff.fail(self.now_ms)
         else:
+            self.backoff.last_ms = _RETRY_LAST_MS
+            if not self.owns_service:
+                # What such a node asks the store for can wait.
+                self.backoff.last_ms = _IDLE_RETRY_LAST_MS
             self.backoff.reset()
         on_reply(None if failed else reply)
 
--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -22,9 +22,6 @@
     statements,
 )
 
-# Silence of an instance after which its reads run elsewhere; longer than
-# nearly all statements take on a busy instance.
-_MOVE_MS = 350
 # Time without a word of the primary after which a node asks for its status,
 # so that its loss is noticed without traffic too: one node, the others, and
 # those that have learned that another node does not reach it.
@@ -263,6 +260,8 @@
     def _tend_links(self, now_ms: int) -> None:
         """Give up silent links, close unused ones and open missing ones."""
         for link in self.pool.overdue(now_ms):
+            if link.ready:
+                self.pool.states[link.instance].missed(link.sent_ms)
             self.on_lost(link.number, now_ms)
         self._cut_silent(now_ms)
         self.pool.expire_questions(now_ms)
@@ -284,7 +283,7 @@
         state = self.pool.states[link.instance]
         if now_ms >= work.deadline_ms and link.sent is not None:
             self.executor.give_up(self, work, now_ms)
-        elif work.repeatable and state.silent_for(now_ms) >= _MOVE_MS:
+        elif work.repeatable and _is_lost(link, state, now_ms):
             self.executor.move(self, work, now_ms)
 
     def _cut_silent(self, now_ms: int) -> None:
@@ -381,5 +380,20 @@
             self.ask(name, commands.AskStatus(), _ignore, now_ms)
 
 
+def _is_lost(
+    link: links.Link,
+    state: instances.InstanceState,
+    now_ms: int,
+) -> bool:
+    """Return whether the reply to a statement will hardly come."""
+    if link.sent is None:
+        return False
+    waited_ms = now_ms - link.sent_ms
+    return waited_ms >= instances.LOST_REPLY_MS and (
+        state.heard_ms > link.sent_ms
+        or state.silent_for(now_ms) >= instances.LOST_REPLY_MS
+    )
+
+
 def _ignore(_reply: typing.Any) -> None:
     """Do nothing; the status is learned from every reply."""
--- a/jacinthhaven/sql/instances.py
+++ b/jacinthhaven/sql/instances.py
@@ -7,6 +7,9 @@
 _FIRST_REPLICATION_MS = 120.0
 # Added to the measured replication delay before a read is sent.
 _REPLICATION_MARGIN_MS = 30
+# A reply that is missing for longer than nearly all statements take counts
+# as lost if the instance answers others.
+LOST_REPLY_MS = 350
 # A reply that is missing for longer than the slowest statements of a busy
 # instance makes it suspect.
 SUSPECT_MS = 600
@@ -35,7 +38,8 @@
       next_borrow_ms: When the next link may be borrowed.
       missing_ms: Since when the registry lacks it, or None.
       leaving_ms: Since when it is known to leave or to be gone.
-      failed_ms: Since when links cannot be opened, or None.
+      failed_ms: Since when links cannot be opened or replies are missing,
+        or None.
       heard_ms: When something was last heard.
       suspect: Whether its silence was noted and has not ended.
     """
@@ -116,23 +120,35 @@
         """Return the links that can take new work."""
         return [link for link in self.links if link.free]
 
-    @property
-    def running(self) -> int:
-        """Return how many commands have no reply yet."""
-        return sum(link.sent is not None for link in self.links)
+    def running_at(self, now_ms: int) -> int:
+        """Return how many commands are expected to occupy the instance.
 
-    @property
-    def open_links(self) -> list[links.Link]:
+        A reply that takes very long is lost rather than late.
+        """
+        since_ms = now_ms - LOST_REPLY_MS
+        return sum(
+            link.sent is not None and link.sent_ms > since_ms
+            for link in self.links
+        )
+
+    def has_room(self, now_ms: int) -> bool:
+        """Return whether a further statement may be in flight."""
+        return self.window.allows(self.running_at(now_ms))
+
+    def open_links(self, now_ms: int) -> list[links.Link]:
         """Return the links that may carry a further statement now."""
-        if self.window.allows(self.running):
-            return self.free_links
-        return []
+        return self.free_links if self.has_room(now_ms) else []
 
     def heard(self, now_ms: int) -> None:
         """Note any sign of life."""
         self.heard_ms = now_ms
         self.failed_ms = None
 
+    def missed(self, sent_ms: int) -> None:
+        """Note that the reply to a command did not come."""
+        if self.failed_ms is None and self.heard_ms <= sent_ms:
+            self.failed_ms = sent_ms
+
     def silent_for(self, now_ms: int) -> int:
         """Return for how long an expected reply has been missing."""
         since = [link.sent_ms for link in self.links if link.waiting]
@@ -144,7 +160,7 @@
 
     def expected_ms(self, now_ms: int) -> float:
         """Return the expected time of a further statement."""
-        waiting = self.running / max(self.entry.slots, 1)
+        waiting = self.running_at(now_ms) / max(self.entry.slots, 1)
         return self.latency.expected(now_ms) * (1 + waiting)
 
     def behind_for(self, now_ms: int) -> int:
--- a/jacinthhaven/sql/load_test.py
+++ b/jacinthhaven/sql/load_test.py
@@ -145,3 +145,68 @@
     rig = _overloaded()
     for kind, spent in rig.refused.items():
         assert max(spent) <= _TARGET_MS[kind] + 30
+
+
+def test_lost_replies_do_not_hold_back_other_statements():
+    """Guards against a window that is full of replies that never come."""
+    rig = builders.Rig(members=1)
+    state = rig.service.pool.states['db-a']
+    state.window.largest = 2
+    state.window.size = 2
+    rig.databases.swallowed.add('lost')
+    for step in range(2):
+        rig.send(rig.connect(builders.STRICT), f'WRITE lost {step}', f'l{step}')
+    rig.run(100)
+    number = rig.connect(builders.STRICT)
+    before_ms = rig.now_ms
+    assert rig.ask(number, 'WRITE k 1', 'w1').code is None
+    assert rig.now_ms - before_ms <= 350
+
+
+def test_read_whose_reply_is_lost_runs_again():
+    """Guards against waiting for a reply until the deadline."""
+    rig = builders.Rig()
+    writer = rig.connect(builders.STRICT)
+    rig.databases.swallowed.add('READ k')
+    reader = rig.connect(builders.OWN)
+    rig.send(reader, 'READ k', 'r1')
+    rig.run(50)
+    rig.databases.swallowed.clear()
+    for step in range(8):
+        rig.ask(writer, f'WRITE k {step}', f'w{step}')
+        rig.run(50)
+    answers = rig.clients.answers[reader]
+    assert [answer.code for answer in answers] == [None]
+
+
+def test_read_goes_back_to_the_only_instance_that_can_serve_it():
+    """Guards against refusing a read because its first try was cut."""
+    rig = builders.Rig()
+    rig.ask(rig.connect(builders.STRICT), 'WRITE k 1', 'w1')
+    states = rig.service.pool.states
+    for name in builders.MEMBERS[1:]:
+        rig.group.instances[name].lag_ms = 60_000
+        states[name].behind_until_ms = rig.now_ms + 60_000
+    reader = rig.connect(builders.OWN)
+    rig.databases.swallowed.add('READ k')
+    rig.send(reader, 'READ k', 'r1')
+    rig.run(20)
+    rig.lose('db-a')
+    rig.databases.swallowed.clear()
+    rig.run(200)
+    answers = rig.clients.answers[reader]
+    assert [answer.code for answer in answers] == [None]
+
+
+def test_links_with_lost_replies_are_replaced():
+    """Guards against connections that wait for replies nobody needs."""
+    rig = builders.Rig()
+    rig.databases.swallowed.add('READ lost')
+    share = rig.service.pool.share
+    for step in range(3 * share):
+        rig.send(rig.connect(builders.STRICT), f'READ lost{step}', f'l{step}')
+        rig.run(100)
+    rig.databases.swallowed.clear()
+    rig.run(1000)
+    state = rig.service.pool.states['db-a']
+    assert all(link.free for link in state.links)
--- a/jacinthhaven/sql/placement.py
+++ b/jacinthhaven/sql/placement.py
@@ -79,6 +79,8 @@
     ]
     if not able:
         return None
+    # Those that have failed this statement come last.
+    able = [state for state in able if not _has_failed(work, state)] or able
     best = min(able, key=lambda state: _cost_ms(state, view))
     reason = 'primary' if best.entry.name == view.leader else 'replica'
     return Choice(_pick(best, work), proof.position, reason, age_ms)
@@ -92,11 +94,9 @@
 ) -> bool:
     """Return whether an instance can take a read with an age now."""
     name = state.entry.name
-    if (
-        not state.open_links
-        or not state.usable_at(view.now_ms)
-        or name in work.tried
-    ):
+    if not state.open_links(view.now_ms) or not state.usable_at(view.now_ms):
+        return False
+    if _has_failed(work, state) and state.window.shrunk_at(view.now_ms):
         return False
     if name == view.leader:
         return True
@@ -104,6 +104,10 @@
     return state.has_applied(proof.position, age_ms, view.now_ms)
 
 
+def _has_failed(work: sessions.Work, state: instances.InstanceState) -> bool:
+    return state.entry.name in work.tried
+
+
 def _cost_ms(state: instances.InstanceState, view: View) -> float:
     """Return the expected time of a read, with preferences in milliseconds."""
     cost_ms = state.expected_ms(view.now_ms)
@@ -136,7 +140,7 @@
     guarded: bool,
 ) -> Choice | None:
     state = view.states.get(view.leader or '')
-    if state is None or not state.open_links:
+    if state is None or not state.open_links(view.now_ms):
         return None
     if not state.reachable_at(view.now_ms):
         return None
--- a/jacinthhaven/sql/pool.py
+++ b/jacinthhaven/sql/pool.py
@@ -10,6 +10,7 @@
     links,
     ports,
     records,
+    sessions,
     statements,
 )
 
@@ -24,6 +25,9 @@
 BORROW_LIMIT_MS = 150
 # Silence after which a link is closed although a reply is due.
 DEAD_LINK_MS = 5000
+# The same where nobody waits for the reply any more: such links are missing
+# where answers are lost one after the other.
+_ABANDONED_MS = 700
 # Links that are opened at the same time to one instance, since each takes
 # one of its slots.
 _OPENING = 1
@@ -278,7 +282,7 @@
         if state.leaving_ms is not None and not state.reachable_at(now_ms):
             return 0
         standing = min(self.standing, self.share)
-        if name not in self.wanted or not state.window.allows(state.running):
+        if name not in self.wanted or not state.has_room(now_ms):
             return standing
         return min(max(len(own) + 1, standing), self.share)
 
@@ -286,7 +290,11 @@
 def _limit_ms(link: links.Link) -> int:
     """Return how long the instance may be silent on a link."""
     if link.ready:
-        return DEAD_LINK_MS
+        work = link.work
+        abandoned = work is None or (
+            isinstance(work, sessions.Work) and work.done
+        )
+        return _ABANDONED_MS if abandoned else DEAD_LINK_MS
     return BORROW_LIMIT_MS if link.borrowed else OPEN_LIMIT_MS
 
 
--- a/jacinthhaven/sql/window.py
+++ b/jacinthhaven/sql/window.py
@@ -32,7 +32,7 @@
         """Start with the smallest limit."""
         self.largest = _MIN_LARGEST
         self.size = float(_MIN_LARGEST)
-        self.changed_ms = 0
+        self.changed_ms = -_HOLD_MS
 
     def resize(self, slots: int, owners: int) -> None:
         """Set the limit for an instance and the number of its users."""
@@ -45,12 +45,16 @@
         """Return whether one more statement may be sent."""
         return running < int(self.size)
 
+    def shrunk_at(self, now_ms: int) -> bool:
+        """Return whether the instance has refused statements just now."""
+        return now_ms - self.changed_ms < _HOLD_MS
+
     def executed(self) -> None:
         """Note that a statement was executed."""
         self.size = min(self.size + 1 / self.size, self.largest)
 
     def refused(self, now_ms: int) -> None:
         """Note that the queue of the instance was full."""
-        if now_ms - self.changed_ms >= _HOLD_MS:
+        if not self.shrunk_at(now_ms):
             self.changed_ms = now_ms
             self.size = max(self.size * _SHRINK, 1.0)
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -72,8 +72,7 @@
 
 def _serve_echo(server: socket.socket) -> None:
     with contextlib.suppress(OSError):
-        while True:
-            client, _address = server.accept()
+        for client, _address in iter(server.accept, None):
             threading.Thread(
                 target=_echo_lines,
                 args=(client,),
