--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -245,7 +245,8 @@
         )
         for work in expired:
             self.backlog.remove(work)
-            self.executor.refuse(work, 'no instance in time', now_ms)
+            lacking = 'slot' if self._servable(work, now_ms) else 'instance'
+            self.executor.refuse(work, f'no {lacking} in time', now_ms)
 
     def _links_for(self, work: sessions.Work) -> int:
         states = list(self.pool.states.values())
