--- a/jacinthhaven/sql/load_test.py
+++ b/jacinthhaven/sql/load_test.py
@@ -210,3 +210,19 @@
     rig.run(1000)
     state = rig.service.pool.states['db-a']
     assert all(link.free for link in state.links)
+
+
+def test_instance_that_was_silent_is_used_again():
+    """Guards against an instance that nobody asks any more."""
+    rig = builders.Rig()
+    rig.databases.silent.add('db-b')
+    reader = rig.connect(builders.OWN)
+    for step in range(8):
+        rig.send(reader, f'READ k{step}', f'r{step}')
+        rig.run(300)
+    state = rig.service.pool.states['db-b']
+    assert not state.usable_at(rig.now_ms)
+    rig.databases.silent.clear()
+    rig.run(2500)
+    assert state.usable_at(rig.now_ms)
+    assert state.free_links
