--- a/soak/clients.py
+++ b/soak/clients.py
@@ -8,6 +8,7 @@
 import itertools
 import socket
 import threading
+import time
 import typing
 
 from soak import fleet
@@ -16,7 +17,7 @@
 _PAUSE_S = 0.005
 # What the stand-in returns for an item without a value.
 _NOTHING = 'none'
-_PROMISES = frozenset(
+PROMISES = frozenset(
     (
         'BUSY',
         'ABORTED',
@@ -112,6 +113,7 @@
       unknown: Requests without a certain outcome.
       problems: Reads that missed an own write.
       counts: Answers by code.
+      marks: Time and code of each answer.
     """
 
     def __init__(self, number: int, proxies: list[fleet.Proxy]) -> None:
@@ -124,6 +126,7 @@
         self.unknown: set[str] = set()
         self.problems: list[StaleRead] = []
         self.counts: dict[str, int] = {}
+        self.marks: list[tuple[float, str]] = []
         self.stopped = threading.Event()
         self.steps = itertools.count(1)
         self.newest = 0
@@ -185,7 +188,7 @@
 
     def _judge(self, request: str, step: int, answer: Answer) -> None:
         self._count(answer.code or 'done')
-        if answer.code in _PROMISES:
+        if answer.code in PROMISES:
             self.refused.add(request)
         elif answer.code:
             self.unknown.add(request)
@@ -207,4 +210,5 @@
             self.problems.append(StaleRead(request, found, self.newest_write))
 
     def _count(self, code: str) -> None:
+        self.marks.append((time.monotonic(), code))
         self.counts[code] = self.counts.get(code, 0) + 1
--- a/soak/harms.py
+++ b/soak/harms.py
@@ -4,10 +4,11 @@
 overlap with whatever else happens.
 """
 
+import functools
 import random
 import threading
 
-from soak import loopback
+from soak import loopback, timeline
 
 _LONGEST_PAUSE_S = 2.0
 _LONGEST_HARM_S = 3.0
@@ -18,7 +19,7 @@
     """Harms one path after the other until stopped.
 
     Attributes:
-      events: What was done, in order.
+      recorder: What was done, in order.
     """
 
     def __init__(self, seed: int, paths: list[loopback.Path]) -> None:
@@ -27,7 +28,7 @@
         self.rng = random.Random(f'harms {seed}')
         self.paths = paths
         self.stopped = threading.Event()
-        self.events: list[str] = []
+        self.recorder = timeline.Recorder()
 
     def run(self) -> None:
         """Draw a harm and a path again and again."""
@@ -41,8 +42,8 @@
         while not self.stopped.wait(self.rng.uniform(0, _LONGEST_PAUSE_S)):
             path = self.rng.choice(self.paths)
             kind = self.rng.choice(kinds)
-            self.events.append(kind.__name__.strip('_'))
-            kind(path)
+            name = kind.__name__.strip('_')
+            self.recorder.record(name, functools.partial(kind, path))
 
     def stop(self) -> None:
         """Stop and let all paths work again."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import functools
 import pathlib
 import random
 import signal
@@ -13,7 +14,7 @@
 
 import typer
 
-from soak import clients, faults, fleet, harms, loopback
+from soak import clients, faults, fleet, harms, loopback, timeline
 
 _PROXIES = 4
 _CLIENTS = 8
@@ -46,7 +47,7 @@
             for number in range(_CLIENTS)
         ]
         self.version = 1
-        self.events: list[str] = []
+        self.faults = timeline.Recorder()
         self.harms = harms.Harms(seed, self.fleet.paths)
         if harmed:
             self.harms.start()
@@ -57,8 +58,8 @@
             client.start()
         time.sleep(_SETTLE_S)
         for fault in self.rng.choices(faults.FAULTS, k=_STEPS):
-            self.events.append(fault.__name__)
-            fault(self)
+            inject = functools.partial(fault, self)
+            self.faults.record(fault.__name__, inject)
             time.sleep(self.rng.uniform(0, _MAX_PAUSE_S))
         self.harms.stop()
         self._heal()
@@ -81,6 +82,16 @@
                 total[code] = total.get(code, 0) + count
         return total
 
+    def draw(self, name: pathlib.Path) -> None:
+        """Draw the timeline of the run into a PNG file."""
+        marks = [
+            (when, timeline.kind_of(code, clients.PROMISES))
+            for client in self.clients
+            for when, code in client.marks
+        ]
+        spans = self.faults.spans + self.harms.recorder.spans
+        timeline.draw(name, spans, marks)
+
     def _end_clients(self) -> None:
         for ended in self.clients:
             ended.stopped.set()
@@ -154,22 +165,33 @@
     folder: pathlib.Path,
     *,
     harmed: bool = True,
+    plot: pathlib.Path | None = None,
 ) -> tuple[list[str], str]:
     """Play one seed and return the broken promises and a summary."""
     soak = Soak(seed, folder, harmed=harmed)
     with contextlib.closing(soak):
         problems = soak.run()
-    events = ' '.join((*soak.events, *soak.harms.events))
+    if plot is not None:
+        soak.draw(plot)
+    injected = soak.faults.spans + soak.harms.recorder.spans
+    events = ' '.join(span.name for span in injected)
     served = soak.served()
     return problems, f'{events}: {served}'
 
 
-def main(seed: int, count: int = 1) -> None:
-    """Play seeds and print one line for each."""
+def main(
+    seed: int,
+    count: int = 1,
+    plot: pathlib.Path | None = None,
+) -> None:
+    """Play seeds and print one line for each.
+
+    `--plot FILE` draws the timeline of the last one.
+    """
     failed = False
     for number in range(seed, seed + count):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{number}-'))
-        problems, summary = play(number, folder)
+        problems, summary = play(number, folder, plot=plot)
         verdict = 'FAILED' if problems else 'ok'
         typer.echo(f'seed {number} {verdict} {summary}')
         for problem in problems[:5]:
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from soak import clients, loopback, run
+from soak import clients, loopback, run, timeline
 
 # Both once stopped with a timeout of the stand-in, whose model copied the
 # whole log for each read. They are from before connections were harmed.
@@ -131,3 +131,17 @@
         path.reset()
         with pytest.raises(ConnectionResetError):
             client.recv(1)
+
+
+def test_timeline_is_drawn(tmp_path):
+    """Guards against a report that nobody can look at."""
+    recorder = timeline.Recorder()
+    recorder.record('pause', lambda: None)
+    marks = [
+        (recorder.spans[0].begin_s, timeline.kind_of(code, clients.PROMISES))
+        for code in ('done', 'BUSY', 'INDOUBT')
+    ]
+    assert [kind for _when, kind in marks] == ['served', 'refused', 'unknown']
+    name = tmp_path / 'timeline.png'
+    timeline.draw(name, recorder.spans, marks)
+    assert name.stat().st_size
