End a process that cannot listen, and reserve the ports of a soak

The log of node n3 has 'Address already in use' for its metrics address: two soaks ran at the same time, and a port that was free when it was chosen had gone to the other one. The process went on without serving anybody, and the soak left the processes of that run behind (ended by hand, by their ids). Ruled out: a fault of the node's decisions; nothing had been played yet. Change: a proxy that cannot listen logs not_started and ends with exit code 3; the soak holds its ports, and ends its processes if one does not become ready.

--- a/jacinthhaven/process/sql_proxy.py
+++ b/jacinthhaven/process/sql_proxy.py
@@ -32,6 +32,9 @@
 _OK = 200
 _UNAVAILABLE = 503
 _GAUGE_MS = 1000
+# Exit code where an address of the settings is taken; 1 and 2 are those of
+# the command line for invalid and for unreadable settings.
+_NOT_LISTENING = 3
 # Lines about statements that go well, per second; a line costs about as
 # much processor time as the rest of a statement's decisions.
 _ROUTINE_LINES = 1000
@@ -142,15 +145,19 @@
         )
         self._connect()
         self.gauge_ms = 0
-        self.ended = False
+        self.exit_code: int | None = None
 
     def started(self, _component: typing.Any) -> None:
-        """Listen and start the ticks."""
-        listeners = self.settings.listeners
-        self.clients.listen(listeners.clients.pair)
-        self.borrowers.listen(listeners.peers.pair)
-        self.health.listen(listeners.health.pair)
-        self.page.server.listen(listeners.metrics.pair)
+        """Listen and start the ticks, or stop if an address is taken."""
+        try:
+            self._listen()
+        except OSError as error:
+            self.log.write(
+                messages.DecisionLine('not_started', {'reason': str(error)}),
+            )
+            self.exit_code = _NOT_LISTENING
+            self.stop()
+            return
         signal.signal(signal.SIGHUP, self._on_reload)
         # A log that nobody reads must not stop the process.
         os.set_blocking(sys.stdout.fileno(), False)
@@ -175,6 +182,13 @@
         self.journal.count('errors', type(error).__name__)
         logging.getLogger(__name__).error('unexpected error', exc_info=error)
 
+    def _listen(self) -> None:
+        listeners = self.settings.listeners
+        self.clients.listen(listeners.clients.pair)
+        self.borrowers.listen(listeners.peers.pair)
+        self.health.listen(listeners.health.pair)
+        self.page.server.listen(listeners.metrics.pair)
+
     def _connect(self) -> None:
         self._connect_clients()
         self._connect_nodes()
@@ -260,8 +274,8 @@
             self.gauge_ms = now_ms + _GAUGE_MS
             self._show_gauges()
             self.journal.start_second()
-        if self.node.stopped and not self.ended:
-            self.ended = True
+        if self.node.stopped and self.exit_code is None:
+            self.exit_code = 0
             self._leave()
 
     def _show_gauges(self) -> None:
@@ -290,6 +304,9 @@
 _END_MS = 300
 
 
-def run(settings: sql_settings.SqlSettings, source: str) -> None:
-    """Run a proxy until it is stopped."""
-    SqlProxy(settings, source).run()
+def run(settings: sql_settings.SqlSettings, source: str) -> int:
+    """Run a proxy until it is stopped and return the exit code."""
+    proxy = SqlProxy(settings, source)
+    proxy.run()
+    proxy.log.flush()
+    return proxy.exit_code or 0
--- a/jacinthhaven/process/sql_proxy_test.py
+++ b/jacinthhaven/process/sql_proxy_test.py
@@ -1,7 +1,9 @@
 """Tests of the log budget and of the metrics page of a SQL session proxy."""
 
+import socket
+
 from jacinthhaven.adapters import prometheus
-from jacinthhaven.process import sql_proxy
+from jacinthhaven.process import sql_proxy, start
 from jacinthhaven.standins import driver
 
 
@@ -54,3 +56,28 @@
     assert 'jacinthhaven_answers_total{kind="done"} 1.0' in text
     assert 'jacinthhaven_answer_ms_bucket{kind="own",le="16.0"} 1.0' in text
     assert 'jacinthhaven_sessions 3.0' in text
+
+
+_SETTINGS = """node: n1
+zone: a
+listeners:
+  clients: 127.0.0.1:{taken}
+  health: 127.0.0.1:{taken}
+  metrics: 127.0.0.1:{taken}
+  peers: 127.0.0.1:{taken}
+store:
+  address: 127.0.0.1:{taken}
+promotion:
+  address: 127.0.0.1:{taken}
+grace_ms: 4000
+"""
+
+
+def test_process_ends_where_an_address_is_taken(tmp_path, capfd):
+    """Guards against a process that runs and serves nobody."""
+    with socket.create_server(('127.0.0.1', 0)) as other:
+        name = tmp_path / 'settings.yaml'
+        taken = other.getsockname()[1]
+        name.write_text(_SETTINGS.format(taken=taken))
+        assert start.run_sql_proxy(str(name)) == 3
+    assert 'not_started' in capfd.readouterr().out
--- a/jacinthhaven/process/start.py
+++ b/jacinthhaven/process/start.py
@@ -27,8 +27,7 @@
         return _fail(f'{error}', _UNREADABLE)
     if isinstance(loaded, list):
         return _fail('\n'.join(f'{name}:{error}' for error in loaded), _REFUSED)
-    sql_proxy.run(loaded, name)
-    return 0
+    return sql_proxy.run(loaded, name)
 
 
 def main() -> int:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,5 +1,6 @@
 """Processes of one soak: the stand-ins and several proxies on loopback."""
 
+import contextlib
 import json
 import os
 import pathlib
@@ -17,6 +18,7 @@
 _READY_S = 15
 _POLL_S = 0.02
 _CALL_S = 2
+_LISTENERS = 4
 _SETTINGS = """node: n{number}
 zone: a
 listeners:
@@ -36,11 +38,15 @@
     """A process did not become ready in time."""
 
 
-def free_port() -> int:
-    """Return a TCP port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((_HOST, 0))
-        return probe.getsockname()[1]
+def reserve_port() -> socket.socket:
+    """Return a socket whose port nobody else is given while it is open.
+
+    It does not listen, so that a process can still listen on its port.
+    """
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind((_HOST, 0))
+    return reserved
 
 
 class Proxy:
@@ -62,10 +68,11 @@
         """Write the settings; nothing runs before `start`."""
         self.number = number
         self.store_path = loopback.Path(store_port)
-        self.own_port = free_port()
-        self.client_path = loopback.Path(self.own_port)
+        self.reserved = [reserve_port() for _listener in range(_LISTENERS)]
+        ports = [known.getsockname()[1] for known in self.reserved]
+        self.client_path = loopback.Path(ports[0])
         self.port = self.client_path.port
-        self.health = free_port()
+        self.health = ports[1]
         self.settings = folder / f'n{number}.yaml'
         self.log = folder / f'n{number}.log'
         self.process: subprocess.Popen | None = None
@@ -73,10 +80,10 @@
             _SETTINGS.format(
                 number=number,
                 host=_HOST,
-                clients=self.own_port,
-                health=self.health,
-                metrics=free_port(),
-                peers=free_port(),
+                clients=ports[0],
+                health=ports[1],
+                metrics=ports[2],
+                peers=ports[3],
                 store=self.store_path.port,
             ),
         )
@@ -154,10 +161,14 @@
         self.proxies = [
             Proxy(number, folder, int(words[1])) for number in range(size)
         ]
-        for proxy in self.proxies:
-            proxy.start()
-        for started in self.proxies:
-            started.wait_ready()
+        with contextlib.ExitStack() as started:
+            started.callback(self.close)
+            for proxy in self.proxies:
+                proxy.start()
+            for running in self.proxies:
+                running.wait_ready()
+            # Nothing is closed unless a process did not become ready.
+            started.pop_all()
 
     @property
     def paths(self) -> list[loopback.Path]:
@@ -185,7 +196,10 @@
             proxy.send(signal.SIGCONT)
             proxy.send(signal.SIGKILL)
         for ended in self.proxies:
-            ended.process.wait()
+            if ended.process is not None:
+                ended.process.wait()
+            for reserved in ended.reserved:
+                reserved.close()
         self.platform.kill()
         self.platform.wait()
         for path in self.paths:
