Ask cheaply whether a session belongs to another owner

Found on reading: an owner built a new list of owners for each of its sessions on every tick, to find out that it owns them itself. It now looks its name up in the kept ranking.

--- a/jacinthhaven/sql/relaying.py
+++ b/jacinthhaven/sql/relaying.py
@@ -260,20 +260,25 @@
         route = self.local.configuration.routes.get(database)
         if route is None:
             return False
-        owners = self._owners(route.service, now_ms)
-        return bool(owners) and self.node not in owners
+        seen = self._seen(route.service)
+        if self.node in seen.near or self.node in seen.far:
+            return False
+        return bool(self._owners(route.service, now_ms))
 
-    def _owners(self, service: str, now_ms: int) -> list[str]:
+    def _seen(self, service: str) -> ownership.Owners:
         if service not in self.ranked:
             self.ranked[service] = ownership.seen_from(
                 self.local.zone,
                 service,
                 self.peers,
             )
+        return self.ranked[service]
+
+    def _owners(self, service: str, now_ms: int) -> list[str]:
         self.turn += 1
         return [
             name
-            for name in self.ranked[service].order(self.turn)
+            for name in self._seen(service).order(self.turn)
             if self.avoided.get(name, 0) <= now_ms
         ]
 
