--- /dev/null
+++ b/jacinthhaven/adapters/datagrams.py
@@ -0,0 +1,86 @@
+"""Datagrams between nodes."""
+
+import socket
+import typing
+
+from jacinthhaven.adapters import poller
+
+# Larger datagrams are cut off and cannot be decoded.
+_MAX_BYTES = 4096
+# Datagrams read in one callback, so that a flood stops nothing else.
+_MAX_BATCH = 64
+
+Pair = tuple[str, int]
+
+
+class DatagramSocket:
+    """Owns one UDP socket.
+
+    Attributes:
+      on_datagram: Called with the bytes of each datagram.
+      on_error: Called with the reason where one could not be sent.
+    """
+
+    def __init__(self, loop: poller.Poller) -> None:
+        """Prepare a socket; nothing is received before `listen`."""
+        self.poller = loop
+        self.sock: socket.socket | None = None
+        self.on_datagram: typing.Callable[[bytes], None] = _ignore
+        self.on_error: typing.Callable[[str], None] = _ignore
+
+    def listen(self, address: Pair) -> int:
+        """Start to receive and return the port.
+
+        Raises:
+          OSError: If the address is taken.
+        """
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.sock.bind(address)
+        self.poller.watch(
+            self.sock.fileno(),
+            poller.READABLE,
+            self._on_ready,
+        )
+        return self.sock.getsockname()[1]
+
+    def send(self, address: Pair, chunk: bytes) -> None:
+        """Send one datagram; it may be lost."""
+        if self.sock is None:
+            return
+        try:
+            self.sock.sendto(chunk, address)
+        except OSError as error:
+            self.on_error(str(error))
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self.sock is not None:
+            self.poller.forget(self.sock.fileno())
+            self.sock.close()
+            self.sock = None
+
+    def _on_ready(self, _mask: int) -> None:
+        remaining = _MAX_BATCH
+        while remaining:
+            remaining -= 1
+            chunk = self._receive()
+            if chunk is None:
+                return
+            self.on_datagram(chunk)
+
+    def _receive(self) -> bytes | None:
+        if self.sock is None:
+            return None
+        try:
+            return self.sock.recv(_MAX_BYTES)
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            # A peer's port without a listener is reported here.
+            self.on_error(str(error))
+            return None
+
+
+def _ignore(_subject: typing.Any) -> None:
+    """Do nothing; default of an unset callback."""
--- a/jacinthhaven/platform/instance_wire.py
+++ b/jacinthhaven/platform/instance_wire.py
@@ -54,6 +54,10 @@
     return f'PAUSE {command.term}'
 
 
+def _demote_text(command: commands.Demote) -> str:
+    return f'DEMOTE {command.term}'
+
+
 def _after(position: records.Position | None) -> str:
     return '' if position is None else f'WAITPOS {position} '
 
@@ -73,6 +77,7 @@
         commands.AskStatus: _fixed('STATUS'),
         commands.Pause: _pause_text,
         commands.Resume: _fixed('RESUME'),
+        commands.Demote: _demote_text,
     },
 )
 
--- a/jacinthhaven/platform/plugin.py
+++ b/jacinthhaven/platform/plugin.py
@@ -7,13 +7,13 @@
 from jacinthhaven.decide import messages
 from jacinthhaven.platform import documents, duty, kv
 from jacinthhaven.records import sql_settings, store
-from jacinthhaven.sql import node, ports, records
+from jacinthhaven.sql import ports, records, registry
 
 # A slow store answers within this time on bad days; a lost answer costs it.
 _CALL_TIMEOUT_MS = 900
 
 
-class PlatformDocuments(node.Documents):
+class PlatformDocuments(registry.Documents):
     """Documents in the platform's store."""
 
     configuration_key = documents.CONFIGURATION_KEY
@@ -31,7 +31,7 @@
 
     def instances(
         self,
-        entries: node.Entries,
+        entries: registry.Entries,
         on_unusable: typing.Callable[[str, str], None],
     ) -> list[records.Instance]:
         """Return the usable instances."""
--- a/jacinthhaven/process/sql_proxy.py
+++ b/jacinthhaven/process/sql_proxy.py
@@ -13,8 +13,10 @@
 import typing
 
 import circuits
+import msgspec
 
 from jacinthhaven.adapters import (
+    datagrams,
     decision_log,
     http_server,
     poller,
@@ -27,7 +29,15 @@
 from jacinthhaven.platform import node_sockets, plugin, sockets
 from jacinthhaven.process import ticker
 from jacinthhaven.records import sql_settings
-from jacinthhaven.sql import node, ownership, ports, statements
+from jacinthhaven.sql import (
+    node,
+    ownership,
+    peer_messages,
+    peering,
+    ports,
+    records,
+    statements,
+)
 
 _OK = 200
 _UNAVAILABLE = 503
@@ -87,6 +97,45 @@
         self.page.observe(name, label, spent_ms)
 
 
+class NodeMessenger(peering.Messenger):
+    """Messages between nodes as datagrams.
+
+    Attributes:
+      on_message: Called with each message that arrives.
+    """
+
+    def __init__(self, loop: poller.Poller, journal: ports.Journal) -> None:
+        """Prepare the socket."""
+        self.journal = journal
+        self.datagrams = datagrams.DatagramSocket(loop)
+        self.datagrams.on_datagram = self._on_datagram
+        self.datagrams.on_error = self._on_error
+        self.on_message: typing.Callable[[peer_messages.Message], None] = (
+            _ignore
+        )
+
+    def send(
+        self,
+        address: records.Address,
+        message: peer_messages.Message,
+    ) -> None:
+        """Send one message to a node."""
+        self.datagrams.send(address, peer_messages.encode(message))
+
+    def _on_datagram(self, chunk: bytes) -> None:
+        try:
+            message = peer_messages.decode(chunk)
+        except msgspec.DecodeError as error:
+            self.journal.count('node_messages', 'malformed')
+            self.journal.write('message_malformed', {'reason': str(error)})
+            return
+        self.journal.count('node_messages', type(message).__name__)
+        self.on_message(message)
+
+    def _on_error(self, _reason: str) -> None:
+        self.journal.count('node_messages', 'not_sent')
+
+
 class SqlProxy(circuits.Component):
     """One SQL session proxy process."""
 
@@ -120,8 +169,8 @@
         self.databases = sockets.DatabaseSockets(self.poller)
         self.borrowers = node_sockets.BorrowerSockets(self.poller)
         self.relays = node_sockets.RelaySockets(self.poller)
+        self.messenger = NodeMessenger(self.poller, self.journal)
         self.health = http_server.Server(self.poller, self._on_health)
-        self.platform = plugin.PlatformCalls(self.poller, settings)
         self.node = node.Node(
             node.Identity(
                 settings.node,
@@ -131,13 +180,16 @@
                     settings.zone,
                     settings.processor.capacity,
                 ),
+                settings.promotion.fenced,
             ),
             node.Surroundings(
                 self.databases,
                 self.clients,
                 self.borrowers,
                 self.relays,
-                self.platform,
+                self.messenger,
+                self.clock,
+                plugin.PlatformCalls(self.poller, settings),
                 self.journal,
                 plugin.PlatformDocuments(),
                 random.SystemRandom(),
@@ -186,6 +238,7 @@
         listeners = self.settings.listeners
         self.clients.listen(listeners.clients.pair)
         self.borrowers.listen(listeners.peers.pair)
+        self.messenger.datagrams.listen(listeners.peers.pair)
         self.health.listen(listeners.health.pair)
         self.page.server.listen(listeners.metrics.pair)
 
@@ -214,6 +267,7 @@
         self.relays.on_line = self._timed(relay.on_line)
         self.relays.on_alive = relay.on_alive
         self.relays.on_lost = self._timed(relay.on_lost)
+        self.messenger.on_message = self._timed(self.node.on_message)
 
     def _timed(self, handler: typing.Callable) -> typing.Callable:
         """Return a handler that adds the current time to its arguments."""
@@ -304,6 +358,10 @@
 _END_MS = 300
 
 
+def _ignore(_subject: typing.Any) -> None:
+    """Do nothing; default of an unset callback."""
+
+
 def run(settings: sql_settings.SqlSettings, source: str) -> int:
     """Run a proxy until it is stopped and return the exit code."""
     proxy = SqlProxy(settings, source)
--- a/jacinthhaven/records/sql_settings.py
+++ b/jacinthhaven/records/sql_settings.py
@@ -75,9 +75,16 @@
 
 
 class Promotion(_Section, frozen=True):
-    """Where promotions are ordered."""
+    """Where promotions are ordered.
+
+    Attributes:
+      address: Where orders are sent.
+      fenced: Whether orders with an old fencing number are refused and a
+        replaced primary serves nobody any more.
+    """
 
     address: Address
+    fenced: bool = True
 
 
 class Processor(_Section, frozen=True):
--- a/jacinthhaven/sql/builders.py
+++ b/jacinthhaven/sql/builders.py
@@ -7,7 +7,15 @@
 
 from jacinthhaven.platform import client_wire, instance_wire
 from jacinthhaven.records import store
-from jacinthhaven.sql import commands, gateway, ports, records, statements
+from jacinthhaven.sql import (
+    commands,
+    gateway,
+    peer_messages,
+    peering,
+    ports,
+    records,
+    statements,
+)
 from jacinthhaven.standins import sql_group
 
 SERVICE = 'ledger'
@@ -234,6 +242,45 @@
         self.closed.add(number)
 
 
+class FakeMessenger(peering.Messenger):
+    """Delivers messages between the nodes of one test.
+
+    Attributes:
+      network: Nodes by the port of their address.
+      lost: Pairs of ports between which no message arrives.
+    """
+
+    def __init__(
+        self,
+        port: int,
+        network: dict[int, 'FakeMessenger'],
+    ) -> None:
+        """Join a network."""
+        self.port = port
+        self.network = network
+        self.lost: set[tuple[int, int]] = set()
+        self.inbox: list[peer_messages.Message] = []
+        network[port] = self
+
+    def send(
+        self,
+        address: records.Address,
+        message: peer_messages.Message,
+    ) -> None:
+        """Put a message into the inbox of a node."""
+        target = self.network.get(address[1])
+        if target is not None and (self.port, address[1]) not in self.lost:
+            # The codec is part of the path.
+            chunk = peer_messages.encode(message)
+            target.inbox.append(peer_messages.decode(chunk))
+
+    def take(self) -> list[peer_messages.Message]:
+        """Return and forget what has arrived."""
+        arrived = self.inbox
+        self.inbox = []
+        return arrived
+
+
 class FakeBorrowers(ports.Borrowers):
     """Keeps what borrowers were told."""
 
--- a/jacinthhaven/sql/commands.py
+++ b/jacinthhaven/sql/commands.py
@@ -62,6 +62,12 @@
     """Let a paused replica receive again."""
 
 
+class Demote(msgspec.Struct, frozen=True):
+    """Make a primary of an earlier term a replica."""
+
+    term: int
+
+
 Command = (
     Run
     | Begin
@@ -72,7 +78,8 @@
     | AskStatus
     | Pause
     | Resume
+    | Demote
 )
 
 # Commands whose reply holds the status of the instance.
-ASKS_STATUS = (AskStatus, Pause, Resume)
+ASKS_STATUS = (AskStatus, Pause, Resume, Demote)
--- a/jacinthhaven/sql/coordination.py
+++ b/jacinthhaven/sql/coordination.py
@@ -17,6 +17,11 @@
 # others, which in turn bound how old the known registry can be.
 _STALE_READ_MS = 900
 _FRESH_READ_EVERY = 3
+# Interval while instances are missing that should be back: entries that
+# expired during an outage of the store return within two seconds of its own
+# return. For a while only, since a service may have lost its instances.
+_MISSING_READ_MS = 250
+_MISSING_READ_FOR_MS = 6000
 _RETRY_FIRST_MS = 150
 _RETRY_LAST_MS = 800
 _IDLE_RETRY_LAST_MS = 4000
@@ -44,13 +49,61 @@
     def on_key(self, key: str, text: str | None, revision: int) -> None:
         """Accept the value of a watched key, or None after its removal."""
 
-    def on_registry(self, entries: Entries, fresh: bool) -> None:
-        """Accept all entries of the registry."""
+    def on_registry(self, entries: Entries, fresh: bool) -> bool:
+        """Accept all entries; return whether each service has some."""
 
     def on_members(self, entries: Entries) -> None:
         """Accept the keys of all nodes."""
 
 
+class RegistryTimes:
+    """When the registry is read, and which reads may be old.
+
+    Attributes:
+      next_ms: When the next read is due.
+      reads: Reads since one that was not old.
+      running: Whether a read has no answer yet.
+      hurry_until_ms: Until when missing instances are looked for often.
+    """
+
+    __slots__ = ('next_ms', 'reads', 'running', 'hurry_until_ms')
+
+    def __init__(self) -> None:
+        """Read at once."""
+        self.next_ms = 0
+        self.reads = 0
+        self.running = False
+        self.hurry_until_ms = 0
+
+    def due(self, now_ms: int) -> bool:
+        """Return whether it is time for a read."""
+        return now_ms >= self.next_ms and not self.running
+
+    def start(self, now_ms: int, *, owns_service: bool) -> bool:
+        """Start a read; return whether it must not be old."""
+        self.running = True
+        factor = 1 if owns_service else _IDLE_REGISTRY_FACTOR
+        self.next_ms = now_ms + _STALE_READ_MS * factor
+        return owns_service and self.reads % _FRESH_READ_EVERY == 0
+
+    def hurry(self, now_ms: int) -> None:
+        """Look often for instances that are missing from now on."""
+        self.hurry_until_ms = now_ms + _MISSING_READ_FOR_MS
+
+    def finish(self, complete: bool | None, now_ms: int) -> None:
+        """Accept the end of a read.
+
+        Args:
+          complete: Whether each service has instances; None after a failure.
+          now_ms: Current time.
+        """
+        self.running = False
+        self.reads = 0 if complete is None else self.reads + 1
+        if complete is False and now_ms < self.hurry_until_ms:
+            self.reads = 0
+            self.next_ms = now_ms + _MISSING_READ_MS
+
+
 class Coordination:
     """Watch, registry reads and lease of one node.
 
@@ -58,6 +111,7 @@
       known: Revision of each watched key that exists.
       keeper: Lease and key of this node.
       connected: Whether the last call succeeded.
+      registry: When the registry is read.
       watch_number: Number of the watch; 0 while what it starts from is read,
         None while there is none.
     """
@@ -92,12 +146,10 @@
         self.known: dict[str, int] = {}
         self.connected = False
         self.watch_number: int | None = None
-        self.reading = False
-        self.registry_ms = 0
+        self.registry = RegistryTimes()
         self.members_ms = 0
         self.started_ms: int | None = None
         self.owns_service = True
-        self.registry_reads = 0
         self.keeper = lease.LeaseKeeper(self.call)
         self.now_ms = 0
 
@@ -119,7 +171,7 @@
                 store.ReadRequest(self.watched),
                 functools.partial(self._on_snapshot, self.watched),
             )
-        if now_ms >= self.registry_ms and not self.reading:
+        if self.registry.due(now_ms):
             self._read_registry(now_ms)
         if now_ms >= self.members_ms:
             self._read_members(now_ms)
@@ -130,6 +182,11 @@
         """Return the prefix that this node watches."""
         return self.prefixes[0 if self.owns_service else 3]
 
+    @property
+    def complete(self) -> bool:
+        """Return whether all keys of this product were read and are watched."""
+        return self.owns_service and bool(self.watch_number)
+
     def own_services(self, owns: bool) -> None:
         """Watch the notes of other owners too, or the configuration only."""
         if owns == self.owns_service:
@@ -159,6 +216,7 @@
         failed = isinstance(reply, failures.Failure)
         if failed == self.connected:
             self.connected = not failed
+            self.registry.hurry(self.now_ms)
             event = 'store_lost' if failed else 'store_connected'
             reason = reply.reason if failed else ''
             self.journal.write(event, {'reason': reason})
@@ -213,24 +271,19 @@
             self.listener.on_key(key, None, revision)
 
     def _read_registry(self, now_ms: int) -> None:
-        self.reading = True
-        factor = 1 if self.owns_service else _IDLE_REGISTRY_FACTOR
-        self.registry_ms = now_ms + _STALE_READ_MS * factor
-        fresh = self.owns_service and (
-            self.registry_reads % _FRESH_READ_EVERY == 0
-        )
+        fresh = self.registry.start(now_ms, owns_service=self.owns_service)
         self.call(
             store.ReadRequest(self.prefixes[1], may_be_stale=not fresh),
             functools.partial(self._on_registry, fresh),
         )
 
     def _on_registry(self, fresh: bool, reply: store.ReadReply | None) -> None:
-        self.reading = False
-        if reply is None:
-            self.registry_reads = 0
-            return
-        self.registry_reads += 1
-        self.listener.on_registry(reply.entries, fresh)
+        complete = None
+        if reply is not None:
+            complete = self.listener.on_registry(reply.entries, fresh)
+            # A node without a service can wait.
+            complete = complete or not self.owns_service
+        self.registry.finish(complete, self.now_ms)
 
     def _read_members(self, now_ms: int) -> None:
         interval_ms = _SMALL_MEMBERS_MS
--- a/jacinthhaven/sql/election_test.py
+++ b/jacinthhaven/sql/election_test.py
@@ -2,14 +2,25 @@
 
 import functools
 
+from jacinthhaven.kernel import clock
+from jacinthhaven.platform import client_wire
 from jacinthhaven.records import store
-from jacinthhaven.sql import builders, election, node, ownership, records
+from jacinthhaven.sql import (
+    builders,
+    duty,
+    node,
+    notes,
+    ownership,
+    ports,
+    records,
+    registry,
+)
 from jacinthhaven.standins import sql_group, store_model
 
 _PREFIX = 'ours/'
 
 
-class _Documents(node.Documents):
+class _Documents(registry.Documents):
     configuration_key = 'op/config'
     own_prefix = _PREFIX
     watched_prefix = 'o'
@@ -31,9 +42,16 @@
 class Fleet:
     """Several nodes that share a store model and a database group."""
 
-    def __init__(self, size: int = 3) -> None:
+    def __init__(self, size: int = 3, *, fenced: bool = True) -> None:
         """Start the nodes and let them settle."""
-        self.group = sql_group.SqlGroup(builders.SERVICE, builders.MEMBERS)
+        self.fenced = fenced
+        self.network: dict[int, builders.FakeMessenger] = {}
+        self.clock = clock.ManualClock(1000)
+        self.group = sql_group.SqlGroup(
+            builders.SERVICE,
+            builders.MEMBERS,
+            fenced=fenced,
+        )
         self.model = store_model.StoreModel()
         self.documents = _Documents()
         self.nodes = []
@@ -49,12 +67,15 @@
         until_ms = self.now_ms + for_ms
         while self.now_ms < until_ms:
             self.now_ms += 10
+            self.clock.advance(10)
             for index, member in enumerate(self.nodes):
                 self.platforms[index].run(self.now_ms)
                 rig = self.rigs[index]
                 rig.now_ms = self.now_ms
                 rig.databases.now_ms = self.now_ms
                 rig._deliver()
+                for message in member.around.messenger.take():
+                    member.on_message(message, self.now_ms)
                 member.tick(self.now_ms)
 
     def orders(self) -> list[tuple[str, str, int]]:
@@ -69,6 +90,34 @@
         for rig in self.rigs[:nodes]:
             rig.databases.silent.add(name)
 
+    def isolate(self, apart: set[int]) -> None:
+        """Let no message pass between some nodes and the others."""
+        for port, messenger in self.network.items():
+            messenger.lost = {
+                (port, other)
+                for other in self.network
+                if (port - 1 in apart) != (other - 1 in apart)
+            }
+
+    def write(self, index: int, number: int) -> None:
+        """Let a client of one node write."""
+        rig = self.rigs[index]
+        request = f'w{number}'
+        rig.gateway.on_start(number, builders.STRICT)
+        statement = client_wire.decode_query(
+            f'QUERY {request} WRITE k {request}'
+        )
+        rig.gateway.on_statement(number, statement, self.now_ms)
+
+    def successes(self) -> set[str]:
+        """Return the writes that clients were told to have succeeded."""
+        found = set()
+        for rig in self.rigs:
+            for number, answers in rig.clients.answers.items():
+                if any(answer.code is None for answer in answers):
+                    found.add(f'w{number}')
+        return found
+
     def _add(self, name: str) -> None:
         rig = object.__new__(builders.Rig)
         rig.group = self.group
@@ -77,17 +126,21 @@
         rig.journal = builders.FakeJournal()
         rig.lines = []
         platform = builders.FakePlatform(self.model, self.group)
+        port = len(self.nodes) + 1
         member = node.Node(
             node.Identity(
                 name,
                 6000,
-                ownership.Peer(('127.0.0.1', 1), builders.ZONE, 1.0),
+                ownership.Peer(('127.0.0.1', port), builders.ZONE, 1.0),
+                self.fenced,
             ),
             node.Surroundings(
                 rig.databases,
                 rig.clients,
                 builders.FakeBorrowers(),
                 builders.FakeRelays(),
+                builders.FakeMessenger(port, self.network),
+                self.clock,
                 platform,
                 rig.journal,
                 self.documents,
@@ -248,7 +301,7 @@
 def _acknowledging() -> Fleet:
     fleet = Fleet()
     for member in fleet.nodes:
-        member.elections[builders.SERVICE].acknowledging = 1
+        member.elections[builders.SERVICE].succession.acknowledging = 1
     return fleet
 
 
@@ -298,7 +351,7 @@
 
 def test_keys_do_not_overlap():
     """Guards against two kinds of notes under one key."""
-    keys = election.Keys(_PREFIX)
+    keys = notes.Keys(_PREFIX)
     names = {
         keys.doubt('x', 'x'),
         keys.duty('x'),
@@ -374,3 +427,200 @@
     _keep_pressing(fleet, ('db-b', 'db-c'))
     _keep_pressing(fleet, tuple(builders.MEMBERS))
     assert len(fleet.orders()) == 1
+
+
+def _split(nodes_apart: set[int]) -> Fleet:
+    """Return a fleet in which some nodes alone reach the old primary."""
+    fleet = Fleet(5, fenced=False)
+    fleet.isolate(nodes_apart)
+    for index, rig in enumerate(fleet.rigs):
+        if index in nodes_apart:
+            rig.databases.silent |= {'db-b', 'db-c'}
+            fleet.platforms[index].down = True
+        else:
+            rig.databases.silent.add('db-a')
+    return fleet
+
+
+def _write_all_the_time(fleet: Fleet, for_ms: int) -> None:
+    for step in range(for_ms // 50):
+        for index, _member in enumerate(fleet.nodes):
+            fleet.write(index, step * 10 + index + 1)
+        fleet.run(50)
+
+
+def test_nodes_apart_acknowledge_nothing_of_the_old_primary():
+    """Guards against writes at two primaries where no fence is checked."""
+    fleet = _split({3, 4})
+    _write_all_the_time(fleet, 5000)
+    assert fleet.group.primary != 'db-a'
+    assert not fleet.successes() & set(fleet.group.split_commits)
+    assert fleet.successes()
+
+
+def test_nodes_apart_send_nothing_to_the_old_primary():
+    """Guards against work that is rolled back later."""
+    fleet = _split({3, 4})
+    _write_all_the_time(fleet, 5000)
+    assert len(fleet.group.split_commits) <= 2
+
+
+def test_majority_with_the_old_primary_goes_on():
+    """Guards against a promotion by the nodes that are apart."""
+    fleet = Fleet(5, fenced=False)
+    fleet.isolate({3, 4})
+    for rig in fleet.rigs[3:]:
+        rig.databases.silent.add('db-a')
+    _write_all_the_time(fleet, 4000)
+    assert not fleet.orders()
+    assert len(fleet.successes()) >= 200
+
+
+def test_all_nodes_in_touch_replace_a_lost_primary_as_fast():
+    """Guards against waiting for rights to expire on ordinary days."""
+    waited = []
+    for fenced in (True, False):
+        fleet = Fleet(5, fenced=fenced)
+        fleet.silence('db-a', 5)
+        since_ms = fleet.now_ms
+        while not fleet.orders():
+            fleet.run(10)
+        waited.append(fleet.now_ms - since_ms)
+    assert waited[1] <= waited[0] + 100
+
+
+def test_old_primary_is_demoted():
+    """Guards against an old primary that serves nobody for a long time."""
+    fleet = Fleet(3, fenced=False)
+    fleet.documents.listed = [
+        builders.instance(name, leaving=name == 'db-a')
+        for name in builders.MEMBERS
+    ]
+    fleet.run(4000)
+    assert fleet.group.primary != 'db-a'
+    assert not fleet.group.instances['db-a'].replaced_term
+
+
+def test_refused_order_lets_all_use_the_primary_again():
+    """Guards against a primary that nobody uses after a failed attempt."""
+    fleet = Fleet(3, fenced=False)
+    for platform in fleet.platforms:
+        platform.promote = _refuse_order
+    fleet.silence('db-a', 3)
+    fleet.run(2500)
+    for rig in fleet.rigs:
+        rig.databases.silent.clear()
+    fleet.run(4000)
+    for member in fleet.nodes:
+        right = member.gateway.groups[builders.SERVICE].right
+        assert right.may_send(fleet.now_ms)
+
+
+def _refuse_order(_service, _instance, _fence, on_result) -> None:
+    """Refuse an order."""
+    on_result(ports.OrderResult(False, True, 'status 409'))
+
+
+def test_attempt_of_a_holder_that_ended_is_finished():
+    """Guards against a service that is stopped for ever."""
+    fleet = Fleet(3, fenced=False)
+    granted = fleet.model.call(
+        store.LeaseRequest(duty.DUTY_MS),
+        fleet.now_ms,
+    )
+    key = fleet.nodes[0].keys.duty(builders.SERVICE)
+    taken = fleet.model.call(
+        store.SwapRequest((), (store.Put(key, 'n9', granted.lease),)),
+        fleet.now_ms,
+    )
+    fleet.nodes[0].peering.withdraw(
+        builders.SERVICE,
+        1,
+        taken.revision,
+        fleet.now_ms,
+    )
+    fleet.run(200)
+    rights = [
+        member.gateway.groups[builders.SERVICE].right for member in fleet.nodes
+    ]
+    assert not any(right.may_send(fleet.now_ms) for right in rights)
+    fleet.run(6000)
+    assert all(right.may_send(fleet.now_ms) for right in rights)
+
+
+def test_successor_of_an_unanswered_order_is_ordered_again():
+    """Guards against two orders that may both be carried out."""
+    fleet = Fleet(3, fenced=False)
+    named = []
+    for platform in fleet.platforms:
+        platform.promote = functools.partial(_lose_order, named)
+    fleet.silence('db-a', 3)
+    fleet.run(10_000)
+    assert len(named) >= 2
+    assert len(set(named)) == 1
+
+
+def _lose_order(named, _service, instance, _fence, on_result) -> None:
+    """Take an order and lose its answer."""
+    named.append(instance)
+    on_result(ports.OrderResult(False, False, 'no answer in time'))
+
+
+def test_holder_that_stood_still_sends_no_order():
+    """Guards against an order after the duty has passed to another node."""
+    fleet = Fleet(3)
+    fleet.clock.advance(duty.DUTY_MS)
+    fleet.silence('db-a', 3)
+    fleet.run(2500)
+    assert not fleet.orders()
+    refused = [
+        fields['reason']
+        for rig in fleet.rigs
+        for fields in rig.journal.events('promote_result')
+    ]
+    assert 'duty expired' in refused
+
+
+def test_note_of_a_holder_that_lost_the_duty_is_not_written():
+    """Guards against an order that nobody knows of."""
+    fleet = Fleet(3, fenced=False)
+    vote = fleet.nodes[0].elections[builders.SERVICE]
+    lead = notes.Lead('db-b', 2, moving=True, fence=1)
+    request = notes.write(vote.keys, builders.SERVICE, lead)
+    reply = fleet.model.call(request, fleet.now_ms)
+    assert not reply.succeeded
+
+
+def test_isolated_node_is_not_ready():
+    """Guards against clients that stay where nothing can be written."""
+    fleet = Fleet(5, fenced=False)
+    assert all(member.ready for member in fleet.nodes)
+    fleet.isolate({4})
+    fleet.run(3500)
+    ready = [member.identity.name for member in fleet.nodes if member.ready]
+    assert ready == ['n0', 'n1', 'n2', 'n3']
+    fleet.isolate(set())
+    fleet.run(500)
+    assert fleet.nodes[4].ready
+
+
+def test_store_outage_takes_no_right():
+    """Guards against a store whose outage stops all writes."""
+    fleet = Fleet(5, fenced=False)
+    fleet.model.outage = True
+    _write_all_the_time(fleet, 8000)
+    late = {f'w{number}' for number in range(1401, 1581, 10)}
+    assert late <= fleet.successes()
+
+
+def test_malformed_note_takes_nothing_down():
+    """Guards against keys that are lost after one that cannot be read."""
+    fleet = Fleet()
+    key = fleet.nodes[0].keys.lead(builders.SERVICE)
+    for text in ('{', '[]', '{"instance": 1}', ''):
+        fleet.model.call(store.SwapRequest((), (store.Put(key, text),)), 0)
+    fleet.run(500)
+    assert fleet.rigs[0].journal.events('note_unusable')
+    fleet.silence('db-a', 3)
+    fleet.run(4000)
+    assert len(fleet.orders()) == 1
--- a/jacinthhaven/sql/evidence.py
+++ b/jacinthhaven/sql/evidence.py
@@ -10,6 +10,7 @@
     ports,
     proofs,
     records,
+    rights,
     statements,
 )
 
@@ -23,6 +24,8 @@
     Attributes:
       leadership: Who leads the service.
       proofs: Proved positions of the primary.
+      right: Right to use the primary, without which its replies prove
+        nothing.
     """
 
     def __init__(
@@ -45,6 +48,7 @@
         self.journal = journal
         self.leadership = leadership.Leadership(now_ms)
         self.proofs = proofs.Proofs()
+        self.right = rights.Right(self.leadership)
 
     def learn(
         self,
@@ -60,17 +64,15 @@
             self._learn_delay(state, reply.position, now_ms)
         if reply.status is not None:
             self._learn_status(link, reply.status)
-        if reply.code is statements.Code.BUSY:
-            state.window.refused(now_ms)
-        elif reply.code is None:
-            state.window.executed()
+        _learn_room(state, reply, now_ms)
         asked = command.after if isinstance(command, _POSITIONED) else None
         if asked is not None:
             self._learn_lag(state, asked, reply, now_ms)
         if reply.code is statements.Code.READ_ONLY:
             self.deny(link.instance, 0, 'refused a write')
-        elif reply.code is None and self._proves_lead(link, command, reply):
-            self._add_proof(link, reply)
+        elif reply.code is None and self.right.held(now_ms):
+            if self._proves_lead(link, command, reply):
+                self._add_proof(link, reply)
 
     def follow(self, instance: str, term: int, source: str) -> None:
         """Accept that an instance leads a term."""
@@ -162,3 +164,15 @@
         self.proofs.add(
             proofs.Proof(link.sent_ms, self.leadership.term, position),
         )
+
+
+def _learn_room(
+    state: instances.InstanceState,
+    reply: statements.Reply,
+    now_ms: int,
+) -> None:
+    """Note whether the queue of an instance was full."""
+    if reply.code is statements.Code.BUSY:
+        state.window.refused(now_ms)
+    elif reply.code is None:
+        state.window.executed()
--- a/jacinthhaven/sql/execution.py
+++ b/jacinthhaven/sql/execution.py
@@ -31,6 +31,9 @@
     ),
 )
 
+# Reason of an answer that is kept back.
+_REPLACED = 'the primary may have been replaced'
+
 OnDone = typing.Callable[[sessions.Session, int], None]
 
 
@@ -42,6 +45,7 @@
     backlog: typing.Any
     leadership: typing.Any
     proofs: typing.Any
+    right: typing.Any
 
     def requeue(self, work: sessions.Work, now_ms: int) -> None:
         """Queue a statement again that has certainly not taken effect."""
@@ -178,7 +182,7 @@
                 self._finish_run(group, link, reply, now_ms)
             case commands.Rollback():
                 self._finish_rollback(group, link, reply, now_ms)
-            case commands.AskStatus() | commands.Pause() | commands.Resume():
+            case _ if isinstance(command, commands.ASKS_STATUS):
                 link.work = None
                 self.send_next(group, link, now_ms)
                 if work is not None:
@@ -239,6 +243,20 @@
         link.steps.append(commands.Rollback())
         self.send_next(group, link, now_ms)
 
+    def abort(
+        self,
+        group: Owner,
+        work: sessions.Work,
+        reason: str,
+        now_ms: int,
+    ) -> None:
+        """End the transaction of a statement that was not sent."""
+        link = work.session.transaction.link
+        _detach(link)
+        work.session.transaction.lost = False
+        self.release(group, link, now_ms)
+        self.fail(work, statements.Code.ABORTED, reason, now_ms)
+
     def give_up(self, group: Owner, work: sessions.Work, now_ms: int) -> None:
         """Answer a statement on a link whose time is over."""
         link = work.link
@@ -289,6 +307,9 @@
     ) -> None:
         work = link.work
         state = group.pool.states[link.instance]
+        if reply.code is None and not _may_pass_on(group, work, now_ms):
+            self._unconfirmed(group, link, reply, now_ms)
+            return
         if reply.code is None:
             spent_ms = now_ms - link.sent_ms
             if not work.needs_primary:
@@ -323,6 +344,51 @@
         self.send_next(group, link, now_ms)
         self._answer(work, answer, now_ms)
 
+    def _unconfirmed(
+        self,
+        group: Owner,
+        link: links.Link,
+        reply: statements.Reply,
+        now_ms: int,
+    ) -> None:
+        """Keep back a reply of a primary that may have been replaced."""
+        work = link.work
+        self.journal.write(
+            'reply_unconfirmed',
+            {
+                'request': work.statement.request_id,
+                'service': group.name,
+                'instance': link.instance,
+                'term': group.leadership.term,
+                'stopped': group.right.stopped,
+                'position': str(reply.position),
+            },
+        )
+        code = outcomes.after_loss(work)
+        if work.session.transaction is None:
+            self._clean(group, link, reply, now_ms)
+        else:
+            _detach(link)
+            self.release(group, link, now_ms)
+        if code is None:
+            group.requeue(work, now_ms)
+        else:
+            self.fail(work, code, _REPLACED, now_ms)
+
+    def _clean(
+        self,
+        group: Owner,
+        link: links.Link,
+        reply: statements.Reply,
+        now_ms: int,
+    ) -> None:
+        """Free a link after a statement that is over, outside transactions."""
+        link.work = None
+        link.steps.clear()
+        if reply.state is not statements.State.IDLE:
+            link.steps.append(commands.Rollback())
+        self.send_next(group, link, now_ms)
+
     def _run_failed(
         self,
         group: Owner,
@@ -336,11 +402,7 @@
         if work.session.transaction is not None:
             self._transaction_failed(group, link, reply, now_ms)
             return
-        link.work = None
-        link.steps.clear()
-        if reply.state is not statements.State.IDLE:
-            link.steps.append(commands.Rollback())
-        self.send_next(group, link, now_ms)
+        self._clean(group, link, reply, now_ms)
         if reply.code in statements.NOT_RUN or (
             reply.code is statements.Code.UNKNOWN_STATEMENT
         ):
@@ -506,6 +568,13 @@
         self.on_done(session, now_ms)
 
 
+def _may_pass_on(group: Owner, work: sessions.Work, now_ms: int) -> bool:
+    """Return whether a reply still counts when it arrives."""
+    if work.needs_primary or work.guarded:
+        return group.right.held(now_ms)
+    return True
+
+
 def _detach(link: links.Link) -> None:
     """End the transaction of a link that does not go on."""
     session = link.pinned
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -197,7 +197,7 @@
         """Advance all services, end idle transactions and close sessions."""
         self.now_ms = now_ms
         if self.draining:
-            self._close_quiet(now_ms)
+            self.close_quiet(now_ms)
         for known in self.groups.values():
             known.tick(now_ms)
         limit_ms = self.configuration.transaction_idle_ms
@@ -213,7 +213,12 @@
     def drain(self, now_ms: int) -> None:
         """Close sessions that are quiet, now and from now on."""
         self.draining = True
-        self._close_quiet(now_ms)
+        self.close_quiet(now_ms)
+
+    def close_quiet(self, now_ms: int) -> None:
+        """Close the sessions whose clients have sent nothing for a while."""
+        for session in tuple(self.sessions.values()):
+            self.close_if_quiet(session, now_ms)
 
     def abort_transactions(self, now_ms: int) -> None:
         """Roll back the transactions that are idle between statements."""
@@ -240,11 +245,6 @@
         while session.waiting and session.work is None:
             self._handle(session, session.waiting.popleft(), now_ms)
 
-    def _close_quiet(self, now_ms: int) -> None:
-        """Close the sessions whose clients have sent nothing for a while."""
-        for session in tuple(self.sessions.values()):
-            self.close_if_quiet(session, now_ms)
-
     def _is_quiet(self, session: sessions.Session, now_ms: int) -> bool:
         if now_ms - session.active_ms < QUIET_MS:
             return False
--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -18,6 +18,7 @@
     pool,
     ports,
     proofs,
+    rights,
     sessions,
     statements,
 )
@@ -41,6 +42,7 @@
       owners: Nodes that do, sorted by name.
       check_ms: Time without a word of the primary before it is asked.
       alerted: Whether another node does not reach the primary.
+      right: Right of this node to use the primary.
     """
 
     def __init__(
@@ -72,6 +74,8 @@
             self.journal,
             now_ms,
         )
+        self.right = rights.Right(self.evidence.leadership)
+        self.evidence.right = self.right
         self.check_ms = CHECK_MS
         self.checked_ms = 0
         self.alerted = False
@@ -107,14 +111,21 @@
             self.zone,
             now_ms,
             renew=self.proofs.renewal_due(self.leadership.term, now_ms),
+            may_lead=self.right.may_send(now_ms),
         )
 
     def submit(self, work: sessions.Work, now_ms: int) -> None:
         """Execute a statement, queue it or refuse it."""
         transaction = work.session.transaction
         if transaction is not None and transaction.link is not None:
+            if work.needs_primary and not self.right.may_send(now_ms):
+                self.executor.abort(self, work, 'primary is replaced', now_ms)
+                return
             self.executor.start(self, work, transaction.link, None, now_ms)
             return
+        if work.needs_primary and self.right.cut_off(now_ms):
+            self.executor.refuse(work, 'cut off from the owners', now_ms)
+            return
         if not self.backlog.accepts(work, self._links_for(work)):
             self.executor.refuse(work, 'queue too long', now_ms)
             return
@@ -309,7 +320,8 @@
         """Return whether a queued statement only waits for a free link."""
         state = self.leader_state
         if state is not None and state.reachable_at(now_ms):
-            return True
+            if self.right.may_send(now_ms):
+                return True
         if work.needs_primary:
             return False
         proof = self.proofs.required(
--- a/jacinthhaven/sql/leadership.py
+++ b/jacinthhaven/sql/leadership.py
@@ -4,6 +4,8 @@
 
 # Pause between two rounds of questions while no leader is known.
 _ASK_MS = 150
+# First estimate of the time of a promotion.
+_FIRST_PROMOTE_MS = 1200
 # Time within which a new process usually knows the leader.
 _LEARN_MS = 300
 
@@ -15,6 +17,7 @@
       leader: Name of the leading instance, or None while unknown.
       term: Newest term that was seen.
       expected_ms: When a promotion that is under way should be over.
+      promote_ms: How long the last promotion took.
       asked_ms: When the instances were last asked.
     """
 
@@ -23,8 +26,13 @@
         self.leader: str | None = None
         self.term = 0
         self.expected_ms: int | None = now_ms + _LEARN_MS
+        self.promote_ms = _FIRST_PROMOTE_MS
         self.asked_ms: int | None = None
 
+    def expect(self, now_ms: int) -> None:
+        """Let statements wait for the successor of the leader."""
+        self.expected_ms = now_ms + self.promote_ms
+
     def observe(self, instance: str, term: int) -> bool:
         """Note that an instance led a term; return whether this is news."""
         if term < self.term:
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -1,6 +1,5 @@
 """Decisions of one process: gateway, coordination and elections together."""
 
-import abc
 import dataclasses
 import functools
 import random
@@ -8,7 +7,7 @@
 
 import msgspec
 
-from jacinthhaven.kernel import ranking
+from jacinthhaven.kernel import clock, ranking
 from jacinthhaven.records import store
 from jacinthhaven.sql import (
     coordination,
@@ -16,12 +15,15 @@
     gateway,
     group,
     lending,
+    notes,
     ownership,
+    peer_messages,
+    peering,
     ports,
-    records,
+    registry,
     relaying,
     scripts,
-    statements,
+    survey,
 )
 
 # A stopping node goes on accepting sessions for this long, since the
@@ -42,43 +44,22 @@
 Entries = typing.Sequence[store.KeyValue]
 
 
-class Documents(abc.ABC):
-    """Decoding of what the operator and the instances write.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """Who this node is.
 
     Attributes:
-      configuration_key: Key of the operator's configuration.
-      own_prefix: Prefix of the keys of this product.
-      watched_prefix: Prefix of both.
-      registry_prefix: Prefix of the registry.
-      member_prefix: Prefix of the keys of the nodes, which is not watched.
+      name: Name, unique among all nodes.
+      grace_ms: Time between the request to stop and the end.
+      peer: What other nodes know of it.
+      fenced: Whether the platform refuses orders with an old fencing number,
+        so that a replaced primary serves nobody.
     """
 
-    configuration_key: str
-    own_prefix: str
-    watched_prefix: str
-    registry_prefix: str
-    member_prefix: str
-
-    @abc.abstractmethod
-    def configuration(self, text: str) -> records.Configuration | str:
-        """Return the configuration, or why it cannot be used."""
-
-    @abc.abstractmethod
-    def instances(
-        self,
-        entries: Entries,
-        on_unusable: typing.Callable[[str, str], None],
-    ) -> list[records.Instance]:
-        """Return the usable instances."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Identity:
-    """Who this node is."""
-
     name: str
     grace_ms: int
     peer: ownership.Peer
+    fenced: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,10 +70,15 @@
     clients: ports.Clients
     borrowers: ports.Borrowers
     relays: ports.Relays
+    messenger: peering.Messenger
+    clock: clock.Clock
     platform: ports.Platform
     journal: ports.Journal
-    documents: Documents
+    documents: registry.Documents
     rng: random.Random
+    sleepers: scripts.Sleepers = dataclasses.field(
+        default_factory=scripts.Sleepers,
+    )
 
 
 class Node:
@@ -115,7 +101,6 @@
             around.journal,
         )
         documents = around.documents
-        self.keys = election.Keys(documents.own_prefix)
         self.coordination = coordination.Coordination(
             around.platform,
             (
@@ -143,15 +128,27 @@
             around.borrowers,
             around.journal,
         )
+        self.peering = peering.Peering(
+            identity.name,
+            identity.peer.address,
+            self.gateway.groups,
+            around.messenger,
+            around.journal,
+        )
+        self.peering.required = not identity.fenced
         self.peers: dict[str, ownership.Peer] = {}
         self.elections: dict[str, election.Election] = {}
-        self.unusable: dict[str, str] = {}
-        self.sleepers = scripts.Sleepers()
+        self.registry = registry.Registry(documents, around.journal)
         self.stopping_ms: int | None = None
         self.stopped = False
         self.shrink_ms = 0
         self.now_ms = 0
 
+    @property
+    def keys(self) -> notes.Keys:
+        """Return the names of the keys of this product."""
+        return notes.Keys(self.around.documents.own_prefix)
+
     @property
     def members(self) -> tuple[str, ...]:
         """Return the names of all known nodes."""
@@ -160,6 +157,8 @@
     @property
     def ready(self) -> bool:
         """Return whether the balancer should send sessions."""
+        if self.peering.isolated:
+            return False
         return self.relay.settled and self.stopping_ms is None
 
     def tick(self, now_ms: int) -> None:
@@ -168,11 +167,8 @@
         self.coordination.tick(now_ms)
         self.gateway.tick(now_ms)
         self.relay.tick(now_ms)
-        for name, vote in self.elections.items():
-            owners = self.gateway.groups[name].owners
-            if self.identity.name in owners:
-                vote.tick(owners, self.coordination.lease, now_ms)
-        self.sleepers.wake(now_ms)
+        self._tick_rights(now_ms)
+        self.around.sleepers.wake(now_ms)
         if now_ms >= self.shrink_ms:
             self._share_links()
         if self.stopping_ms is not None and not self.stopped:
@@ -189,6 +185,10 @@
             self.gateway.drain(now_ms)
             self.relay.close_quiet(now_ms)
 
+    def on_message(self, message: peer_messages.Message, now_ms: int) -> None:
+        """Accept a message of another node."""
+        self.peering.on_message(message, now_ms)
+
     def on_key(self, key: str, text: str | None, revision: int) -> None:
         """Accept a watched key."""
         documents = self.around.documents
@@ -203,21 +203,13 @@
         if vote is not None:
             vote.on_key(name, text, revision)
 
-    def on_registry(self, entries: Entries, fresh: bool) -> None:
-        """Accept all entries of the registry."""
-        unusable: dict[str, str] = {}
-        found = self.around.documents.instances(
-            entries,
-            unusable.__setitem__,
-        )
-        for key, reason in unusable.items():
-            if key not in self.unusable:
-                self.journal.write(
-                    'registry_entry_unusable',
-                    {'key': key, 'reason': reason},
-                )
-        self.unusable = unusable
+    def on_registry(self, entries: Entries, fresh: bool) -> bool:
+        """Accept all entries; return whether each service has some."""
+        found = self.registry.read(entries)
         self.gateway.register(found, self.now_ms)
+        listed = {entry.service for entry in found}
+        services = self.gateway.configuration.services
+        return bool(services) and listed.issuperset(services)
 
     def on_members(self, entries: Entries) -> None:
         """Accept the keys of all nodes."""
@@ -241,9 +233,23 @@
             return
         self.peers = peers
         self.relay.know(peers)
+        self.peering.know(peers, self.now_ms)
         self._choose_lenders()
         self._share_links()
 
+    def _tick_rights(self, now_ms: int) -> None:
+        """Advance rights and elections; send clients away if isolated."""
+        self.peering.tick(now_ms)
+        if self.peering.isolated:
+            self.gateway.close_quiet(now_ms)
+            self.relay.close_quiet(now_ms)
+        for name, vote in self.elections.items():
+            if self.coordination.complete:
+                vote.inform()
+            owners = self.gateway.groups[name].owners
+            if self.identity.name in owners:
+                vote.tick(owners, self.coordination.lease, now_ms)
+
     def _configure(self, text: str, revision: int) -> None:
         loaded = self.around.documents.configuration(text)
         if isinstance(loaded, str):
@@ -257,14 +263,15 @@
             if name not in self.elections:
                 self.elections[name] = election.Election(
                     service,
-                    self.identity.name,
                     self.keys,
                     functools.partial(self._perform, name),
                     self.journal,
+                    self.peering,
                 )
+                self.peering.adopt(service)
         for name, declared in loaded.services.items():
             vote = self.elections[name]
-            vote.acknowledging = declared.acknowledging_replicas
+            vote.succession.acknowledging = declared.acknowledging_replicas
         self._choose_lenders()
         self._share_links()
 
@@ -315,16 +322,38 @@
     ) -> None:
         match call:
             case scripts.Sleep(delay_ms=delay_ms):
-                self.sleepers.add(self.now_ms + delay_ms, on_result)
+                self.around.sleepers.add(self.now_ms + delay_ms, on_result)
             case scripts.AskAll():
-                _Survey(self.gateway.groups[service], call, on_result).start(
+                survey.Survey(
+                    self.gateway.groups[service], call, on_result
+                ).start(
                     self.now_ms,
                 )
-            case scripts.Promote(service=name, instance=instance, fence=fence):
-                self.around.platform.promote(name, instance, fence, on_result)
+            case scripts.Promote():
+                self._promote(call, on_result)
             case _:
                 self.around.platform.call(call, on_result)
 
+    def _promote(
+        self,
+        call: scripts.Promote,
+        on_result: ports.OnOrder,
+    ) -> None:
+        """Send an order unless the duty may have passed to another node.
+
+        The time is read anew, since a process may have stood still after
+        its last tick.
+        """
+        if self.around.clock.now_ms() >= call.until_ms:
+            on_result(ports.OrderResult(False, True, 'duty expired'))
+            return
+        self.around.platform.promote(
+            call.service,
+            call.instance,
+            call.fence,
+            on_result,
+        )
+
     def _continue_stop(self, now_ms: int) -> None:
         elapsed_ms = now_ms - self.stopping_ms
         if elapsed_ms >= NOTICE_MS:
@@ -337,36 +366,3 @@
         idle = elapsed_ms >= NOTICE_MS and not busy
         if over or idle:
             self.stopped = True
-
-
-class _Survey:
-    """Control command that several instances answer."""
-
-    def __init__(
-        self,
-        service: typing.Any,
-        call: scripts.AskAll,
-        on_result: typing.Callable[[typing.Any], None],
-    ) -> None:
-        self.service = service
-        self.call = call
-        self.on_result = on_result
-        self.found: dict[str, records.InstanceStatus | None] = {}
-
-    def start(self, now_ms: int) -> None:
-        """Send the command to all instances."""
-        if not self.call.instances:
-            self.on_result({})
-            return
-        for name in self.call.instances:
-            self.service.ask(
-                name,
-                self.call.command,
-                functools.partial(self._on_reply, name),
-                now_ms,
-            )
-
-    def _on_reply(self, name: str, reply: statements.Reply | None) -> None:
-        self.found[name] = None if reply is None else reply.status
-        if len(self.found) == len(self.call.instances):
-            self.on_result(self.found)
--- a/jacinthhaven/sql/placement.py
+++ b/jacinthhaven/sql/placement.py
@@ -47,6 +47,7 @@
       zone: Availability zone of this node.
       now_ms: Current time.
       renew: Whether a further proof is due.
+      may_lead: Whether this node may use the leading instance as such.
     """
 
     states: dict[str, instances.InstanceState]
@@ -55,6 +56,7 @@
     zone: str
     now_ms: int
     renew: bool = False
+    may_lead: bool = True
 
 
 def choose(work: sessions.Work, view: View) -> Choice | None:
@@ -140,7 +142,7 @@
     guarded: bool,
 ) -> Choice | None:
     state = view.states.get(view.leader or '')
-    if state is None or not state.open_links(view.now_ms):
+    if state is None or not view.may_lead or not state.open_links(view.now_ms):
         return None
     if not state.reachable_at(view.now_ms):
         return None
--- /dev/null
+++ b/jacinthhaven/sql/registry.py
@@ -0,0 +1,93 @@
+"""What the operator and the instances write into the store."""
+
+import abc
+import typing
+
+from jacinthhaven.records import store
+from jacinthhaven.sql import ports, records
+
+Entries = typing.Sequence[store.KeyValue]
+
+
+class Documents(abc.ABC):
+    """Decoding of what the operator and the instances write.
+
+    Attributes:
+      configuration_key: Key of the operator's configuration.
+      own_prefix: Prefix of the keys of this product.
+      watched_prefix: Prefix of both.
+      registry_prefix: Prefix of the registry.
+      member_prefix: Prefix of the keys of the nodes, which is not watched.
+    """
+
+    configuration_key: str
+    own_prefix: str
+    watched_prefix: str
+    registry_prefix: str
+    member_prefix: str
+
+    @abc.abstractmethod
+    def configuration(self, text: str) -> records.Configuration | str:
+        """Return the configuration, or why it cannot be used."""
+
+    @abc.abstractmethod
+    def instances(
+        self,
+        entries: Entries,
+        on_unusable: typing.Callable[[str, str], None],
+    ) -> list[records.Instance]:
+        """Return the usable instances."""
+
+
+class Registry:
+    """Instances that the registry lists; each change is logged.
+
+    Attributes:
+      instances: Listed instances by name.
+      unusable: Why entries cannot be used, by key.
+    """
+
+    __slots__ = ('documents', 'journal', 'instances', 'unusable')
+
+    def __init__(self, documents: Documents, journal: ports.Journal) -> None:
+        """Know no instances."""
+        self.documents = documents
+        self.journal = journal
+        self.instances: dict[str, records.Instance] = {}
+        self.unusable: dict[str, str] = {}
+
+    def read(self, entries: Entries) -> list[records.Instance]:
+        """Return the usable instances among all entries."""
+        unusable: dict[str, str] = {}
+        found = self.documents.instances(entries, unusable.__setitem__)
+        for key, reason in unusable.items():
+            if key not in self.unusable:
+                self.journal.write(
+                    'registry_entry_unusable',
+                    {'key': key, 'reason': reason},
+                )
+        self.unusable = unusable
+        listed = {entry.name: entry for entry in found}
+        for name in sorted(listed.keys() | self.instances.keys()):
+            self._note_change(self.instances.get(name), listed.get(name))
+        self.instances = listed
+        return found
+
+    def _note_change(
+        self,
+        known: records.Instance | None,
+        entry: records.Instance | None,
+    ) -> None:
+        if entry == known:
+            return
+        shown = entry or known
+        self.journal.write(
+            'instance_listed',
+            {
+                'service': shown.service,
+                'instance': shown.name,
+                'present': entry is not None,
+                'leaving': shown.leaving,
+                'claims_primary': shown.claims_primary,
+            },
+        )
--- a/jacinthhaven/sql/scripts.py
+++ b/jacinthhaven/sql/scripts.py
@@ -31,15 +31,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Promote:
-    """Order a promotion; the result is an `OrderResult`."""
+    """Order a promotion; the result is an `OrderResult`.
+
+    Attributes:
+      service: Name of the service.
+      instance: Instance that is to lead.
+      fence: Fencing number.
+      until_ms: Time after which the order is not sent any more.
+    """
 
     service: str
     instance: str
     fence: int
+    until_ms: int
 
 
 Call = Sleep | AskAll | Promote | store.Request
 Script = typing.Generator[Call, typing.Any, typing.Any]
+Now = typing.Callable[[], int]
 OnResult = typing.Callable[[typing.Any], None]
 Perform = typing.Callable[[Call, OnResult], None]
 
--- /dev/null
+++ b/jacinthhaven/sql/survey.py
@@ -0,0 +1,40 @@
+"""Control command that several instances answer."""
+
+import functools
+import typing
+
+from jacinthhaven.sql import records, scripts, statements
+
+
+class Survey:
+    """Collects the replies of several instances to one command."""
+
+    def __init__(
+        self,
+        service: typing.Any,
+        call: scripts.AskAll,
+        on_result: typing.Callable[[typing.Any], None],
+    ) -> None:
+        """Prepare to ask the instances of a service."""
+        self.service = service
+        self.call = call
+        self.on_result = on_result
+        self.found: dict[str, records.InstanceStatus | None] = {}
+
+    def start(self, now_ms: int) -> None:
+        """Send the command to all instances."""
+        if not self.call.instances:
+            self.on_result({})
+            return
+        for name in self.call.instances:
+            self.service.ask(
+                name,
+                self.call.command,
+                functools.partial(self._on_reply, name),
+                now_ms,
+            )
+
+    def _on_reply(self, name: str, reply: statements.Reply | None) -> None:
+        self.found[name] = None if reply is None else reply.status
+        if len(self.found) == len(self.call.instances):
+            self.on_result(self.found)
--- a/jacinthhaven/standins/sql_group.py
+++ b/jacinthhaven/standins/sql_group.py
@@ -40,6 +40,8 @@
       shown: Entries that it has applied.
       paused: Term of the last pause; 0 if it is not paused.
       down: Whether it has crashed.
+      replaced_term: Term in which it goes on as a primary although another
+        was promoted; 0 if it does not.
     """
 
     def __init__(self, name: str, group: 'SqlGroup') -> None:
@@ -53,11 +55,12 @@
         self.shown = 0
         self.paused = 0
         self.down = False
+        self.replaced_term = 0
 
     @property
     def leads(self) -> bool:
-        """Return whether this instance is the primary."""
-        return self.group.primary == self.name
+        """Return whether this instance acts as the primary."""
+        return self.name == self.group.primary or self.replaced_term > 0
 
     @property
     def received(self) -> records.Position:
@@ -113,11 +116,21 @@
       rolled_back: Entries that a promotion has removed.
       committed: Number of commits by client statement.
       violations: What a client or proxy did against the protocol.
+      fenced: Whether a promotion ends the lead of the old primary.
+      split_commits: Statements that wrote at a replaced primary.
     """
 
-    def __init__(self, name: str, members: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        name: str,
+        members: tuple[str, ...],
+        *,
+        fenced: bool = True,
+    ) -> None:
         """Start with the first member as primary of term 1."""
         self.name = name
+        self.fenced = fenced
+        self.split_commits: list[str] = []
         self.instances = {
             member: SqlInstance(member, self) for member in members
         }
@@ -146,10 +159,39 @@
             self.committed[request] = self.committed.get(request, 0) + 1
         return entry
 
+    def commit_apart(
+        self,
+        instance: SqlInstance,
+        writes: tuple[tuple[str, str], ...],
+        requests: tuple[str, ...],
+        now_ms: int,
+    ) -> Entry:
+        """Append a transaction at a primary that was replaced."""
+        position = records.Position(
+            instance.replaced_term,
+            instance.received.number + 1,
+        )
+        entry = Entry(position, writes, requests, now_ms)
+        instance.log.append(entry)
+        self.split_commits.extend(requests)
+        return entry
+
+    def demote(self, name: str) -> None:
+        """Make a replaced primary a replica of the present one."""
+        instance = self.instances[name]
+        instance.replaced_term = 0
+        instance.log = list(self.instances[self.primary].log)
+        instance.shown = min(instance.shown, len(instance.log))
+        instance.term = self.term
+
     def promote(self, name: str) -> None:
         """Make an instance the primary with what it has received."""
         if name == self.primary:
             return
+        old = self.instances[self.primary]
+        if not self.fenced:
+            old.replaced_term = self.term
+        self.instances[name].replaced_term = 0
         self.term += 1
         self.primary = name
         kept = self.instances[name].log
@@ -165,6 +207,8 @@
             for request in entry.requests:
                 self.committed[request] -= 1
         for instance in self.instances.values():
+            if instance.replaced_term:
+                continue
             instance.log = list(kept)
             instance.shown = min(instance.shown, len(kept))
             instance.term = self.term
@@ -287,9 +331,20 @@
             self.writes.append(write)
             self.requests.append(request)
         else:
-            self.group.commit((write,), (request,), now_ms)
+            self._commit((write,), (request,), now_ms)
         return self._done(request)
 
+    def _commit(
+        self,
+        writes: tuple[tuple[str, str], ...],
+        requests: tuple[str, ...],
+        now_ms: int,
+    ) -> None:
+        if self.instance.replaced_term:
+            self.group.commit_apart(self.instance, writes, requests, now_ms)
+        else:
+            self.group.commit(writes, requests, now_ms)
+
     def _on_commit(
         self,
         request: str,
@@ -301,7 +356,7 @@
         if self.writes and not self.instance.leads:
             return self._refuse()
         if self.writes:
-            self.group.commit(
+            self._commit(
                 tuple(self.writes),
                 tuple(self.requests),
                 now_ms,
@@ -385,6 +440,16 @@
         self.instance.paused = int(words[0])
         return self._on_status(request, words, now_ms)
 
+    def _on_demote(
+        self,
+        request: str,
+        words: list[str],
+        now_ms: int,
+    ) -> list[str]:
+        if self.instance.replaced_term and int(words[0]) <= self.group.term:
+            self.group.demote(self.instance.name)
+        return self._on_status(request, words, now_ms)
+
     def _on_resume(
         self,
         request: str,
