Ask for the right as soon as the other nodes are known, and wait for it

Ruled out: a slower start of the process (same time of the first log line).

Change: the first question is sent when services and nodes are known; a statement waits for the right for as long as it is expected after a start.

--- a/jacinthhaven/sql/election_test.py
+++ b/jacinthhaven/sql/election_test.py
@@ -42,7 +42,13 @@
 class Fleet:
     """Several nodes that share a store model and a database group."""
 
-    def __init__(self, size: int = 3, *, fenced: bool = True) -> None:
+    def __init__(
+        self,
+        size: int = 3,
+        *,
+        fenced: bool = True,
+        settle_ms: int = 3000,
+    ) -> None:
         """Start the nodes and let them settle."""
         self.fenced = fenced
         self.network: dict[int, builders.FakeMessenger] = {}
@@ -60,7 +66,9 @@
         self.now_ms = 1000
         for index in range(size):
             self._add(f'n{index}')
-        self.run(3000)
+        if not settle_ms:
+            self._list_members()
+        self.run(settle_ms)
 
     def run(self, for_ms: int) -> None:
         """Let time pass for all nodes."""
@@ -118,6 +126,13 @@
                     found.add(f'w{number}')
         return found
 
+    def _list_members(self) -> None:
+        """Leave the keys of an earlier run of the same nodes in the store."""
+        for member in self.nodes:
+            keeper = member.coordination.keeper
+            put = store.Put(keeper.member_key, keeper.member_text)
+            self.model.call(store.SwapRequest((), (put,)), self.now_ms)
+
     def _add(self, name: str) -> None:
         rig = object.__new__(builders.Rig)
         rig.group = self.group
@@ -624,3 +639,24 @@
     fleet.silence('db-a', 3)
     fleet.run(4000)
     assert len(fleet.orders()) == 1
+
+
+def test_starting_nodes_get_the_right_with_the_leader():
+    """Guards against a start that is longer than without rights."""
+    fleet = Fleet(5, fenced=False, settle_ms=0)
+    services = [
+        member.gateway.groups[builders.SERVICE] for member in fleet.nodes
+    ]
+    while not all(service.leadership.term for service in services):
+        fleet.run(10)
+    fleet.run(50)
+    assert all(service.right.held(fleet.now_ms) for service in services)
+
+
+def test_starting_node_refuses_nothing_before_it_has_the_right():
+    """Guards against clients that are sent away for a moment's wait."""
+    fleet = Fleet(5, fenced=False, settle_ms=0)
+    for index, _member in enumerate(fleet.nodes):
+        fleet.write(index, index + 1)
+    fleet.run(1000)
+    assert len(fleet.successes()) == 5
--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -249,9 +249,12 @@
         return leadership.presumed(self.leadership, entries)
 
     def _refuse_expired(self, now_ms: int) -> None:
+        primary_ms = self.leadership.expected_ms
+        if primary_ms is None and now_ms < self.right.expected_ms:
+            primary_ms = self.right.expected_ms
         expired = self.backlog.expired(
             now_ms,
-            self.leadership.expected_ms,
+            primary_ms,
             lambda work: self._servable(work, now_ms),
         )
         for work in expired:
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -268,7 +268,7 @@
                     self.journal,
                     self.peering,
                 )
-                self.peering.adopt(service)
+                self.peering.adopt(service, self.now_ms)
         for name, declared in loaded.services.items():
             vote = self.elections[name]
             vote.succession.acknowledging = declared.acknowledging_replicas
--- a/jacinthhaven/sql/peering.py
+++ b/jacinthhaven/sql/peering.py
@@ -102,10 +102,10 @@
             self.addresses[name] = peer.address
         self._count_voters(now_ms)
 
-    def adopt(self, known: group.Group) -> None:
+    def adopt(self, known: group.Group, now_ms: int) -> None:
         """Require the right for a service that was added."""
         if self.required and not known.right.required:
-            known.right.require(self.node)
+            known.right.require(self.node, now_ms)
             self._choose_voters(known)
 
     def tick(self, now_ms: int) -> None:
@@ -303,6 +303,8 @@
             for owner in known.right.voters:
                 services[owner].append(name)
         services.pop(self.node, None)
+        if not services:
+            return
         pause_ms = rights.ASK_MS if complete else rights.ASK_AGAIN_MS
         self.ask_ms = now_ms + pause_ms
         for owner, names in services.items():
@@ -324,6 +326,7 @@
         if voters == self.voters:
             return
         self.voters = voters
+        self.ask_ms = now_ms
         for known in self.groups.values():
             self._choose_voters(known)
 
--- a/jacinthhaven/sql/rights.py
+++ b/jacinthhaven/sql/rights.py
@@ -62,6 +62,8 @@
       fence: Number of the promotion that asked to stop.
       resumed: Newest promotion that was given up or is over.
       stopper: Node that waits for this one to stop, or ''.
+      expected_ms: Until when a node that starts is expected to be given the
+        right for the first time.
     """
 
     __slots__ = (
@@ -78,6 +80,7 @@
         'fence',
         'resumed',
         'stopper',
+        'expected_ms',
     )
 
     def __init__(self, leads: leadership.Leadership) -> None:
@@ -95,11 +98,13 @@
         self.fence = 0
         self.resumed = 0
         self.stopper = ''
+        self.expected_ms = 0
 
-    def require(self, node: str) -> None:
+    def require(self, node: str, now_ms: int) -> None:
         """Use the primary with the right only, as the node of a name."""
         self.node = node
         self.required = True
+        self.expected_ms = now_ms + RIGHT_MS
 
     def held(self, now_ms: int) -> bool:
         """Return whether answers of the primary may be passed on."""
@@ -117,7 +122,7 @@
 
     def cut_off(self, now_ms: int) -> bool:
         """Return whether too few owners answer to have the right again."""
-        if not self.required:
+        if not self.required or now_ms < self.expected_ms:
             return False
         heard = [
             name
--- a/jacinthhaven/sql/rights_model_test.py
+++ b/jacinthhaven/sql/rights_model_test.py
@@ -59,9 +59,9 @@
 class ForgetfulRight(rights.Right):
     """Broken variant: a node that starts anew confirms at once."""
 
-    def require(self, node: str) -> None:
+    def require(self, node: str, now_ms: int) -> None:
         """Use the primary with the right, and confirm it to others."""
-        super().require(node)
+        super().require(node, now_ms)
         self.informed = True
 
 
@@ -211,7 +211,7 @@
         leads = leadership.Leadership(self.now_ms)
         leads.observe('db-a', 1)
         node = self.right(leads)
-        node.require(name)
+        node.require(name, self.now_ms)
         node.voters = _NODES
         return node
 
