--- a/jacinthhaven/platform/kv_answers.py
+++ b/jacinthhaven/platform/kv_answers.py
@@ -27,6 +27,8 @@
     entries: list[Entry] = msgspec.field(name='items')
     # Revision of the whole store when it answered.
     current_rev: int = 0
+    # Whether keys after the last one were left out.
+    has_more: bool = False
 
 
 class Events(msgspec.Struct, rename='camel'):
@@ -88,7 +90,11 @@
         case store.ReadRequest():
             answer = decode(Page, body)
             entries = tuple(_entry(entry) for entry in answer.entries)
-            return store.ReadReply(answer.current_rev, entries)
+            return store.ReadReply(
+                answer.current_rev,
+                entries,
+                answer.has_more,
+            )
         case store.SwapRequest():
             return store.SwapReply(True, decode(Swapped, body).revision)
         case store.LeaseRequest():
--- a/jacinthhaven/platform/kv_requests.py
+++ b/jacinthhaven/platform/kv_requests.py
@@ -23,7 +23,8 @@
 def _send_read(client: http_client.Client, request: typing.Any) -> None:
     prefix = quote(request.prefix)
     stale = '&allowStale=1' if request.may_be_stale else ''
-    client.get(f'/kv-range?prefix={prefix}{stale}')
+    after = f'&after={quote(request.after)}' if request.after else ''
+    client.get(f'/kv-range?prefix={prefix}{after}{stale}')
 
 
 def _send_swap(client: http_client.Client, request: typing.Any) -> None:
--- a/jacinthhaven/records/store.py
+++ b/jacinthhaven/records/store.py
@@ -56,10 +56,13 @@
       prefix: Start of the keys.
       may_be_stale: Whether an older state will do, where the store offers
         that at a lower cost; otherwise the read is linearizable.
+      after: Key after which the reply begins, where the store answers in
+        pages; '' for the first page.
     """
 
     prefix: str
     may_be_stale: bool = False
+    after: str = ''
 
 
 class SwapRequest(msgspec.Struct, frozen=True):
@@ -103,10 +106,17 @@
 
 
 class ReadReply(msgspec.Struct, frozen=True):
-    """Keys found by a read and the store's revision at that time."""
+    """Keys found by a read and the store's revision at that time.
+
+    Attributes:
+      revision: Revision of the store.
+      entries: Keys with their values, sorted by key.
+      more: Whether further keys follow on the next page.
+    """
 
     revision: int
     entries: tuple[KeyValue, ...]
+    more: bool = False
 
 
 class SwapReply(msgspec.Struct, frozen=True):
--- a/jacinthhaven/sql/coordination.py
+++ b/jacinthhaven/sql/coordination.py
@@ -9,6 +9,8 @@
 import random
 import typing
 
+import msgspec
+
 from jacinthhaven.kernel import backoff, failures
 from jacinthhaven.records import store
 from jacinthhaven.sql import lease, ports
@@ -167,7 +169,7 @@
             return
         if self.watch_number is None:
             self.watch_number = 0
-            self.call(
+            self.read_all(
                 store.ReadRequest(self.watched),
                 functools.partial(self._on_snapshot, self.watched),
             )
@@ -195,6 +197,23 @@
         if self.watch_number:
             self.platform.end_watch(self.watch_number)
             self.watch_number = None
+        if not owns:
+            self._forget_notes()
+
+    def read_all(
+        self,
+        request: store.ReadRequest,
+        on_reply: typing.Callable[[store.ReadReply | None], None],
+    ) -> None:
+        """Read all pages; the reply has the revision of the first one.
+
+        Pages are no snapshot. A watch from that revision on brings what was
+        changed between them.
+        """
+        self.call(
+            request,
+            functools.partial(self._on_page, request, None, on_reply),
+        )
 
     def call(
         self,
@@ -230,6 +249,34 @@
             self.backoff.reset()
         on_reply(None if failed else reply)
 
+    def _on_page(
+        self,
+        request: store.ReadRequest,
+        before: store.ReadReply | None,
+        on_reply: typing.Callable[[store.ReadReply | None], None],
+        reply: store.ReadReply | None,
+    ) -> None:
+        if reply is None:
+            on_reply(None)
+            return
+        if before is not None:
+            reply = store.ReadReply(
+                before.revision,
+                before.entries + reply.entries,
+                reply.more,
+            )
+        if not reply.more or not reply.entries:
+            on_reply(reply)
+            return
+        following = msgspec.structs.replace(
+            request,
+            after=reply.entries[-1].key,
+        )
+        self.call(
+            following,
+            functools.partial(self._on_page, following, reply, on_reply),
+        )
+
     def _on_snapshot(
         self,
         prefix: str,
@@ -266,13 +313,19 @@
         self.known[entry.key] = entry.mod_revision
         self.listener.on_key(entry.key, entry.value, entry.mod_revision)
 
+    def _forget_notes(self) -> None:
+        """Forget all keys that are not watched any more."""
+        for key, revision in tuple(self.known.items()):
+            if not key.startswith(self.watched):
+                self._remove(key, revision)
+
     def _remove(self, key: str, revision: int) -> None:
         if self.known.pop(key, None) is not None:
             self.listener.on_key(key, None, revision)
 
     def _read_registry(self, now_ms: int) -> None:
         fresh = self.registry.start(now_ms, owns_service=self.owns_service)
-        self.call(
+        self.read_all(
             store.ReadRequest(self.prefixes[1], may_be_stale=not fresh),
             functools.partial(self._on_registry, fresh),
         )
@@ -293,7 +346,7 @@
             interval_ms = _LARGE_MEMBERS_MS
         self.members_ms = now_ms + interval_ms
         request = store.ReadRequest(self.prefixes[2], may_be_stale=True)
-        self.call(request, self._on_members)
+        self.read_all(request, self._on_members)
 
     def _on_members(self, reply: store.ReadReply | None) -> None:
         if reply is None:
--- /dev/null
+++ b/jacinthhaven/sql/coordination_test.py
@@ -0,0 +1,173 @@
+"""Tests of what a node learns from the store."""
+
+from jacinthhaven.records import store
+from jacinthhaven.sql import builders, coordination
+from jacinthhaven.standins import store_model
+
+_PAGE = 3
+
+
+class _Pages(builders.FakePlatform):
+    """Store whose reads return a few keys at a time.
+
+    Attributes:
+      between: Called once after the first page of a read.
+    """
+
+    def __init__(self) -> None:
+        """Start with an empty store."""
+        super().__init__(store_model.StoreModel(), None)
+        self.between = None
+
+    def call(self, request, on_reply) -> int:
+        """Cut the reply to a read into pages."""
+        if not isinstance(request, store.ReadRequest):
+            return super().call(request, on_reply)
+        self.calls.append(request)
+        found = self.model.call(request, self.now_ms)
+        if not isinstance(found, store.ReadReply):
+            self.late.append((self.now_ms + 4, on_reply, found))
+            return 0
+        rest = [entry for entry in found.entries if entry.key > request.after]
+        page = store.ReadReply(
+            found.revision,
+            tuple(rest[:_PAGE]),
+            len(rest) > _PAGE,
+        )
+        self.late.append((self.now_ms + 4, on_reply, page))
+        if self.between is not None and not request.after:
+            self.between()
+            self.between = None
+        return 0
+
+    def put(self, key: str, text: str = 'x') -> None:
+        """Write a key."""
+        self.model.call(store.SwapRequest((), (store.Put(key, text),)), 0)
+
+    def delete(self, key: str) -> None:
+        """Remove a key."""
+        self.model.call(store.SwapRequest((), (store.Delete(key),)), 0)
+
+
+class _Listener:
+    """Keeps what the store holds."""
+
+    def __init__(self) -> None:
+        """Start without keys."""
+        self.keys: dict[str, str | None] = {}
+        self.registry: list[str] = []
+        self.members: list[str] = []
+        self.complete = True
+
+    def on_key(self, key: str, text: str | None, _revision: int) -> None:
+        """Keep a watched key."""
+        self.keys[key] = text
+
+    def on_registry(self, entries, _fresh: bool) -> bool:
+        """Keep the registry."""
+        self.registry = [entry.key for entry in entries]
+        return self.complete
+
+    def on_members(self, entries) -> None:
+        """Keep the members."""
+        self.members = [entry.key for entry in entries]
+
+
+class _Rig:
+    """One node's coordination on a store with pages."""
+
+    def __init__(self) -> None:
+        """Prepare the calls."""
+        self.platform = _Pages()
+        self.listener = _Listener()
+        self.node = coordination.Coordination(
+            self.platform,
+            ('o', 'servers/', 'nodes/', 'op/config'),
+            self.listener,
+            builders.FakeJournal(),
+            builders.seeded(),
+        )
+        self.now_ms = 1000
+
+    def run(self, for_ms: int) -> None:
+        """Let time pass."""
+        until_ms = self.now_ms + for_ms
+        while self.now_ms < until_ms:
+            self.now_ms += 10
+            self.platform.run(self.now_ms)
+            self.node.tick(self.now_ms)
+
+    def reads(self, prefix: str) -> list[store.ReadRequest]:
+        """Return the reads of a prefix so far."""
+        return [
+            call
+            for call in self.platform.calls
+            if isinstance(call, store.ReadRequest) and call.prefix == prefix
+        ]
+
+
+def test_all_pages_are_read():
+    """Guards against members and instances that vanish in silence."""
+    rig = _Rig()
+    for index in range(8):
+        rig.platform.put(f'nodes/{index}')
+        rig.platform.put(f'servers/{index}')
+        rig.platform.put(f'ours/{index}')
+    rig.run(200)
+    assert len(rig.listener.members) == 8
+    assert len(rig.listener.registry) == 8
+    assert len(rig.listener.keys) == 8
+
+
+def test_key_beyond_the_first_page_is_not_taken_for_removed():
+    """Guards against notes that disappear when all is read again."""
+    rig = _Rig()
+    for index in range(8):
+        rig.platform.put(f'ours/{index}')
+    rig.run(200)
+    rig.node.watch_number = None
+    rig.run(200)
+    assert None not in rig.listener.keys.values()
+
+
+def test_change_between_two_pages_is_not_lost():
+    """Guards against a key that no page and no event shows."""
+    rig = _Rig()
+    for index in range(8):
+        rig.platform.put(f'ours/{index}')
+    rig.platform.between = lambda: rig.platform.put('ours/0', 'new')
+    rig.run(300)
+    assert rig.listener.keys['ours/0'] == 'new'
+
+
+def test_notes_are_forgotten_when_they_are_watched_no_more():
+    """Guards against decisions on what a node knew long ago."""
+    rig = _Rig()
+    rig.platform.put('ours/doubt/s/n1', 'db-a')
+    rig.platform.put('op/config', '{}')
+    rig.run(200)
+    rig.node.own_services(False)
+    assert rig.listener.keys == {'ours/doubt/s/n1': None, 'op/config': '{}'}
+    rig.run(200)
+    rig.node.own_services(True)
+    rig.run(200)
+    assert rig.listener.keys['ours/doubt/s/n1'] == 'db-a'
+
+
+def test_missing_instances_are_looked_for_often_after_an_outage():
+    """Guards against seconds without instances that are back."""
+    rig = _Rig()
+    rig.run(500)
+    rig.platform.model.outage = True
+    rig.run(3000)
+    rig.platform.model.outage = False
+    rig.listener.complete = False
+    rig.run(1000)
+    rig.platform.calls.clear()
+    rig.run(2000)
+    fresh = [read for read in rig.reads('servers/') if not read.may_be_stale]
+    assert len(fresh) >= 6
+    rig.run(10_000)
+    rig.platform.calls.clear()
+    rig.run(2000)
+    assert len(rig.reads('servers/')) <= 3
--- a/jacinthhaven/sql/election.py
+++ b/jacinthhaven/sql/election.py
@@ -113,6 +113,11 @@
         elif text is not None:
             self._on_note(text)
 
+    def end(self) -> None:
+        """Act no more; the service was withdrawn."""
+        if self.runner is not None:
+            self.runner.running = False
+
     def inform(self) -> None:
         """Accept that all keys of the store are known.
 
--- a/jacinthhaven/sql/evidence.py
+++ b/jacinthhaven/sql/evidence.py
@@ -122,8 +122,9 @@
         The position is lost if the leader lacks it, or an instance that has
         applied a later one; no proof is worth anything then.
         """
-        if reply.code is not statements.Code.BEHIND:
+        if reply.code is None:
             state.behind_ms = None
+        if reply.code is not statements.Code.BEHIND:
             return
         passed = reply.position is not None and reply.position >= asked
         if passed or state.entry.name == self.leadership.leader:
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -86,6 +86,8 @@
             },
         )
         self.configuration = configuration
+        for name, known in self.groups.items():
+            known.withdrawn = name not in configuration.services
         for name in configuration.services:
             if name not in self.groups:
                 self.groups[name] = group.Group(
@@ -198,17 +200,11 @@
         self.now_ms = now_ms
         if self.draining:
             self.close_quiet(now_ms)
-        for known in self.groups.values():
+        for known in tuple(self.groups.values()):
             known.tick(now_ms)
-        limit_ms = self.configuration.transaction_idle_ms
-        if not limit_ms:
-            return
-        for session in tuple(self.sessions.values()):
-            transaction = session.transaction
-            if transaction is None or session.work is not None:
-                continue
-            if now_ms - transaction.active_ms >= limit_ms:
-                self._expire_transaction(session, now_ms)
+            if known.withdrawn and _end_if_unused(known):
+                self.groups.pop(known.name)
+        self._expire_idle(now_ms)
 
     def drain(self, now_ms: int) -> None:
         """Close sessions that are quiet, now and from now on."""
@@ -231,12 +227,24 @@
 
     def close_if_quiet(self, session: sessions.Session, now_ms: int) -> bool:
         """Close a session that nobody uses; return whether it was closed."""
-        if not session.idle or not self._is_quiet(session, now_ms):
+        if not session.idle or not _is_quiet(session, self.clients, now_ms):
             return False
         self.clients.close(session.number)
         self.on_closed(session.number, now_ms)
         return True
 
+    def _expire_idle(self, now_ms: int) -> None:
+        """Roll back transactions whose clients are idle for too long."""
+        limit_ms = self.configuration.transaction_idle_ms
+        if not limit_ms:
+            return
+        for session in tuple(self.sessions.values()):
+            transaction = session.transaction
+            if transaction is None or session.work is not None:
+                continue
+            if now_ms - transaction.active_ms >= limit_ms:
+                self._expire_transaction(session, now_ms)
+
     def _on_done(self, session: sessions.Session, now_ms: int) -> None:
         session.active_ms = now_ms
         transaction = session.transaction
@@ -245,12 +253,6 @@
         while session.waiting and session.work is None:
             self._handle(session, session.waiting.popleft(), now_ms)
 
-    def _is_quiet(self, session: sessions.Session, now_ms: int) -> bool:
-        if now_ms - session.active_ms < QUIET_MS:
-            return False
-        # A statement that has arrived but was not read yet must be answered.
-        return not self.clients.has_more(session.number)
-
     def _handle(
         self,
         session: sessions.Session,
@@ -469,6 +471,28 @@
         transaction.lost = True
 
 
+def _is_quiet(
+    session: sessions.Session,
+    clients: ports.Clients,
+    now_ms: int,
+) -> bool:
+    if now_ms - session.active_ms < QUIET_MS:
+        return False
+    # A statement that has arrived but was not read yet must be answered.
+    return not clients.has_more(session.number)
+
+
+def _end_if_unused(known: group.Group) -> bool:
+    """End a withdrawn service once no work is left; return whether it did."""
+    links = tuple(known.pool.by_number.values())
+    if known.backlog.waiting or not all(link.unused for link in links):
+        return False
+    for link in links:
+        known.pool.drop(link)
+    known.journal.write('service_ended', {'service': known.name})
+    return True
+
+
 _ENDS = frozenset((statements.Verb.COMMIT, statements.Verb.ROLLBACK))
 _LOCAL: typing.Mapping[statements.Verb, typing.Callable] = (
     types.MappingProxyType(
--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -39,6 +39,7 @@
     Attributes:
       name: Name of the service.
       owned: Whether this node executes statements of all nodes.
+      withdrawn: Whether the configuration lacks the service.
       owners: Nodes that do, sorted by name.
       check_ms: Time without a word of the primary before it is asked.
       alerted: Whether another node does not reach the primary.
@@ -80,6 +81,7 @@
         self.checked_ms = 0
         self.alerted = False
         self.owned = True
+        self.withdrawn = False
         self.owners: tuple[str, ...] = ()
 
     @property
--- a/jacinthhaven/sql/links.py
+++ b/jacinthhaven/sql/links.py
@@ -76,6 +76,11 @@
         """Return whether something of the instance is awaited."""
         return self.sent is not None or not self.ready
 
+    @property
+    def unused(self) -> bool:
+        """Return whether no statement and no transaction needs the link."""
+        return self.work is None and self.pinned is None
+
     @property
     def free(self) -> bool:
         """Return whether the link can take new work."""
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -259,8 +259,10 @@
             )
             return
         self.gateway.configure(loaded, self.now_ms)
+        for name in self.elections.keys() - loaded.services.keys():
+            self.elections.pop(name).end()
         for name, service in self.gateway.groups.items():
-            if name not in self.elections:
+            if name not in self.elections and not service.withdrawn:
                 self.elections[name] = election.Election(
                     service,
                     self.keys,
--- a/jacinthhaven/sql/reads_test.py
+++ b/jacinthhaven/sql/reads_test.py
@@ -1,6 +1,6 @@
 """Tests of reads: placement, age of the data and proof of the lead."""
 
-from jacinthhaven.sql import builders, proofs, records, statements
+from jacinthhaven.sql import builders, commands, proofs, records, statements
 
 
 def position(number: int, term: int = 1) -> records.Position:
@@ -234,3 +234,20 @@
     answer = rig.ask(writer, 'WRITE k 1', 'w1')
     assert answer.code is None
     assert rig.group.committed == {'w1': 1}
+
+
+def test_refusal_for_another_reason_does_not_end_a_lag():
+    """Guards against a late handover where lagging replicas are busy too."""
+    rig = builders.Rig()
+    state = rig.service.pool.states['db-b']
+    link = next(iter(state.links))
+    asked = records.Position(1, 5)
+    for code in (statements.Code.BEHIND, statements.Code.BUSY):
+        reply = statements.Reply(code=code, position=records.Position(1, 1))
+        rig.service.evidence.learn(
+            link,
+            commands.Begin(True, asked),
+            reply,
+            rig.now_ms,
+        )
+    assert state.behind_ms == rig.now_ms
--- a/jacinthhaven/sql/relaying.py
+++ b/jacinthhaven/sql/relaying.py
@@ -14,8 +14,10 @@
 _PING_MS = 300
 # Silence after the question that proves that it does not.
 _PONG_MS = 300
-# How long an owner that did not answer is left out.
+# How long an owner that did not answer is left out: at first, and at most
+# while it goes on to be silent.
 _AVOID_MS = 1000
+_MOST_AVOID_MS = 8000
 # Time to reach an owner before the next one is tried.
 _OPEN_MS = 150
 # Owners that a session tries before it is served here.
@@ -94,6 +96,7 @@
     Attributes:
       sessions: Sessions by the number of the client's connection.
       avoided: Until when an owner is left out, by name.
+      failures: How often in a row an owner did not answer, by name.
     """
 
     def __init__(
@@ -112,6 +115,7 @@
         self.sessions: dict[int, RelayedSession] = {}
         self.by_relay: dict[int, RelayedSession] = {}
         self.avoided: dict[str, int] = {}
+        self.failures: dict[str, int] = {}
         self.ranked: dict[str, ownership.Owners] = {}
         self.turn = rng.randrange(_SPREAD)
         self.early: list[tuple[int, str]] = []
@@ -212,7 +216,7 @@
         if session.accepted:
             self._owner_lost(session)
         else:
-            self.avoided[session.owner] = now_ms + _AVOID_MS
+            self._avoid(session.owner, now_ms)
             self._try_next(session, now_ms)
 
     def tick(self, now_ms: int) -> None:
@@ -324,6 +328,7 @@
             self._try_next(session, now_ms)
             return
         session.accepted = True
+        self.failures.pop(session.owner, None)
         self.journal.count('relays', 'accepted')
         self.local.clients.accept(session.number)
 
@@ -334,7 +339,15 @@
         )
         self.relays.close(session.relay)
         self.on_lost(session.relay, now_ms)
-        self.avoided[session.owner] = now_ms + _AVOID_MS
+        if session.accepted:
+            self._avoid(session.owner, now_ms)
+
+    def _avoid(self, owner: str, now_ms: int) -> None:
+        """Leave an owner out, longer each time that it stays silent."""
+        failures = self.failures.get(owner, 0)
+        self.failures[owner] = failures + 1
+        pause_ms = min(_AVOID_MS * 2**failures, _MOST_AVOID_MS)
+        self.avoided[owner] = now_ms + pause_ms
 
     def _owner_lost(self, session: RelayedSession) -> None:
         """Answer what can be answered truthfully, then close."""
--- a/jacinthhaven/sql/relaying_test.py
+++ b/jacinthhaven/sql/relaying_test.py
@@ -226,3 +226,19 @@
     tried = [address for address, _database in setup.relays.opened]
     counts = [tried.count(address) for address in set(tried)]
     assert counts == [5, 5]
+
+
+def test_owners_that_stay_silent_are_tried_less_often():
+    """Guards against half a second of waiting for each session of a node
+    that is cut from all owners."""
+    setup = _Setup()
+    tried = []
+    for step in range(40):
+        before = len(setup.relays.opened)
+        setup.relay.on_start(100 + step, builders.OWN, setup.now_ms)
+        until_ms = setup.now_ms + 500
+        while setup.now_ms < until_ms:
+            setup.now_ms += 10
+            setup.relay.tick(setup.now_ms)
+        tried.append(len(setup.relays.opened) - before)
+    assert sum(tried[20:]) <= sum(tried[:20]) / 2
--- a/jacinthhaven/sql/sessions_test.py
+++ b/jacinthhaven/sql/sessions_test.py
@@ -248,3 +248,35 @@
     assert not rig.clients.closed
     rig.clients.unread.clear()
     assert rig.ask(number, 'READ k').code is None
+
+
+def test_withdrawn_service_ends():
+    """Guards against links and votes of a service that is gone."""
+    rig = builders.Rig()
+    number = rig.connect()
+    assert rig.ask(number, 'READ k').code is None
+    rig.gateway.configure(
+        builders.configuration(2, routes={}, services={}),
+        rig.now_ms,
+    )
+    rig.run(200)
+    assert not rig.gateway.groups
+    assert not rig.databases.connections
+    answer = rig.ask(number, 'READ k')
+    assert answer.code is statements.Code.UNKNOWN_DATABASE
+
+
+def test_withdrawn_service_finishes_open_transactions():
+    """Guards against transactions that a configuration cuts."""
+    rig = builders.Rig()
+    number = rig.connect()
+    rig.ask(number, 'BEGIN')
+    rig.ask(number, 'WRITE k 1')
+    rig.gateway.configure(
+        builders.configuration(2, routes={}, services={}),
+        rig.now_ms,
+    )
+    rig.run(200)
+    assert rig.ask(number, 'COMMIT').code is None
+    rig.run(200)
+    assert not rig.gateway.groups
