List few nodes of a large fleet, and let the others make few calls

Change: a node of a large fleet is listed only if it may become an owner (the 16 that suit best, three in each zone). A node that starts reads the configuration and the members at once, and the notes only if it may own services; it then reads the registry again, not from a copy that may be old. Members are read at growing intervals. A node that reaches no owner reads them again within a second. When the whole system starts for the first time, the largest VMs are listed first.

Also: soak runs without fencing, datagrams that cannot be decoded are counted and passed over.

--- a/jacinthhaven/adapters/sql_settings_file_test.py
+++ b/jacinthhaven/adapters/sql_settings_file_test.py
@@ -19,6 +19,7 @@
         '{{platform.address|json}}': '"127.0.0.1:9105"',
         '{{bounds.contactMs|json}}': '4000',
         '{{bounds.graceS}}': '6',
+        '{{bootstrap|json}}': 'true',
         '{{bounds.fencingRequired|json}}': 'true',
         '{{cloudApi.address|json}}': '"127.0.0.1:9106"',
         '{{limits.cpuShare|json}}': '0.537',
--- a/jacinthhaven/process/sql_proxy.py
+++ b/jacinthhaven/process/sql_proxy.py
@@ -48,6 +48,8 @@
 # Lines about statements that go well, per second; a line costs about as
 # much processor time as the rest of a statement's decisions.
 _ROUTINE_LINES = 1000
+# Reasons of malformed messages that get a line; all are counted.
+_MAX_REASONS = 20
 _DONE = 'done'
 _ROUTINE = types.MappingProxyType({'place': _DONE})
 
@@ -107,6 +109,7 @@
     def __init__(self, loop: poller.Poller, journal: ports.Journal) -> None:
         """Prepare the socket."""
         self.journal = journal
+        self.reasons: set[str] = set()
         self.datagrams = datagrams.DatagramSocket(loop)
         self.datagrams.on_datagram = self._on_datagram
         self.datagrams.on_error = self._on_error
@@ -126,12 +129,19 @@
         try:
             message = peer_messages.decode(chunk)
         except msgspec.DecodeError as error:
-            self.journal.count('node_messages', 'malformed')
-            self.journal.write('message_malformed', {'reason': str(error)})
+            self._on_malformed(str(error))
             return
         self.journal.count('node_messages', type(message).__name__)
         self.on_message(message)
 
+    def _on_malformed(self, reason: str) -> None:
+        """Count a message, and log each reason once."""
+        self.journal.count('node_messages', 'malformed')
+        if reason in self.reasons or len(self.reasons) >= _MAX_REASONS:
+            return
+        self.reasons.add(reason)
+        self.journal.write('message_malformed', {'reason': reason})
+
     def _on_error(self, _reason: str) -> None:
         self.journal.count('node_messages', 'not_sent')
 
@@ -181,6 +191,7 @@
                     settings.processor.capacity,
                 ),
                 settings.promotion.fenced,
+                settings.first_start,
             ),
             node.Surroundings(
                 self.databases,
--- a/jacinthhaven/records/sql_settings.py
+++ b/jacinthhaven/records/sql_settings.py
@@ -128,6 +128,7 @@
       store: Platform's store.
       promotion: Where promotions are ordered.
       grace_ms: Time between SIGTERM and SIGKILL.
+      first_start: Whether the whole system starts for the first time.
       log: Destination of the log.
       processor: Processor of the VM.
     """
@@ -138,6 +139,7 @@
     store: Store
     promotion: Promotion
     grace_ms: Grace
+    first_start: bool = False
     log: Log = Log()
     processor: Processor = Processor()
 
--- a/jacinthhaven/sql/coordination.py
+++ b/jacinthhaven/sql/coordination.py
@@ -29,13 +29,16 @@
 _IDLE_RETRY_LAST_MS = 4000
 # Until the first answer nothing can be served.
 _START_RETRY_LAST_MS = 200
-# Intervals of reads of the members: soon after the start, in a small fleet,
-# and in a large one, where each read is longer.
+# Intervals of reads of the members: they double after the start, up to the
+# interval of nodes that own services and of the others.
 _FIRST_MEMBERS_MS = 400
-_FIRST_MEMBERS_FOR_MS = 4000
-_SMALL_MEMBERS_MS = 2000
-_LARGE_MEMBERS_MS = 6000
-_LARGE_FLEET = 16
+_OWNER_MEMBERS_MS = 2000
+_IDLE_MEMBERS_MS = 6000
+# Pause between two reads because no owner could be reached.
+_MISSED_MEMBERS_MS = 1000
+# How long a node that starts waits for the members before it takes itself
+# for an owner.
+_LEARN_MS = 1000
 # A node that owns no service needs the registry only to help out.
 _IDLE_REGISTRY_FACTOR = 5
 # Such a node leaves decisions on the configuration to the owners, so that it
@@ -66,9 +69,10 @@
       reads: Reads since one that was not old.
       running: Whether a read has no answer yet.
       hurry_until_ms: Until when missing instances are looked for often.
+      old: Whether only reads that may be old are known of an owner.
     """
 
-    __slots__ = ('next_ms', 'reads', 'running', 'hurry_until_ms')
+    __slots__ = ('next_ms', 'reads', 'running', 'hurry_until_ms', 'old')
 
     def __init__(self) -> None:
         """Read at once."""
@@ -76,17 +80,24 @@
         self.reads = 0
         self.running = False
         self.hurry_until_ms = 0
+        self.old = False
 
     def due(self, now_ms: int) -> bool:
         """Return whether it is time for a read."""
-        return now_ms >= self.next_ms and not self.running
+        return not self.running and (self.old or now_ms >= self.next_ms)
+
+    def own(self) -> None:
+        """Read at once what a new owner needs; it must not be old."""
+        self.old = True
 
     def start(self, now_ms: int, *, owns_service: bool) -> bool:
         """Start a read; return whether it must not be old."""
         self.running = True
         factor = 1 if owns_service else _IDLE_REGISTRY_FACTOR
         self.next_ms = now_ms + _STALE_READ_MS * factor
-        return owns_service and self.reads % _FRESH_READ_EVERY == 0
+        fresh = self.old or self.reads % _FRESH_READ_EVERY == 0
+        self.old = self.old and not owns_service
+        return owns_service and fresh
 
     def hurry(self, now_ms: int) -> None:
         """Look often for instances that are missing from now on."""
@@ -106,6 +117,36 @@
             self.next_ms = now_ms + _MISSING_READ_MS
 
 
+class MemberTimes:
+    """When the members are read.
+
+    Attributes:
+      next_ms: When the next read is due.
+      last_ms: When the last one was sent.
+      pause_ms: Pause after the next one, unless it is too long.
+    """
+
+    __slots__ = ('next_ms', 'last_ms', 'pause_ms')
+
+    def __init__(self) -> None:
+        """Read at once."""
+        self.next_ms = 0
+        self.last_ms = 0
+        self.pause_ms = _FIRST_MEMBERS_MS
+
+    def start(self, now_ms: int, *, owns_service: bool) -> None:
+        """Start a read."""
+        longest_ms = _OWNER_MEMBERS_MS if owns_service else _IDLE_MEMBERS_MS
+        pause_ms = min(self.pause_ms, longest_ms)
+        self.pause_ms = pause_ms * 2
+        self.last_ms = now_ms
+        self.next_ms = now_ms + pause_ms
+
+    def hurry(self) -> None:
+        """Read soon, since no known owner could be reached."""
+        self.next_ms = min(self.next_ms, self.last_ms + _MISSED_MEMBERS_MS)
+
+
 class Coordination:
     """Watch, registry reads and lease of one node.
 
@@ -114,6 +155,10 @@
       keeper: Lease and key of this node.
       connected: Whether the last call succeeded.
       registry: When the registry is read.
+      members: When the members are read.
+      owns_service: Whether this node may own services.
+      settled: Whether that is known.
+      read_revision: Revision from which the watch starts once that is known.
       watch_number: Number of the watch; 0 while what it starts from is read,
         None while there is none.
     """
@@ -149,9 +194,11 @@
         self.connected = False
         self.watch_number: int | None = None
         self.registry = RegistryTimes()
-        self.members_ms = 0
+        self.members = MemberTimes()
         self.started_ms: int | None = None
-        self.owns_service = True
+        self.owns_service = False
+        self.settled = False
+        self.read_revision: int | None = None
         self.keeper = lease.LeaseKeeper(self.call)
         self.now_ms = 0
 
@@ -165,6 +212,8 @@
         self.now_ms = now_ms
         if self.started_ms is None:
             self.started_ms = now_ms
+        if not self.settled and now_ms - self.started_ms >= _LEARN_MS:
+            self.own_services(True)
         if now_ms < self.backoff.retry_ms:
             return
         if self.watch_number is None:
@@ -175,7 +224,7 @@
             )
         if self.registry.due(now_ms):
             self._read_registry(now_ms)
-        if now_ms >= self.members_ms:
+        if now_ms >= self.members.next_ms:
             self._read_members(now_ms)
         self.keeper.tick(now_ms)
 
@@ -191,14 +240,27 @@
 
     def own_services(self, owns: bool) -> None:
         """Watch the notes of other owners too, or the configuration only."""
-        if owns == self.owns_service:
+        known = self.settled and owns == self.owns_service
+        self.settled = True
+        if known:
+            return
+        if owns == self.owns_service and self.read_revision is not None:
+            self._watch(self.read_revision)
             return
         self.owns_service = owns
+        if owns:
+            self.registry.own()
+        self.read_revision = None
         if self.watch_number:
             self.platform.end_watch(self.watch_number)
-            self.watch_number = None
+        self.watch_number = None
         if not owns:
             self._forget_notes()
+        self.tick(self.now_ms)
+
+    def miss_members(self) -> None:
+        """Read the members soon, since no known owner could be reached."""
+        self.members.hurry()
 
     def read_all(
         self,
@@ -282,7 +344,9 @@
         prefix: str,
         reply: store.ReadReply | None,
     ) -> None:
-        if reply is None or prefix != self.watched:
+        if prefix != self.watched:
+            return
+        if reply is None:
             self.watch_number = None
             return
         found = {entry.key for entry in reply.entries}
@@ -291,9 +355,16 @@
                 self._remove(key, reply.revision)
         for entry in reply.entries:
             self._accept(entry)
+        if self.settled:
+            self._watch(reply.revision)
+        else:
+            self.read_revision = reply.revision
+
+    def _watch(self, revision: int) -> None:
+        self.read_revision = None
         request = store.WatchRequest(
-            prefix,
-            reply.revision + 1,
+            self.watched,
+            revision + 1,
             0 if self.owns_service else _IDLE_WATCH_MS,
         )
         self.watch_number = self.call(request, self._on_events)
@@ -339,12 +410,7 @@
         self.registry.finish(complete, self.now_ms)
 
     def _read_members(self, now_ms: int) -> None:
-        interval_ms = _SMALL_MEMBERS_MS
-        if now_ms - self.started_ms < _FIRST_MEMBERS_FOR_MS:
-            interval_ms = _FIRST_MEMBERS_MS
-        elif len(self.keeper.listed) > _LARGE_FLEET:
-            interval_ms = _LARGE_MEMBERS_MS
-        self.members_ms = now_ms + interval_ms
+        self.members.start(now_ms, owns_service=self.owns_service)
         request = store.ReadRequest(self.prefixes[2], may_be_stale=True)
         self.read_all(request, self._on_members)
 
--- a/jacinthhaven/sql/coordination_test.py
+++ b/jacinthhaven/sql/coordination_test.py
@@ -35,7 +35,8 @@
             len(rest) > _PAGE,
         )
         self.late.append((self.now_ms + 4, on_reply, page))
-        if self.between is not None and not request.after:
+        first = request.prefix == 'o' and not request.after
+        if self.between is not None and first:
             self.between()
             self.between = None
         return 0
@@ -89,6 +90,12 @@
         )
         self.now_ms = 1000
 
+    def start(self) -> None:
+        """Start as a node that owns services."""
+        self.run(50)
+        self.node.own_services(True)
+        self.run(250)
+
     def run(self, for_ms: int) -> None:
         """Let time pass."""
         until_ms = self.now_ms + for_ms
@@ -113,7 +120,7 @@
         rig.platform.put(f'nodes/{index}')
         rig.platform.put(f'servers/{index}')
         rig.platform.put(f'ours/{index}')
-    rig.run(200)
+    rig.start()
     assert len(rig.listener.members) == 8
     assert len(rig.listener.registry) == 8
     assert len(rig.listener.keys) == 8
@@ -124,7 +131,7 @@
     rig = _Rig()
     for index in range(8):
         rig.platform.put(f'ours/{index}')
-    rig.run(200)
+    rig.start()
     rig.node.watch_number = None
     rig.run(200)
     assert None not in rig.listener.keys.values()
@@ -136,7 +143,7 @@
     for index in range(8):
         rig.platform.put(f'ours/{index}')
     rig.platform.between = lambda: rig.platform.put('ours/0', 'new')
-    rig.run(300)
+    rig.start()
     assert rig.listener.keys['ours/0'] == 'new'
 
 
@@ -145,7 +152,7 @@
     rig = _Rig()
     rig.platform.put('ours/doubt/s/n1', 'db-a')
     rig.platform.put('op/config', '{}')
-    rig.run(200)
+    rig.start()
     rig.node.own_services(False)
     assert rig.listener.keys == {'ours/doubt/s/n1': None, 'op/config': '{}'}
     rig.run(200)
@@ -157,7 +164,7 @@
 def test_missing_instances_are_looked_for_often_after_an_outage():
     """Guards against seconds without instances that are back."""
     rig = _Rig()
-    rig.run(500)
+    rig.start()
     rig.platform.model.outage = True
     rig.run(3000)
     rig.platform.model.outage = False
@@ -171,3 +178,49 @@
     rig.platform.calls.clear()
     rig.run(2000)
     assert len(rig.reads('servers/')) <= 3
+
+
+def test_node_without_services_makes_few_calls():
+    """Guards against calls of the many nodes that own nothing."""
+    rig = _Rig()
+    rig.platform.put('nodes/1')
+    rig.run(50)
+    rig.node.own_services(False)
+    rig.run(45_000)
+    reads = [
+        call
+        for call in rig.platform.calls
+        if isinstance(call, store.ReadRequest)
+    ]
+    dear = [
+        call
+        for call in rig.platform.calls
+        if not isinstance(call, (store.ReadRequest, store.KeepAliveRequest))
+    ]
+    stale = [read for read in reads if read.may_be_stale]
+    assert len(reads) - len(stale) == 1
+    assert len(stale) <= 25
+    assert [type(call) for call in dear] == [store.WatchRequest]
+
+
+def test_owner_reads_no_notes_twice_at_its_start():
+    """Guards against calls that the start of a node does not need."""
+    rig = _Rig()
+    rig.start()
+    fresh = [read for read in rig.platform.calls if _is_fresh(read)]
+    found = sorted(read.prefix for read in fresh)
+    assert found == ['o', 'op/config', 'servers/']
+
+
+def _is_fresh(call: store.Request) -> bool:
+    return isinstance(call, store.ReadRequest) and not call.may_be_stale
+
+
+def test_new_owner_reads_the_present_registry():
+    """Guards against a server that had left and is in use again."""
+    rig = _Rig()
+    rig.run(10)
+    rig.node.own_services(True)
+    rig.run(100)
+    reads = rig.reads('servers/')
+    assert [read.may_be_stale for read in reads] == [True, False]
--- a/jacinthhaven/sql/lease.py
+++ b/jacinthhaven/sql/lease.py
@@ -18,6 +18,7 @@
     Attributes:
       lease: Number of the lease; 0 while there is none.
       listed: Keys of all nodes as read last.
+      wanted: Whether this node announces itself.
     """
 
     def __init__(self, call: MakeCall) -> None:
@@ -30,6 +31,7 @@
         self.lease = 0
         self.listed: set[str] = set()
         self.renewing = False
+        self.wanted = False
         self.renew_ms = 0
         self.member_key = ''
         self.member_text = ''
@@ -41,9 +43,21 @@
 
     def tick(self, now_ms: int) -> None:
         """Renew the lease when it is due."""
-        if self.member_key and not self.renewing and now_ms >= self.renew_ms:
+        if not self.wanted or not self.member_key:
+            return
+        if not self.renewing and now_ms >= self.renew_ms:
             self._renew(now_ms)
 
+    def announce(self, wanted: bool) -> None:
+        """Keep the key of this node, or give it up."""
+        if wanted == self.wanted:
+            return
+        self.wanted = wanted
+        self.renew_ms = 0
+        if not wanted and self.lease:
+            self.call(store.RevokeRequest(self.lease), _ignore)
+            self.lease = 0
+
     def leave(self, on_left: typing.Callable[[], None]) -> None:
         """End the lease."""
         self.member_key = ''
@@ -79,6 +93,10 @@
         if reply is None or not reply.lease:
             self.renew_ms = 0
             return
+        if not self.wanted:
+            # Given up meanwhile.
+            self.call(store.RevokeRequest(reply.lease), _ignore)
+            return
         self.lease = reply.lease
         self._announce()
 
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -38,6 +38,10 @@
 # than leases last while the store is unreachable for some nodes.
 _SHRINK_MS = 20_000
 
+# How long a node that finds no other leaves it to those that suit better to
+# be listed first.
+_FIRST_START_MS = 300
+
 # Range of the random starts that spread borrowers over lenders.
 _SPREAD = 1000
 
@@ -54,12 +58,14 @@
       peer: What other nodes know of it.
       fenced: Whether the platform refuses orders with an old fencing number,
         so that a replaced primary serves nobody.
+      first_start: Whether the whole system starts for the first time.
     """
 
     name: str
     grace_ms: int
     peer: ownership.Peer
     fenced: bool = True
+    first_start: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,6 +129,7 @@
             around.relays,
             around.rng,
         )
+        self.relay.on_missed = self.coordination.miss_members
         self.lender = lending.Lender(
             self.gateway,
             around.borrowers,
@@ -229,9 +236,11 @@
                 'members',
                 {'member': name, 'present': name in peers},
             )
-        if peers == self.peers:
-            return
+        known = self.peers
         self.peers = peers
+        self._decide_announcement()
+        if peers == known and self.coordination.settled:
+            return
         self.relay.know(peers)
         self.peering.know(peers, self.now_ms)
         self._choose_lenders()
@@ -250,6 +259,23 @@
             if self.identity.name in owners:
                 vote.tick(owners, self.coordination.lease, now_ms)
 
+    def _decide_announcement(self) -> None:
+        """Be listed if this node may become an owner.
+
+        When all nodes start for the first time, those that suit best are
+        listed by the time of the second read.
+        """
+        elapsed_ms = self.now_ms - (self.coordination.started_ms or self.now_ms)
+        first = self.identity.first_start and not self.peers
+        if first and elapsed_ms < _FIRST_START_MS:
+            return
+        wanted = ownership.is_announced(
+            self.identity.name,
+            self.identity.peer,
+            self.peers,
+        )
+        self.coordination.keeper.announce(wanted)
+
     def _configure(self, text: str, revision: int) -> None:
         loaded = self.around.documents.configuration(text)
         if isinstance(loaded, str):
@@ -309,7 +335,8 @@
             size = max(size, len(owners))
             if not owners or self.identity.name in owners:
                 owned.add(name)
-        self.coordination.own_services(bool(owned))
+        if self.peers:
+            self.coordination.own_services(bool(owned))
         if size >= self.gateway.members or self.now_ms >= self.shrink_ms:
             self.shrink_ms = self.now_ms + _SHRINK_MS
             self.gateway.share_links(size, owned)
--- a/jacinthhaven/sql/ownership.py
+++ b/jacinthhaven/sql/ownership.py
@@ -18,6 +18,10 @@
 _SMALL_FLEET = 9
 # Owners of one service in each zone of a large fleet.
 _PER_ZONE = 2
+# Nodes that announce themselves in a large fleet: enough to tell it from a
+# small one, and in each zone one more than the owners of one service.
+_MOST_ANNOUNCED = 16
+_ANNOUNCED_PER_ZONE = 3
 
 
 class Peer(msgspec.Struct, frozen=True):
@@ -60,6 +64,34 @@
     return tuple(sorted(name for names in chosen for name in names))
 
 
+def is_announced(name: str, peer: Peer, peers: Peers) -> bool:
+    """Return whether a node may become an owner and has to be listed.
+
+    The other nodes of a large fleet are not listed, since each listed one
+    costs calls to the store and is read by all.
+
+    Args:
+      name: Node in question.
+      peer: What it would announce.
+      peers: Nodes that are listed.
+    """
+    rank = _rank(name, peer)
+    ahead = [
+        other
+        for known, other in peers.items()
+        if known != name and _rank(known, other) < rank
+    ]
+    if len(ahead) < _MOST_ANNOUNCED:
+        return True
+    near = sum(other.zone == peer.zone for other in ahead)
+    return near < _ANNOUNCED_PER_ZONE
+
+
+def _rank(name: str, peer: Peer) -> tuple[float, int, str]:
+    """Return a key that sorts the nodes that suit best to the front."""
+    return (-peer.capacity, ranking.weight('announced', name), name)
+
+
 class Owners(msgspec.Struct, frozen=True):
     """Owners of one service as seen from one zone.
 
--- a/jacinthhaven/sql/relaying.py
+++ b/jacinthhaven/sql/relaying.py
@@ -7,6 +7,7 @@
 """
 
 import random
+import typing
 
 from jacinthhaven.sql import gateway, ownership, ports, statements
 
@@ -96,6 +97,7 @@
     Attributes:
       sessions: Sessions by the number of the client's connection.
       avoided: Until when an owner is left out, by name.
+      on_missed: Called when no owner of a session could be reached.
       failures: How often in a row an owner did not answer, by name.
     """
 
@@ -121,6 +123,7 @@
         self.early: list[tuple[int, str]] = []
         self.configured_ms: int | None = None
         self.return_ms = 0
+        self.on_missed: typing.Callable[[], None] = _ignore
         self.now_ms = 0
 
     @property
@@ -291,6 +294,7 @@
         if not known:
             self.sessions.pop(session.number, None)
             self.journal.count('relays', 'local')
+            self.on_missed()
             self.local.on_start(session.number, session.database)
             return
         session.owner = known[0]
@@ -375,6 +379,10 @@
         self.relays.close(session.relay)
 
 
+def _ignore() -> None:
+    """Do nothing; default of an unset callback."""
+
+
 def _patience_ms(session: RelayedSession) -> int:
     """Return how long the owner may be silent before something is done."""
     if not session.accepted:
--- a/jacinthhaven/sql/relaying_test.py
+++ b/jacinthhaven/sql/relaying_test.py
@@ -242,3 +242,53 @@
             setup.relay.tick(setup.now_ms)
         tried.append(len(setup.relays.opened) - before)
     assert sum(tried[20:]) <= sum(tried[:20]) / 2
+
+
+def _listed(fleet: dict[str, ownership.Peer]) -> set[str]:
+    """Return the nodes that stay listed where all were at first."""
+    known = dict(fleet)
+    for name in sorted(fleet):
+        if not ownership.is_announced(name, fleet[name], known):
+            known.pop(name)
+    return set(known)
+
+
+def test_small_fleet_is_listed_as_a_whole():
+    """Guards against nodes that own services and that nobody knows."""
+    fleet = _peers(8)
+    assert _listed(fleet) == set(fleet)
+
+
+def test_few_nodes_of_a_large_fleet_are_listed():
+    """Guards against calls of nodes that will not own anything."""
+    fleet = _peers(195)
+    listed = _listed(fleet)
+    assert len(listed) <= 16
+    everywhere = set(ownership.owners(builders.SERVICE, fleet))
+    known = {name: fleet[name] for name in listed}
+    assert set(ownership.owners(builders.SERVICE, known)) == everywhere
+
+
+def test_each_zone_of_a_large_fleet_has_listed_nodes():
+    """Guards against a zone whose statements all go to another one."""
+    fleet = {
+        f'n{number}': ownership.Peer(
+            ('127.0.0.1', number),
+            'far' if number >= 180 else 'near',
+            0.5 if number >= 180 else 2.0,
+        )
+        for number in range(195)
+    }
+    far = [name for name in _listed(fleet) if fleet[name].zone == 'far']
+    assert len(far) == 3
+
+
+def test_lost_nodes_are_replaced_in_the_list():
+    """Guards against a fleet without owners once the largest VMs are lost."""
+    fleet = _peers(195)
+    listed = _listed(fleet)
+    left = {name: peer for name, peer in fleet.items() if name not in listed}
+    assert all(
+        ownership.is_announced(name, peer, {}) for name, peer in left.items()
+    )
+    assert len(_listed(left)) >= 10
--- a/jacinthhaven/standins/sql_platform.py
+++ b/jacinthhaven/standins/sql_platform.py
@@ -4,6 +4,7 @@
 have seen.
 """
 
+import collections
 import functools
 import http
 import sys
@@ -20,6 +21,8 @@
 _HOST = '127.0.0.1'
 _PROMOTE_MS = 300
 _BEAT_MS = 300
+# Beats in touch after which a replaced primary learns of its successor.
+_DEMOTE_BEATS = 4
 _SERVICE = 'ledger'
 _MEMBERS = ('i-a', 'i-b', 'i-c')
 _MAX_CONNECTIONS = 12
@@ -53,10 +56,16 @@
 class SqlPlatform:
     """Stand-ins on one poller."""
 
-    def __init__(self, loop: poller.Poller) -> None:
-        """Start the instances and fill the store."""
+    def __init__(self, loop: poller.Poller, *, fenced: bool = True) -> None:
+        """Start the instances and fill the store.
+
+        Args:
+          loop: Poller of the sockets.
+          fenced: Whether a promotion ends the lead of the old primary.
+        """
         self.poller = loop
-        self.group = sql_group.SqlGroup(_SERVICE, _MEMBERS)
+        self.group = sql_group.SqlGroup(_SERVICE, _MEMBERS, fenced=fenced)
+        self.in_touch: collections.Counter[str] = collections.Counter()
         self.instances = sql_server.SqlServer(loop, self.group)
         self.kv = kv_server.KvServer(loop)
         self.kv.on_order = self._on_order
@@ -98,8 +107,20 @@
     def _register(self) -> None:
         for key, text in self.instances.registry().items():
             self._write(key, text)
+        self._demote_in_touch()
         self.poller.call_later(_BEAT_MS, self._register)
 
+    def _demote_in_touch(self) -> None:
+        """Let replaced primaries learn of their successor after a while."""
+        for name, instance in self.group.instances.items():
+            apart = name in self.faults.silent
+            if apart or not instance.replaced_term:
+                self.in_touch[name] = 0
+                continue
+            self.in_touch[name] += 1
+            if self.in_touch[name] >= _DEMOTE_BEATS:
+                self.group.demote(name)
+
     def _on_control(self, exchange: http_server.Exchange) -> None:
         if exchange.message.method == 'POST':
             version = self.faults.version
@@ -135,7 +156,7 @@
     loop = poller.Poller()
     application = circuits.Component()
     loop.register(application)
-    platform = SqlPlatform(loop)
+    platform = SqlPlatform(loop, fenced='--unfenced' not in sys.argv)
     store_port = platform.kv.server.listen((_HOST, 0))
     control_port = platform.control.listen((_HOST, 0))
     typer.echo(f'ready {store_port} {control_port}')
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -30,6 +30,7 @@
   address: {host}:{store}
 promotion:
   address: {host}:{store}
+  fenced: {fenced}
 grace_ms: 4000
 """
 
@@ -64,6 +65,8 @@
         number: int,
         folder: pathlib.Path,
         store_port: int,
+        *,
+        fenced: bool,
     ) -> None:
         """Write the settings; nothing runs before `start`."""
         self.number = number
@@ -85,6 +88,7 @@
                 metrics=ports[2],
                 peers=ports[3],
                 store=self.store_path.port,
+                fenced=str(fenced).lower(),
             ),
         )
 
@@ -141,10 +145,23 @@
       instance_paths: Paths to the instances by name.
     """
 
-    def __init__(self, folder: pathlib.Path, size: int) -> None:
-        """Start everything and wait until it is ready."""
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        size: int,
+        *,
+        fenced: bool = True,
+    ) -> None:
+        """Start everything and wait until it is ready.
+
+        Args:
+          folder: Where settings and logs go.
+          size: Number of proxies.
+          fenced: Whether a promotion ends the lead of the old primary.
+        """
+        standin = [sys.executable, '-m', 'jacinthhaven.standins.sql_platform']
         self.platform = subprocess.Popen(  # noqa: S603
-            [sys.executable, '-m', 'jacinthhaven.standins.sql_platform'],
+            standin if fenced else [*standin, '--unfenced'],
             stdout=subprocess.PIPE,
         )
         words = self.platform.stdout.readline().split()
@@ -159,7 +176,8 @@
             },
         )
         self.proxies = [
-            Proxy(number, folder, int(words[1])) for number in range(size)
+            Proxy(number, folder, int(words[1]), fenced=fenced)
+            for number in range(size)
         ]
         with contextlib.ExitStack() as started:
             started.callback(self.close)
--- a/soak/run.py
+++ b/soak/run.py
@@ -32,6 +32,7 @@
         folder: pathlib.Path,
         *,
         harmed: bool = True,
+        fenced: bool = True,
     ) -> None:
         """Start the processes and the clients.
 
@@ -39,9 +40,10 @@
           seed: Seed of all draws.
           folder: Where settings and logs go.
           harmed: Whether connections are harmed meanwhile.
+          fenced: Whether a promotion ends the lead of the old primary.
         """
         self.rng = random.Random(seed)
-        self.fleet = fleet.Fleet(folder, _PROXIES)
+        self.fleet = fleet.Fleet(folder, _PROXIES, fenced=fenced)
         self.clients = [
             clients.Client(number, self.fleet.proxies)
             for number in range(_CLIENTS)
@@ -165,10 +167,11 @@
     folder: pathlib.Path,
     *,
     harmed: bool = True,
+    fenced: bool = True,
     plot: pathlib.Path | None = None,
 ) -> tuple[list[str], str]:
     """Play one seed and return the broken promises and a summary."""
-    soak = Soak(seed, folder, harmed=harmed)
+    soak = Soak(seed, folder, harmed=harmed, fenced=fenced)
     with contextlib.closing(soak):
         problems = soak.run()
     if plot is not None:
@@ -183,15 +186,17 @@
     seed: int,
     count: int = 1,
     plot: pathlib.Path | None = None,
+    fenced: bool = True,
 ) -> None:
     """Play seeds and print one line for each.
 
-    `--plot FILE` draws the timeline of the last one.
+    `--plot FILE` draws the timeline of the last one; with `--no-fenced` a
+    promotion does not end the lead of the old primary.
     """
     failed = False
     for number in range(seed, seed + count):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{number}-'))
-        problems, summary = play(number, folder, plot=plot)
+        problems, summary = play(number, folder, fenced=fenced, plot=plot)
         verdict = 'FAILED' if problems else 'ok'
         typer.echo(f'seed {number} {verdict} {summary}')
         for problem in problems[:5]:
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -12,6 +12,7 @@
 # whole log for each read. They are from before connections were harmed.
 _OLD_SEEDS = (1, 100)
 _SEEDS = (4000,)
+_UNFENCED_SEED = 4100
 
 
 @pytest.mark.parametrize('seed', _OLD_SEEDS)
@@ -30,6 +31,13 @@
     assert "'done'" in summary
 
 
+def test_unfenced_seed(tmp_path):
+    """Guards against work at two primaries where no fence is checked."""
+    problems, summary = run.play(_UNFENCED_SEED, tmp_path, fenced=False)
+    assert not problems, summary
+    assert "'done'" in summary
+
+
 def _client() -> clients.Client:
     return clients.Client(1, [])
 
