Add a laboratory that plays loads and faults against the decisions

Whoever weighs the SQL session proxy, or a change of one of its constants, had no tool that answers what callers get under a load with faults. 'jacinthhaven lab check|run|compare|report' plays the modules of sql/ unchanged, in virtual time, on an emulator of a database group with slots and queues; arrivals are open and the same for all variants of a seed; all errors of a file are shown with their lines. Nothing of the proxy's process changes.

--- a/jacinthhaven/adapters/examples_test.py
+++ b/jacinthhaven/adapters/examples_test.py
@@ -9,6 +9,7 @@
     settings_file,
     sql_settings_file,
 )
+from jacinthhaven.lab import experiment, experiment_file
 from jacinthhaven.records import presets, settings, sql_settings
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
@@ -22,8 +23,16 @@
         for cluster, _limit in DEPLOYMENTS
         for suffix in ('.yaml', '-config.yaml')
     ]
+    experiments = ['lab-exchange.yaml', 'lab-brightline.yaml']
     names = sorted(path.name for path in EXAMPLES.iterdir())
-    assert names == sorted([*checked, 'sql-proxy.yaml'])
+    assert names == sorted([*checked, *experiments, 'sql-proxy.yaml'])
+
+
+@pytest.mark.parametrize('cluster', ['exchange', 'brightline'])
+def test_experiments_are_valid(cluster):
+    """Guards against an example that cannot be played."""
+    loaded = experiment_file.load(str(EXAMPLES / f'lab-{cluster}.yaml'))
+    assert isinstance(loaded, experiment.Experiment), loaded
 
 
 def test_settings_of_a_sql_proxy():
--- a/jacinthhaven/cli/checks.py
+++ b/jacinthhaven/cli/checks.py
@@ -15,6 +15,7 @@
     yaml_file,
 )
 from jacinthhaven.cli import exits
+from jacinthhaven.lab import experiment_file
 from jacinthhaven.records import presets, settings
 
 
@@ -27,6 +28,8 @@
     document = yaml_file.parse(_read(name))
     if config_file.is_configuration(document):
         loaded: typing.Any = config_file.validate(document)
+    elif experiment_file.is_experiment(document):
+        loaded = experiment_file.validate(document)
     elif sql_settings_file.is_sql_settings(document):
         loaded = sql_settings_file.validate(document)
     else:
--- a/jacinthhaven/cli/main.py
+++ b/jacinthhaven/cli/main.py
@@ -10,7 +10,13 @@
 import typer
 
 from jacinthhaven import version
-from jacinthhaven.cli import connection, exits, operator_commands, output
+from jacinthhaven.cli import (
+    connection,
+    exits,
+    lab_commands,
+    operator_commands,
+    output,
+)
 
 _HELP = """
 Database proxy with session consistency.
@@ -38,6 +44,7 @@
 )
 app.add_typer(operator_commands.preset_app, name='preset')
 app.add_typer(operator_commands.config_app, name='config')
+app.add_typer(lab_commands.lab_app, name='lab')
 app.command()(connection.connected(operator_commands.status))
 app.command()(connection.connected(operator_commands.drain))
 
--- a/jacinthhaven/cli/main_test.py
+++ b/jacinthhaven/cli/main_test.py
@@ -304,3 +304,61 @@
 def test_version_is_printed():
     """Guards against a package without its metadata."""
     assert _invoke('--version').stdout.startswith('jacinthhaven ')
+
+
+_LAB = """name: short
+seeds: [1]
+length_ms: 1000
+group: {instances: [db-a], slots: 3, connections: 9}
+load:
+  settlement:
+    mode: primary
+    per_s: 20
+    work_ms: 5
+    target_ms: 200
+    deadline_ms: 1000
+variants:
+  today: {}
+  narrow: {statements_per_slot: 1}
+"""
+
+
+def test_experiment_is_compared_and_reported(tmp_path):
+    """Guards against results that cannot be read again."""
+    name = tmp_path / 'lab.yaml'
+    name.write_text(_LAB)
+    out = tmp_path / 'out.jsonl'
+    runner = testing.CliRunner()
+    found = runner.invoke(
+        main.app, ['lab', 'compare', str(name), '--out', str(out)]
+    )
+    assert found.exit_code == 0
+    assert '| narrow | settlement |' in found.output
+    assert len(out.read_text().splitlines()) == 2
+    again = runner.invoke(main.app, ['lab', 'report', str(name), str(out)])
+    assert again.exit_code == 0
+    assert '| today | settlement |' in again.output
+
+
+def test_bad_experiment_starts_nothing(tmp_path):
+    """Guards against plays of a file that is not what its author meant."""
+    name = tmp_path / 'lab.yaml'
+    name.write_text(_LAB.replace('per_s: 20', 'per_s: 0'))
+    found = testing.CliRunner().invoke(main.app, ['lab', 'check', str(name)])
+    assert found.exit_code == 2
+    assert 'load.settlement.per_s' in found.output
+    missing = testing.CliRunner().invoke(
+        main.app, ['lab', 'run', str(name), '--variant', 'today']
+    )
+    assert missing.exit_code == 2
+
+
+def test_unknown_variant_is_refused(tmp_path):
+    """Guards against a command that plays something else."""
+    name = tmp_path / 'lab.yaml'
+    name.write_text(_LAB)
+    found = testing.CliRunner().invoke(
+        main.app, ['lab', 'run', str(name), '--variant', 'wide']
+    )
+    assert found.exit_code == 2
+    assert 'no variant wide' in found.output
