Keep one watch where the configuration makes a node an owner

Cause, found on reading: while what the first read brings is accepted, the node may learn that it owns services and start to watch more; the rest of the first read then started a second watch that nobody ended. It cost a call every contactMs for each owner. The test fails without the check.

--- a/jacinthhaven/sql/coordination.py
+++ b/jacinthhaven/sql/coordination.py
@@ -355,6 +355,9 @@
                 self._remove(key, reply.revision)
         for entry in reply.entries:
             self._accept(entry)
+        if prefix != self.watched:
+            # What was read has changed what has to be watched.
+            return
         if self.settled:
             self._watch(reply.revision)
         else:
--- a/jacinthhaven/sql/coordination_test.py
+++ b/jacinthhaven/sql/coordination_test.py
@@ -224,3 +224,22 @@
     rig.run(100)
     reads = rig.reads('servers/')
     assert [read.may_be_stale for read in reads] == [True, False]
+
+
+def test_configuration_that_makes_an_owner_leaves_one_watch():
+    """Guards against a second watch that costs calls and is never ended."""
+    rig = _Rig()
+    rig.platform.put('op/config', '{}')
+    rig.platform.put('ours/lead/s', 'x')
+    rig.node.own_services(False)
+    accept = rig.listener.on_key
+
+    def own(key: str, text: str | None, revision: int) -> None:
+        """Learn from the configuration that this node owns a service."""
+        accept(key, text, revision)
+        rig.node.own_services(True)
+
+    rig.listener.on_key = own
+    rig.run(300)
+    assert rig.listener.keys == {'op/config': '{}', 'ours/lead/s': 'x'}
+    assert len(rig.platform.watches) == 1
