--- a/jacinthhaven/adapters/settings_file.py
+++ b/jacinthhaven/adapters/settings_file.py
@@ -1,21 +1,12 @@
 """Loading of the settings of one proxy process from a YAML file."""
 
 import os
-import types
 
 import pydantic
 
-from jacinthhaven.adapters import text_file, yaml_file
+from jacinthhaven.adapters import model_errors, text_file, yaml_file
 from jacinthhaven.records import settings
 
-_MESSAGES = types.MappingProxyType(
-    {
-        'extra_forbidden': 'unknown key',
-        'missing': 'required key is missing',
-        'model_type': 'must be a mapping',
-    },
-)
-
 
 def parse_settings(
     text: str,
@@ -48,13 +39,7 @@
     try:
         return settings.Settings.model_validate(document.root, context=context)
     except pydantic.ValidationError as error:
-        return sorted(
-            document.error_at(
-                detail['loc'],
-                _MESSAGES.get(detail['type'], detail['msg']),
-            )
-            for detail in error.errors(include_url=False)
-        )
+        return model_errors.located(document, error)
 
 
 def load(
--- a/jacinthhaven/lab/builders.py
+++ b/jacinthhaven/lab/builders.py
@@ -20,6 +20,17 @@
     return fields | changes
 
 
+def fault(kind: str, instance: str, **changes: typing.Any) -> Fields:
+    """Return a fault in the middle of a play."""
+    fields: Fields = {
+        'kind': kind,
+        'instance': instance,
+        'at_ms': 1000,
+        'for_ms': 1500,
+    }
+    return fields | changes
+
+
 def document(**changes: typing.Any) -> Fields:
     """Return the document of an experiment without faults."""
     fields: Fields = {
--- a/jacinthhaven/lab/experiment_file.py
+++ b/jacinthhaven/lab/experiment_file.py
@@ -1,22 +1,12 @@
 """Loading of experiments from YAML files, with all errors by line."""
 
-import types
-
 import pydantic
 
-from jacinthhaven.adapters import text_file, yaml_file
+from jacinthhaven.adapters import model_errors, text_file, yaml_file
 from jacinthhaven.lab import experiment
 
 Loaded = experiment.Experiment | list[yaml_file.FileError]
 
-_MESSAGES = types.MappingProxyType(
-    {
-        'extra_forbidden': 'unknown key',
-        'missing': 'required key is missing',
-        'model_type': 'must be a mapping',
-    },
-)
-
 
 def validate(document: yaml_file.Document) -> Loaded:
     """Return the experiment in a document, or all errors by position."""
@@ -25,13 +15,7 @@
     try:
         described = experiment.Experiment.model_validate(document.root)
     except pydantic.ValidationError as error:
-        return sorted(
-            document.error_at(
-                detail['loc'],
-                _MESSAGES.get(detail['type'], detail['msg']),
-            )
-            for detail in error.errors(include_url=False)
-        )
+        return model_errors.located(document, error)
     located = experiment.missing_instances(described)
     if located:
         return sorted(
--- a/jacinthhaven/lab/lab_test.py
+++ b/jacinthhaven/lab/lab_test.py
@@ -38,15 +38,7 @@
 def test_play_repeats_for_a_seed():
     """Guards against results that differ from run to run."""
     described = builders.described(
-        faults=[
-            {
-                'kind': 'lost_answers',
-                'instance': 'db-a',
-                'at_ms': 500,
-                'for_ms': 2000,
-                'strength': 0.2,
-            },
-        ],
+        faults=[builders.fault('lost_answers', 'db-a', strength=0.2)],
     )
     first, second = (
         report.results_of('today', 1, player.play(described, 'today', 1))
@@ -70,7 +62,7 @@
 def test_arrivals_do_not_slow_down_when_nothing_is_served():
     """Guards against a load that waits for the proxy."""
     silent = [
-        {'kind': 'silent', 'instance': name, 'at_ms': 0, 'for_ms': 3000}
+        builders.fault('silent', name, at_ms=0, for_ms=3000)
         for name in ('db-a', 'db-b', 'db-c')
     ]
     calm = player.play(builders.described(), 'today', 1)
@@ -84,14 +76,7 @@
     """Guards against a fault that nobody notices, and one that never ends."""
     described = builders.described(
         length_ms=8000,
-        faults=[
-            {
-                'kind': 'silent',
-                'instance': 'db-a',
-                'at_ms': 2000,
-                'for_ms': 6000,
-            },
-        ],
+        faults=[builders.fault('silent', 'db-a', at_ms=2000, for_ms=6000)],
     )
     tally = player.play(described, 'today', 1).tallies['settlement']
     before, during, after = (tally.by_second[second] for second in (1, 2, 6))
@@ -103,14 +88,7 @@
 def test_refusals_are_early_where_the_primary_is_missing():
     """Guards against holding what is known not to be servable."""
     described = builders.described(
-        faults=[
-            {
-                'kind': 'silent',
-                'instance': 'db-a',
-                'at_ms': 1000,
-                'for_ms': 1500,
-            },
-        ],
+        faults=[builders.fault('silent', 'db-a')],
     )
     tally = player.play(described, 'today', 1).tallies['settlement']
     assert tally.counts[_REFUSED]
@@ -120,14 +98,7 @@
 def test_wrong_constant_shows_in_the_comparison():
     """Guards against an experiment that cannot tell a bad rule."""
     described = builders.described(
-        faults=[
-            {
-                'kind': 'silent',
-                'instance': 'db-a',
-                'at_ms': 1000,
-                'for_ms': 1500,
-            },
-        ],
+        faults=[builders.fault('silent', 'db-a')],
         variants={'today': {}, 'stubborn': {'no_primary_share': 4}},
     )
     waited = [
--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -18,7 +18,6 @@
     pool,
     ports,
     proofs,
-    rights,
     sessions,
     statements,
 )
@@ -75,8 +74,7 @@
             self.journal,
             now_ms,
         )
-        self.right = rights.Right(self.evidence.leadership)
-        self.evidence.right = self.right
+        self.right = self.evidence.right
         self.check_ms = CHECK_MS
         self.checked_ms = 0
         self.alerted = False
