Keep cut nodes as voters, orders under the own number, and VMs of one size listed

The script read the number of the duty as it was known when it sent, which the watch had changed to that of another holder.

--- a/jacinthhaven/sql/builders.py
+++ b/jacinthhaven/sql/builders.py
@@ -5,6 +5,7 @@
 import random
 import typing
 
+from jacinthhaven.kernel import failures
 from jacinthhaven.platform import client_wire, instance_wire
 from jacinthhaven.records import store
 from jacinthhaven.sql import (
@@ -457,7 +458,10 @@
         """Run a call; its reply comes with the next `run`."""
         number = id(on_reply)
         self.calls.append(request)
-        if isinstance(request, store.WatchRequest):
+        if self.down:
+            lost = failures.STORE_UNAVAILABLE.because('cut off')
+            self.late.append((self.now_ms + 4, on_reply, lost))
+        elif isinstance(request, store.WatchRequest):
             self.model.open_watch(number, request)
             self.watches.append((number, on_reply))
         else:
@@ -499,10 +503,20 @@
         for entry in due:
             self.late.remove(entry)
             entry[1](entry[2])
+        if self.down:
+            self._lose_watches()
         for number, on_reply in tuple(self.watches):
             for events in self.model.take_events(number):
                 on_reply(events)
 
+    def _lose_watches(self) -> None:
+        """Report the loss of all watches."""
+        lost = failures.STORE_UNAVAILABLE.because('cut off')
+        watches = self.watches
+        self.watches = []
+        for _number, on_reply in watches:
+            on_reply(lost)
+
 
 def seeded() -> random.Random:
     """Return a source of random numbers that repeats."""
--- a/jacinthhaven/sql/duty.py
+++ b/jacinthhaven/sql/duty.py
@@ -25,10 +25,20 @@
       node: Name of this node.
       revision: Revision of the key; 0 while nobody has the duty.
       holder: Node that has it, or ''.
+      fence: Fencing number of this node's own attempt; what others hold does
+        not change it.
       until_ms: Until when this node may send an order as its holder.
     """
 
-    __slots__ = ('key', 'node', 'revision', 'holder', 'until_ms', 'lease')
+    __slots__ = (
+        'key',
+        'node',
+        'revision',
+        'holder',
+        'fence',
+        'until_ms',
+        'lease',
+    )
 
     def __init__(self, key: str, node: str) -> None:
         """Know of no holder."""
@@ -36,6 +46,7 @@
         self.node = node
         self.revision = 0
         self.holder = ''
+        self.fence = 0
         self.until_ms = 0
         self.lease = 0
 
@@ -62,6 +73,7 @@
         if not isinstance(reply, store.SwapReply) or not reply.succeeded:
             return 0
         self.learn(self.node, reply.revision)
+        self.fence = reply.revision
         self.lease = lease.lease
         self.until_ms = sent_ms + DUTY_MS - _RESERVE_MS
         return reply.revision
--- a/jacinthhaven/sql/election_test.py
+++ b/jacinthhaven/sql/election_test.py
@@ -14,6 +14,8 @@
     ports,
     records,
     registry,
+    scripts,
+    succession,
 )
 from jacinthhaven.standins import sql_group, store_model
 
@@ -660,3 +662,47 @@
         fleet.write(index, index + 1)
     fleet.run(1000)
     assert len(fleet.successes()) == 5
+
+
+def test_holder_that_lost_the_duty_does_not_use_the_number_of_another():
+    """Guards against two holders that order with one fencing number."""
+    fleet = Fleet(3, fenced=False)
+    vote = fleet.nodes[0].elections[builders.SERVICE]
+    script = vote.succession.replace('db-a', succession.Cause.UNREACHABLE)
+    call = next(script)
+    while not isinstance(call, scripts.AskAll):
+        reply = None
+        if isinstance(call, (store.LeaseRequest, store.SwapRequest)):
+            reply = fleet.model.call(call, fleet.now_ms)
+        fleet.run(10)
+        call = script.send(reply)
+    own = vote.duty.fence
+    vote.duty.learn('n1', own + 1)
+    status = records.InstanceStatus(
+        is_primary=False,
+        term=1,
+        received=records.Position(1, 0),
+    )
+    call = script.send({'db-b': status, 'db-c': status})
+    assert isinstance(call, store.SwapRequest)
+    assert [compare.mod_revision for compare in call.compares] == [own]
+
+
+def test_minority_with_the_store_does_not_replace_the_primary_of_the_others():
+    """Guards against two groups that both believe to be the majority.
+
+    The leases of the nodes that the store cannot reach lapse meanwhile. Seed
+    1005092456656 of the small deployment without fencing.
+    """
+    fleet = Fleet(5, fenced=False)
+    fleet.isolate({3, 4})
+    for index, rig in enumerate(fleet.rigs):
+        if index in {3, 4}:
+            rig.databases.silent.add('db-a')
+        else:
+            fleet.platforms[index].down = True
+    _write_all_the_time(fleet, 10_000)
+    assert fleet.nodes[3].members == ('n3', 'n4')
+    assert not fleet.orders()
+    late = {f'w{number}' for number in range(1801, 1981, 10)}
+    assert late <= fleet.successes()
--- a/jacinthhaven/sql/ownership.py
+++ b/jacinthhaven/sql/ownership.py
@@ -18,10 +18,11 @@
 _SMALL_FLEET = 9
 # Owners of one service in each zone of a large fleet.
 _PER_ZONE = 2
-# Nodes that announce themselves in a large fleet: enough to tell it from a
-# small one, and in each zone one more than the owners of one service.
-_MOST_ANNOUNCED = 16
-_ANNOUNCED_PER_ZONE = 3
+# A node is not listed where so many larger VMs are, in its zone and in all:
+# one more in the zone than the owners of one service, and enough to tell that
+# the fleet is large.
+_LARGER_PER_ZONE = 3
+_LARGER = _SMALL_FLEET + 1
 
 
 class Peer(msgspec.Struct, frozen=True):
@@ -67,29 +68,24 @@
 def is_announced(name: str, peer: Peer, peers: Peers) -> bool:
     """Return whether a node may become an owner and has to be listed.
 
-    The other nodes of a large fleet are not listed, since each listed one
-    costs calls to the store and is read by all.
+    Small VMs of a large fleet are not listed while there are enough larger
+    ones, since each listed one costs calls to the store and is read by all.
+    VMs of one size share the services, however many they are.
 
     Args:
       name: Node in question.
       peer: What it would announce.
       peers: Nodes that are listed.
     """
-    rank = _rank(name, peer)
-    ahead = [
+    larger = [
         other
         for known, other in peers.items()
-        if known != name and _rank(known, other) < rank
+        if known != name and other.capacity > peer.capacity
     ]
-    if len(ahead) < _MOST_ANNOUNCED:
+    if len(larger) < _LARGER:
         return True
-    near = sum(other.zone == peer.zone for other in ahead)
-    return near < _ANNOUNCED_PER_ZONE
-
-
-def _rank(name: str, peer: Peer) -> tuple[float, int, str]:
-    """Return a key that sorts the nodes that suit best to the front."""
-    return (-peer.capacity, ranking.weight('announced', name), name)
+    near = sum(other.zone == peer.zone for other in larger)
+    return near < _LARGER_PER_ZONE
 
 
 class Owners(msgspec.Struct, frozen=True):
--- a/jacinthhaven/sql/peering.py
+++ b/jacinthhaven/sql/peering.py
@@ -1,8 +1,8 @@
 """Exchange with other nodes about the rights to use primaries.
 
-Nodes are voters while the store lists them, and a little longer while they
-are heard: a node that only the store cannot reach goes on counting, so that
-two groups of nodes do not both believe to be the majority.
+Nodes are voters while the store lists them, and long after they were listed or
+heard last: nodes that the store cannot reach go on counting, so that two groups
+of nodes that are cut from each other do not both believe to be the majority.
 """
 
 import abc
@@ -20,9 +20,9 @@
     sessions,
 )
 
-# How long a node counts after its last message once it is not listed. It
-# asks several times in that time.
-HEARD_MS = 2500
+# How long a node counts after it was listed or heard last: longer than cuts
+# between nodes usually last.
+HEARD_MS = 20_000
 
 # How long a node waits for the others to answer again before it sends its
 # clients to them; processes that were killed are back by then.
@@ -100,6 +100,7 @@
         self.listed = peers
         for name, peer in peers.items():
             self.addresses[name] = peer.address
+            self.heard_ms[name] = now_ms
         self._count_voters(now_ms)
 
     def adopt(self, known: group.Group, now_ms: int) -> None:
--- a/jacinthhaven/sql/succession.py
+++ b/jacinthhaven/sql/succession.py
@@ -113,7 +113,7 @@
         order = yield scripts.Promote(
             self.service.name,
             chosen,
-            self.duty.revision,
+            self.duty.fence,
             self.duty.until_ms,
         )
         self.journal.write(
@@ -121,7 +121,7 @@
             {
                 'service': self.service.name,
                 'instance': chosen,
-                'fence': self.duty.revision,
+                'fence': self.duty.fence,
                 'accepted': order.accepted,
                 'reason': order.reason,
             },
@@ -159,7 +159,7 @@
 
     def _give_up(self, old: str, term: int) -> scripts.Script:
         """Let all nodes use the primary again, unless an order may act."""
-        fence = self.duty.revision
+        fence = self.duty.fence
         if not self.service.right.required or self.orders.pending(
             term,
             fence,
@@ -176,7 +176,7 @@
         """Return the successor, or '' if there is none or none is needed."""
         if not self.service.right.required:
             return (yield from self._choose_replica(old, cause, term))
-        pending = self.orders.pending(term, self.duty.revision, self.now_ms)
+        pending = self.orders.pending(term, self.duty.fence, self.now_ms)
         if pending:
             self.orders.repeat()
         elif cause in _PLANNED:
@@ -216,7 +216,7 @@
             withdrawal = self.peers.withdraw(
                 self.service.name,
                 term,
-                self.duty.revision,
+                self.duty.fence,
                 self.now_ms,
             )
             complete = withdrawal.is_complete(self.now_ms)
@@ -230,7 +230,7 @@
                 'service': self.service.name,
                 'term': term,
                 'newest': withdrawal.newest,
-                'fence': self.duty.revision,
+                'fence': self.duty.fence,
                 'stopped': len(withdrawal.stopped),
                 'missing': ' '.join(withdrawal.missing()),
                 'complete': complete,
@@ -383,7 +383,7 @@
         accepted: bool = False,
     ) -> store.Request:
         """Return the call that notes a leader while the duty is held."""
-        lead = notes.Lead(instance, term, moving, self.duty.revision, accepted)
+        lead = notes.Lead(instance, term, moving, self.duty.fence, accepted)
         return notes.write(self.keys, self.service.name, lead)
 
 
