--- a/jacinthhaven/sql/succession.py
+++ b/jacinthhaven/sql/succession.py
@@ -252,9 +252,7 @@
                 return ''
         chosen = _most_advanced(statuses, self._candidates(old))
         if self.acknowledging and chosen:
-            replicas = tuple(
-                name for name in self.service.pool.states if name != old
-            )
+            replicas = self._others(old)
             settled = yield from self._settle(chosen, replicas, cause, term)
             if not settled:
                 yield from self._resume('')
@@ -263,12 +261,15 @@
 
     def _ask_replicas(self, old: str) -> scripts.Script:
         """Return the status of each replica that answers."""
-        replicas = tuple(
-            name for name in self.service.pool.states if name != old
-        )
-        found = yield scripts.AskAll(replicas, commands.AskStatus())
+        found = yield scripts.AskAll(self._others(old), commands.AskStatus())
         return _answered(found)
 
+    def _others(self, instance: str) -> tuple[str, ...]:
+        """Return the instances of the service without one."""
+        return tuple(
+            name for name in self.service.pool.states if name != instance
+        )
+
     def _candidates(self, old: str) -> set[str]:
         """Return the replicas that stay."""
         return {
@@ -369,10 +370,7 @@
         self.service.leadership.expected_ms = None
 
     def _resume(self, chosen: str) -> scripts.Script:
-        others = tuple(
-            name for name in self.service.pool.states if name != chosen
-        )
-        yield scripts.AskAll(others, commands.Resume())
+        yield scripts.AskAll(self._others(chosen), commands.Resume())
 
     def _note(
         self,
