--- a/jacinthhaven/lab/emulator.py
+++ b/jacinthhaven/lab/emulator.py
@@ -1,9 +1,11 @@
 """Database group with slots, queues and faults, in virtual time.
 
 It speaks the lines of the real instances through the same codec, so that the
-decisions of a proxy cannot tell it from one.
+decisions of a proxy cannot tell it from one. Several proxies share a group,
+each through connections of its own.
 """
 
+import collections
 import functools
 import itertools
 import random
@@ -53,15 +55,18 @@
         return self.free_ms[slot]
 
 
-class Emulator(ports.Databases):
-    """Connections to the instances of one group.
+class Instances:
+    """Instances of one group, shared by all proxies.
 
     Attributes:
       group: Model of the copies of the data.
+      slots: Execution slots by name of the instance.
+      open_count: Number of open connections by name of the instance.
       silent: Instances that answer nothing.
       lossy: Part of the answers that an instance loses, by name.
-      on_open: Called with the number and the reply of a new connection.
-      on_reply: Called with the number and the reply to a command.
+      work_ms: Time for which each statement occupies a slot, by request.
+      slot_ms: Time for which a request has occupied slots so far.
+      handshake_slot_ms: Time for which handshakes have occupied slots.
     """
 
     def __init__(
@@ -81,9 +86,48 @@
             name: Slots(described.slots, described.queue)
             for name in described.instances
         }
+        self.open_count: collections.Counter[str] = collections.Counter()
         self.silent: set[str] = set()
         self.lossy: dict[str, float] = {}
         self.work_ms: dict[str, float] = {}
+        self.slot_ms: dict[str, float] = collections.defaultdict(float)
+        self.handshake_slot_ms: float = 0
+
+    def run(
+        self, name: str, request_id: str, arrives_ms: float
+    ) -> float | None:
+        """Return when an instance ends a statement, or None if it refuses."""
+        work_ms = self.work_ms.get(request_id, _INSTANT_MS)
+        if work_ms <= _INSTANT_MS:
+            return arrives_ms + work_ms
+        slots = self.slots[name]
+        over_ms = slots.occupy(work_ms, arrives_ms)
+        if over_ms is not None:
+            self.slot_ms[request_id] += work_ms * slots.factor
+        return over_ms
+
+    def shake_hands(self, name: str, arrives_ms: float) -> float | None:
+        """Return when a new connection is open, or None if it is refused."""
+        slots = self.slots[name]
+        handshake_ms = self.described.handshake_ms
+        self.handshake_slot_ms += handshake_ms * slots.factor
+        return slots.occupy(handshake_ms, arrives_ms)
+
+
+class Connections(ports.Databases):
+    """Connections of one proxy to the instances of a group.
+
+    Attributes:
+      instances: Instances of the group.
+      connections: Open connections by number.
+      on_open: Called with the number and the reply of a new connection.
+      on_reply: Called with the number and the reply to a command.
+    """
+
+    def __init__(self, instances: Instances) -> None:
+        """Start without connections."""
+        self.instances = instances
+        self.plan = instances.plan
         self.numbers = itertools.count(1)
         self.connections: dict[int, sql_group.SqlConnection] = {}
         self.readers: dict[int, instance_wire.ReplyReader] = {}
@@ -98,22 +142,22 @@
         """Start to connect; the handshake occupies a slot."""
         number = next(self.numbers)
         name = instance.name
-        open_now = sum(
-            known.instance.name == name for known in self.connections.values()
-        )
-        connection = sql_group.SqlConnection(self.group.instances[name])
-        self.connections[number] = connection
+        model = self.instances.group.instances[name]
+        self.connections[number] = sql_group.SqlConnection(model)
         self.readers[number] = instance_wire.ReplyReader()
         line = _text(instance_wire.encode_start(instance))
-        if open_now >= self.described.connections:
-            self._later(self.plan.now_ms, self._refuse, number)
-            return number
-        ready_ms = self.slots[name].occupy(
-            self.described.handshake_ms,
-            self.plan.now_ms + _WAY_MS,
+        now_ms = self.plan.now_ms
+        full = (
+            self.instances.open_count[name]
+            >= self.instances.described.connections
         )
+        self.instances.open_count[name] += 1
+        if full:
+            self._later(now_ms, self._refuse, number)
+            return number
+        ready_ms = self.instances.shake_hands(name, now_ms + _WAY_MS)
         begin = functools.partial(self._start, number, line)
-        self.plan.at((ready_ms or self.plan.now_ms) + _WAY_MS, begin)
+        self.plan.at((ready_ms or now_ms) + _WAY_MS, begin)
         return number
 
     def send(self, number: int, command: commands.Command) -> None:
@@ -124,25 +168,26 @@
         )
         line = _text(instance_wire.encode_command(command))
         arrives_ms = self.plan.now_ms + _WAY_MS
-        work_ms = _INSTANT_MS
+        over_ms: float | None = arrives_ms + _INSTANT_MS
         if isinstance(command, commands.Run):
-            work_ms = self.work_ms.pop(command.statement.request_id, work_ms)
-        name = self.connections[number].instance.name
-        over_ms: float | None = arrives_ms + work_ms
-        if work_ms > _INSTANT_MS:
-            over_ms = self.slots[name].occupy(work_ms, arrives_ms)
+            name = self.connections[number].instance.name
+            over_ms = self.instances.run(
+                name, command.statement.request_id, arrives_ms
+            )
         if over_ms is None:
             self._later(arrives_ms, self._overflow, number)
             return
         self.plan.at(over_ms, functools.partial(self._execute, number, line))
 
     def send_line(self, number: int, line: str) -> None:
-        """Refuse lines of other nodes; an experiment has one proxy."""
+        """Refuse lines of other nodes; experiments lend no links."""
         raise NotImplementedError(line)
 
     def close(self, number: int) -> None:
         """Close a connection, which rolls back what is open on it."""
-        self.connections.pop(number, None)
+        connection = self.connections.pop(number, None)
+        if connection is not None:
+            self.instances.open_count[connection.instance.name] -= 1
 
     def _later(
         self,
@@ -183,8 +228,8 @@
         reply = None
         for text in connection.handle(line, self.plan.now_ms):
             reply = self.readers[number].feed(text)
-        lost = self.lossy.get(connection.instance.name, 0)
-        if not lost or self.rng.random() >= lost:
+        lost = self.instances.lossy.get(connection.instance.name, 0)
+        if not lost or self.instances.rng.random() >= lost:
             answer = functools.partial(self._answer, reply)
             self._later(self.plan.now_ms, answer, number)
 
@@ -194,7 +239,9 @@
 
     def _reachable(self, number: int) -> sql_group.SqlConnection | None:
         connection = self.connections.get(number)
-        if connection is None or connection.instance.name in self.silent:
+        if connection is None:
+            return None
+        if connection.instance.name in self.instances.silent:
             return None
         return connection
 
--- a/jacinthhaven/lab/experiment.py
+++ b/jacinthhaven/lab/experiment.py
@@ -9,6 +9,7 @@
 from jacinthhaven.sql import records
 
 _LONGEST_MS = 600_000
+_MAX_STATEMENTS = 12
 
 Positive = typing.Annotated[float, pydantic.Field(gt=0)]
 Milliseconds = typing.Annotated[int, pydantic.Field(ge=0, le=_LONGEST_MS)]
@@ -36,6 +37,7 @@
       queue: Statements that wait at an instance before it refuses more.
       connections: Limit of an instance for all its callers.
       handshake_ms: How long a new connection occupies a slot.
+      proxies: Proxies that send statements to the instances.
       lag_ms: How late replicas apply what they have received.
       promote_ms: How long the platform takes to promote an instance.
     """
@@ -45,6 +47,7 @@
     queue: Count = 40
     connections: Count
     handshake_ms: Milliseconds = 12
+    proxies: Count = 1
     lag_ms: Milliseconds = 60
     promote_ms: Milliseconds = 1000
 
@@ -62,22 +65,34 @@
     Attributes:
       mode: How recent the data of a read must be.
       per_s: Arrivals a second.
-      writes: Part that writes.
-      work_ms: Mean time that one request occupies a slot.
+      writes: Part of the statements that write.
+      transactions: Part of the requests that are transactions.
+      statements: Mean number of statements of a transaction.
+      pause_ms: Time between two statements of a transaction, which does not
+        count against the target.
+      work_ms: Mean time that one statement occupies a slot.
       target_ms: Latency that the operator wants to meet.
       deadline_ms: Time after which the client gives up.
+      timeout_ms: Limit of the proxy for one statement; by default the deadline.
       priority: Rank under overload; 0 is the most important.
       max_age_ms: Oldest data that a read may return.
       retries: How often a client repeats what was certainly not executed.
-      retry_ms: Pause before a client does.
+      retry_ms: Mean pause before the first repetition; it doubles with each
+        further one.
     """
 
     mode: typing.Literal['primary', 'bounded', 'own_writes']
     per_s: Positive
     writes: Share = 0
+    transactions: Share = 0
+    statements: typing.Annotated[
+        int, pydantic.Field(ge=2, le=_MAX_STATEMENTS)
+    ] = 3
+    pause_ms: Milliseconds = 10
     work_ms: Positive
     target_ms: typing.Annotated[int, pydantic.Field(gt=0)]
     deadline_ms: typing.Annotated[int, pydantic.Field(gt=0)]
+    timeout_ms: typing.Annotated[int, pydantic.Field(gt=0)] | None = None
     priority: typing.Annotated[int, pydantic.Field(ge=0, le=9)] = 1
     max_age_ms: Milliseconds = 0
     retries: typing.Annotated[int, pydantic.Field(ge=0, le=5)] = 0
