Share the execution slots of a service among its owners by permits

Replies then take longer than 350 ms, reads count as lost and run again, and lost commands no longer count in the window, which lets more through. Owners estimate their wait from a window that all of them believe to have alone, so most statements are refused after they have waited.

Change: package scheduling. While statements wait, one owner (rendezvous hash) hands out permits for the slots of its service, in the order of priority and arrival over all owners, and refuses on arrival what would wait longer than 0.3 of the shortest target of its priority. Owners report what runs and what waits by datagrams; without an answer in 60 ms they ask the next one, then themselves. Statements of begun transactions need no permit. A reply counts as lost only if the instance has answered a later statement 350 ms ago, or answers nothing at all. Within a priority, arrival decides instead of the expected time. Without waiting statements no message is sent.

The primary's check moved from Group to its own module.

--- a/jacinthhaven/lab/builders.py
+++ b/jacinthhaven/lab/builders.py
@@ -50,3 +50,54 @@
 def described(**changes: typing.Any) -> experiment.Experiment:
     """Return an experiment."""
     return experiment.Experiment.model_validate(document(**changes))
+
+
+def shared(**changes: typing.Any) -> experiment.Experiment:
+    """Return an experiment with eight proxies and few slots."""
+    fields: Fields = {
+        'group': {
+            'instances': ['db-a', 'db-b', 'db-c'],
+            'slots': 2,
+            'connections': 34,
+            'lag_ms': 8,
+            'proxies': 8,
+        },
+        'load': {
+            'orders': kind(
+                per_s=11,
+                writes=0.35,
+                transactions=0.25,
+                work_ms=11,
+                deadline_ms=4000,
+                timeout_ms=1000,
+                retries=2,
+            ),
+            'board': kind(
+                mode='bounded',
+                per_s=11,
+                writes=0,
+                transactions=0.1,
+                work_ms=55,
+                target_ms=800,
+                deadline_ms=12_000,
+                timeout_ms=3000,
+                priority=2,
+                max_age_ms=1500,
+                retries=2,
+            ),
+            'notes': kind(
+                mode='own_writes',
+                per_s=53,
+                writes=0.12,
+                transactions=0.12,
+                work_ms=33,
+                target_ms=400,
+                deadline_ms=4000,
+                timeout_ms=1000,
+                priority=2,
+                max_age_ms=2500,
+                retries=2,
+            ),
+        },
+    }
+    return described(**(fields | changes))
--- a/jacinthhaven/lab/constants.py
+++ b/jacinthhaven/lab/constants.py
@@ -9,7 +9,8 @@
 import types
 import typing
 
-from jacinthhaven.sql import backlog, instances, placement, window
+from jacinthhaven.scheduling import backlog, dispatcher, placement, window
+from jacinthhaven.sql import instances
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,9 +40,9 @@
             '_SHRINK',
             'factor of the window after a refusal',
         ),
-        'wait_share': Constant(
-            backlog,
-            'WAIT_SHARE',
+        'admission_share': Constant(
+            dispatcher,
+            '_ADMISSION_SHARE',
             'part of the target that a new statement may expect to wait',
         ),
         'no_primary_share': Constant(
--- a/jacinthhaven/lab/lab_test.py
+++ b/jacinthhaven/lab/lab_test.py
@@ -11,7 +11,7 @@
     player,
     report,
 )
-from jacinthhaven.sql import window
+from jacinthhaven.scheduling import window
 
 _IN_TIME = outcomes.Outcome.IN_TIME
 _REFUSED = outcomes.Outcome.REFUSED
--- a/jacinthhaven/lab/outcomes.py
+++ b/jacinthhaven/lab/outcomes.py
@@ -21,6 +21,50 @@
     FAILED = 'failed'
 
 
+class SlotTime:
+    """Time for which statements have occupied slots, in milliseconds.
+
+    Attributes:
+      in_time_ms: Requests that were served in time.
+      late_ms: Requests that were served late.
+      unserved_ms: Requests that were not served.
+      repeated_ms: Further executions of the same statement.
+    """
+
+    __slots__ = ('in_time_ms', 'late_ms', 'unserved_ms', 'repeated_ms')
+
+    def __init__(self) -> None:
+        """Start without statements."""
+        self.in_time_ms: float = 0
+        self.late_ms: float = 0
+        self.unserved_ms: float = 0
+        self.repeated_ms: float = 0
+
+    @property
+    def total_ms(self) -> float:
+        """Return the time of all statements."""
+        served_ms = self.in_time_ms + self.late_ms
+        return served_ms + self.unserved_ms + self.repeated_ms
+
+    def add(self, outcome: Outcome, once_ms: float, in_slots_ms: float) -> None:
+        """Add one statement.
+
+        Args:
+          outcome: Outcome of its request.
+          once_ms: Time that one execution takes.
+          in_slots_ms: Time for which it has occupied slots.
+        """
+        first_ms = min(once_ms, in_slots_ms)
+        self.repeated_ms += in_slots_ms - first_ms
+        match outcome:
+            case Outcome.IN_TIME:
+                self.in_time_ms += first_ms
+            case Outcome.LATE:
+                self.late_ms += first_ms
+            case _:
+                self.unserved_ms += first_ms
+
+
 class Tally:
     """Outcomes of one kind of requests.
 
--- a/jacinthhaven/lab/player.py
+++ b/jacinthhaven/lab/player.py
@@ -67,9 +67,16 @@
         self.clients = proxies.Clients()
         self.clients.on_answer = self._on_answer
         self.journal = proxies.CountingJournal()
+        self.network = proxies.Network(self.plan)
         self.proxies = [
-            proxies.Proxy(self.instances, self.clients, self.journal)
-            for _number in range(described.group.proxies)
+            proxies.Proxy(
+                self.instances,
+                self.clients,
+                self.network,
+                f'proxy-{number}',
+                self.journal,
+            )
+            for number in range(described.group.proxies)
         ]
         self.tallies = {kind: outcomes.Tally() for kind in described.load}
         self.open: dict[int, tuple[operations.Operation, proxies.Proxy]] = {}
@@ -97,6 +104,16 @@
             self._end(number, outcomes.Outcome.FAILED)
         return self.tallies
 
+    def slot_time(self) -> outcomes.SlotTime:
+        """Return what the execution time of all statements was spent on."""
+        spent = outcomes.SlotTime()
+        for operation, outcome in self.ended:
+            for request_id in operation.request_ids:
+                once_ms = self.instances.work_ms[request_id]
+                in_slots_ms = self.instances.slot_ms.get(request_id, 0)
+                spent.add(outcome, once_ms, in_slots_ms)
+        return spent
+
     def _configure(self) -> None:
         routes = {
             name: records.Route(
@@ -127,11 +144,12 @@
             )
             for name in group.instances
         ]
+        addresses = {proxy.name: proxy.address for proxy in self.proxies}
         for proxy in self.proxies:
-            proxy.configure(configuration, entries, len(self.proxies))
+            proxy.configure(configuration, entries, addresses)
 
     def _tick(self, proxy: proxies.Proxy) -> None:
-        proxy.gateway.tick(self.plan.now_ms)
+        proxy.tick()
         self._watch_leader()
         self.plan.at(
             self.plan.now_ms + _TICK_MS, functools.partial(self._tick, proxy)
--- /dev/null
+++ b/jacinthhaven/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: what waits, what is refused and what runs where."""
--- a/jacinthhaven/sql/backlog.py
+++ b/jacinthhaven/scheduling/backlog.py
@@ -1,11 +1,10 @@
-"""Priority queue of statements that wait for a link, with load shedding.
+"""Priority queue of statements that wait for a link or a permit.
 
 It matters when more statements arrive than the slots of the instances can
-execute in time. Within a priority, the statements with the shortest expected
-execution time go first, so that the slots serve as many clients as possible.
-A statement that cannot be executed within its latency target while others
-still can is refused at once: its client can retry later or at another node,
-and it does not make other statements late.
+execute in time. Statements of the same priority keep the order of their
+arrival, so that all routes of a priority wait equally long. A statement that
+has become late while others can still be executed in time is refused: its
+client can retry, and it does not make other statements late.
 """
 
 import bisect
@@ -13,9 +12,6 @@
 
 from jacinthhaven.sql import records, sessions
 
-# Maximum expected wait of an accepted statement, as a fraction of its target
-# latency.
-WAIT_SHARE = 0.9
 # Maximum wait for a missing primary that no election is about to replace, as
 # a fraction of the target latency.
 _NO_PRIMARY_SHARE = 0.24
@@ -63,30 +59,6 @@
         if work in self.waiting:
             self.waiting.remove(work)
 
-    def expected_wait_ms(self, work: sessions.Work, links: int) -> float:
-        """Return the expected wait of a new statement in milliseconds.
-
-        Args:
-          work: Statement that has just arrived.
-          links: Number of links that may execute it.
-        """
-        work.service_ms = self.service_ms[work.route.mode]
-        ahead_ms = sum(
-            waiting.service_ms
-            for waiting in self.waiting
-            if _queue_key(waiting) <= _queue_key(work)
-            and (waiting.needs_primary or not work.needs_primary)
-        )
-        return ahead_ms / max(links, 1)
-
-    def accepts(self, work: sessions.Work, links: int) -> bool:
-        """Return whether a new statement is expected to be executed in time."""
-        limit_ms = work.route.target_ms * WAIT_SHARE
-        accepted = self.expected_wait_ms(work, links) <= limit_ms
-        if not accepted:
-            self.overloaded_ms = work.arrived_ms
-        return accepted
-
     def overloaded_at(self, now_ms: int) -> bool:
         """Return whether a statement was refused for lack of slots recently."""
         if self.overloaded_ms is None:
@@ -124,8 +96,8 @@
         return [work for work in self.waiting if is_expired(work)]
 
 
-def _queue_key(work: sessions.Work) -> tuple[int, float, int]:
-    return (work.route.priority, work.service_ms, work.arrived_ms)
+def _queue_key(work: sessions.Work) -> tuple[int, int]:
+    return (work.route.priority, work.arrived_ms)
 
 
 def _can_meet_target(work: sessions.Work, now_ms: int) -> bool:
--- a/jacinthhaven/sql/placement.py
+++ b/jacinthhaven/scheduling/placement.py
@@ -63,58 +63,109 @@
 
 
 def choose(work: sessions.Work, view: View) -> Choice | None:
-    """Return the link for a statement, or None if it has to wait."""
+    """Return the link for a statement that is sent without a permit.
+
+    Returns:
+      The choice, or None if the statement has to wait.
+    """
+    names = [
+        name for name in candidates(work, view) if view.states[name].has_room()
+    ]
+    if not names:
+        return None
+    name = names[0]
+    if view.renew_proof and view.leader in names:
+        name = view.leader
+    return choose_at(work, view, name)
+
+
+def candidates(work: sessions.Work, view: View) -> list[str]:
+    """Return the instances that can execute a statement now, the best first.
+
+    Each of them has a free link. Limits of the statements in flight are not
+    considered.
+    """
+    proof = _required_proof(work, view)
+    if proof is None:
+        return _primary_candidate(view)
+    states = [
+        state
+        for state in view.states.values()
+        if _may_read(work, view, state, proof)
+    ]
+    # Instances that have failed this statement are the last resort.
+    states = [
+        state for state in states if not _has_failed_at(work, state)
+    ] or states
+    states.sort(key=lambda state: _cost_ms(state, view))
+    return [state.entry.name for state in states]
+
+
+def choose_at(work: sessions.Work, view: View, name: str) -> Choice:
+    """Return the link for a statement at one of its candidates."""
+    state = view.states[name]
+    link = _best_link(state, work)
+    proof = _required_proof(work, view)
+    if proof is None:
+        # A read that verifies the primary also proves the position it saw.
+        verifies = work.strict_read or not work.needs_primary
+        return Choice(link, None, 'primary', verifies_primary=verifies)
+    if name == view.leader and view.renew_proof and view.may_use_primary:
+        return Choice(link, None, 'primary', verifies_primary=True)
+    reason = 'primary' if name == view.leader else 'replica'
+    return Choice(link, proof.position, reason, view.now_ms - proof.at_ms)
+
+
+def wanted_instance(work: sessions.Work, view: View) -> str | None:
+    """Return the instance to which a waiting statement needs a link."""
     if work.needs_primary:
-        return _place_at_primary(work, view, verifies_primary=work.strict_read)
-    proof = view.proofs.required(
+        return view.leader
+    usable = [
+        state
+        for name, state in view.states.items()
+        if state.usable_at(view.now_ms) and name not in work.tried
+    ]
+    if not usable:
+        return None
+    best = min(usable, key=lambda state: state.expected_ms(view.now_ms))
+    return best.entry.name
+
+
+def _required_proof(
+    work: sessions.Work,
+    view: View,
+) -> proofs.Proof | None:
+    """Return the position that a read needs; None requires the primary."""
+    if work.needs_primary:
+        return None
+    return view.proofs.required(
         work.route.max_age_ms,
         view.now_ms,
         work.session.position,
     )
-    if proof is None or view.renew_proof:
-        # A read that verifies the primary also proves the position it saw.
-        choice = _place_at_primary(work, view, verifies_primary=True)
-        if proof is None or choice is not None:
-            return choice
-    age_ms = view.now_ms - proof.at_ms
-    candidates = [
-        state
-        for state in view.states.values()
-        if may_read(work, view, state, proof)
-    ]
-    if not candidates:
-        return None
-    # Instances that have failed this statement are the last resort.
-    candidates = [
-        state for state in candidates if not _has_failed_at(work, state)
-    ] or candidates
-    best = min(candidates, key=lambda state: _cost_ms(state, view))
-    reason = 'primary' if best.entry.name == view.leader else 'replica'
-    return Choice(_best_link(best, work), proof.position, reason, age_ms)
 
 
-def may_read(
+def _primary_candidate(view: View) -> list[str]:
+    state = view.states.get(view.leader or '')
+    if state is None or not view.may_use_primary:
+        return []
+    if not state.free_links or not state.reachable_at(view.now_ms):
+        return []
+    return [state.entry.name]
+
+
+def _may_read(
     work: sessions.Work,
     view: View,
     state: instances.InstanceState,
     proof: proofs.Proof,
 ) -> bool:
-    """Return whether an instance can take a read of bounded age now.
-
-    Args:
-      work: Statement to place.
-      view: State of the service.
-      state: Instance in question.
-      proof: Log position that the instance must have applied.
-    """
-    name = state.entry.name
-    if not state.available_links(view.now_ms) or not state.usable_at(
-        view.now_ms
-    ):
+    """Return whether an instance can take a read of bounded age now."""
+    if not state.free_links or not state.usable_at(view.now_ms):
         return False
     if _has_failed_at(work, state) and state.window.shrunk_at(view.now_ms):
         return False
-    if name == view.leader:
+    if state.entry.name == view.leader:
         return True
     age_ms = view.now_ms - proof.at_ms
     return state.has_applied(proof.position, age_ms, view.now_ms)
@@ -134,44 +185,6 @@
     return cost_ms
 
 
-def wanted_instance(work: sessions.Work, view: View) -> str | None:
-    """Return the instance to which a waiting statement needs a link."""
-    if work.needs_primary:
-        return view.leader
-    usable = [
-        state
-        for name, state in view.states.items()
-        if state.usable_at(view.now_ms) and name not in work.tried
-    ]
-    if not usable:
-        return None
-    best = min(usable, key=lambda state: state.expected_ms(view.now_ms))
-    return best.entry.name
-
-
-def _place_at_primary(
-    work: sessions.Work,
-    view: View,
-    *,
-    verifies_primary: bool,
-) -> Choice | None:
-    state = view.states.get(view.leader or '')
-    if (
-        state is None
-        or not view.may_use_primary
-        or not state.available_links(view.now_ms)
-    ):
-        return None
-    if not state.reachable_at(view.now_ms):
-        return None
-    return Choice(
-        _best_link(state, work),
-        None,
-        'primary',
-        verifies_primary=verifies_primary,
-    )
-
-
 def _best_link(
     state: instances.InstanceState,
     work: sessions.Work,
--- /dev/null
+++ b/jacinthhaven/scheduling/scheduler.py
@@ -0,0 +1,144 @@
+"""Queue of one owner for one service, from arrival to placement."""
+
+import typing
+
+from jacinthhaven.scheduling import backlog, permits, placement
+from jacinthhaven.sql import peer_messages, sessions
+
+# Time that a statement waits for the window of an instance before the owner
+# asks for permits. Most statements in flight end sooner under light load.
+_ASK_AFTER_MS = 15
+_QUEUE_TOO_LONG = 'queue too long'
+
+
+class Service(typing.Protocol):
+    """The part of a service that the scheduler uses."""
+
+    name: str
+    pool: typing.Any
+    executor: typing.Any
+
+    def view(self, now_ms: int) -> placement.View:
+        """Return the inputs of a placement decision."""
+
+    def place(
+        self,
+        work: sessions.Work,
+        choice: placement.Choice,
+        now_ms: int,
+    ) -> None:
+        """Execute a statement on the link that was chosen."""
+
+    def can_serve(self, work: sessions.Work, now_ms: int) -> bool:
+        """Return whether a queued statement lacks nothing but a free link."""
+
+    def primary_expected_ms(self, now_ms: int) -> int | None:
+        """Return when a missing primary is expected to serve again."""
+
+
+class Scheduler:
+    """Waiting statements of one service at one owner.
+
+    Attributes:
+      service: Service whose instances execute the statements.
+      backlog: Waiting statements.
+      permits: Permits to send them while slots are short.
+    """
+
+    def __init__(self, service: Service) -> None:
+        """Start without statements."""
+        self.service = service
+        self.backlog = backlog.Backlog()
+        self.permits = permits.Permits(service.name)
+
+    def add(self, work: sessions.Work) -> None:
+        """Queue a statement."""
+        work.permit_number = next(self.permits.numbers)
+        self.backlog.add(work)
+
+    def dispatch(self, now_ms: int) -> None:
+        """Send the statements that may be sent, and report the others."""
+        if self.permits.required(now_ms):
+            self._follow_permits(now_ms)
+        else:
+            self._fill_windows(now_ms)
+        self.permits.report(self._load(now_ms), now_ms)
+
+    def refuse_expired(self, now_ms: int) -> None:
+        """Refuse the statements that cannot be executed in time."""
+        service = self.service
+        expired = self.backlog.expired(
+            now_ms,
+            service.primary_expected_ms(now_ms),
+            lambda work: service.can_serve(work, now_ms),
+        )
+        for work in expired:
+            self.backlog.remove(work)
+            missing = 'slot' if service.can_serve(work, now_ms) else 'instance'
+            service.executor.refuse(work, f'no {missing} in time', now_ms)
+
+    def _fill_windows(self, now_ms: int) -> None:
+        """Send statements without permits."""
+        for work in tuple(self.backlog.waiting):
+            choice = placement.choose(work, self.service.view(now_ms))
+            if choice is not None:
+                self._place(work, choice, now_ms)
+
+    def _follow_permits(self, now_ms: int) -> None:
+        """Send the statements that have permits and refuse rejected ones."""
+        for work in tuple(self.backlog.waiting):
+            number = work.permit_number
+            if number in self.permits.refused:
+                self.backlog.remove(work)
+                self.backlog.overloaded_ms = now_ms
+                self.service.executor.refuse(work, _QUEUE_TOO_LONG, now_ms)
+                continue
+            instance = self.permits.granted.get(number)
+            view = self.service.view(now_ms)
+            if instance in placement.candidates(work, view):
+                choice = placement.choose_at(work, view, instance)
+                self._place(work, choice, now_ms)
+
+    def _place(
+        self,
+        work: sessions.Work,
+        choice: placement.Choice,
+        now_ms: int,
+    ) -> None:
+        self.backlog.remove(work)
+        self.service.place(work, choice, now_ms)
+
+    def _load(self, now_ms: int) -> peer_messages.Load:
+        """Return what this owner executes and what waits for a slot."""
+        states = self.service.pool.states
+        running = {name: state.in_flight() for name, state in states.items()}
+        view = self.service.view(now_ms)
+        waiting = [self._waiting(work, view) for work in self.backlog.waiting]
+        return peer_messages.Load(
+            {name: count for name, count in running.items() if count},
+            tuple(report for report in waiting if report is not None),
+        )
+
+    def _waiting(
+        self, work: sessions.Work, view: placement.View
+    ) -> peer_messages.Waiting | None:
+        """Return the report on a statement, or None if it needs no slot.
+
+        A statement without candidates waits for a link or for the primary.
+        """
+        names = placement.candidates(work, view)
+        waited_ms = view.now_ms - work.arrived_ms
+        if not names:
+            return None
+        if not self.permits.required(view.now_ms):
+            if waited_ms < _ASK_AFTER_MS or any(
+                view.states[name].has_room() for name in names
+            ):
+                return None
+        return peer_messages.Waiting(
+            work.permit_number,
+            work.route.priority,
+            tuple(names),
+            round(work.service_ms),
+            waited_ms,
+        )
--- a/jacinthhaven/sql/window.py
+++ b/jacinthhaven/scheduling/window.py
@@ -1,19 +1,15 @@
-"""Limit of the statements that one node has in flight at one instance.
+"""Limit of the statements that one owner sends to one instance by itself.
 
-It matters when more statements arrive than the slots of an instance can
-execute. An instance executes its queue in the order of arrival and refuses
-statements once the queue is full, whereas the queue of a node is ordered by
-priority. All owners together therefore send little more than the slots can
-take, and less after refusals: the window grows additively and shrinks
-multiplicatively.
+It matters when the load is light: then owners need no permits, and no owner
+may occupy so many slots that the statements of the others wait behind its
+own. An owner whose limit is reached asks for permits (`permits`).
 """
 
+import math
+
 # Statements of all owners in flight for each slot of an instance: one that is
 # executing, one that is queued there and one in transit.
 _PER_SLOT = 3
-# Lower bound of the limit, since a node with much of the traffic needs more
-# than an even share.
-_MIN_LIMIT = 2
 # Factor by which a refusal shrinks the window.
 _SHRINK = 0.5
 # Refusals within this time after a shrink are ignored, since they answer
@@ -34,8 +30,8 @@
 
     def __init__(self) -> None:
         """Create a window with the smallest upper bound."""
-        self.limit = _MIN_LIMIT
-        self.size = float(_MIN_LIMIT)
+        self.limit = 1
+        self.size = float(1)
         self.shrunk_ms = -_HOLD_MS
 
     def resize(self, slots: int, owners: int) -> None:
@@ -45,7 +41,7 @@
           slots: Statements that the instance executes at the same time.
           owners: Number of nodes that send statements to it.
         """
-        limit = max(round(_PER_SLOT * slots / owners), _MIN_LIMIT)
+        limit = max(math.ceil(_PER_SLOT * slots / owners), 1)
         if limit != self.limit:
             self.limit = limit
             self.size = float(limit)
--- a/jacinthhaven/sql/commands.py
+++ b/jacinthhaven/sql/commands.py
@@ -89,3 +89,5 @@
 
 # Commands whose reply contains the status of the instance.
 STATUS_COMMANDS = (AskStatus, Pause, Resume, Demote)
+# Commands that wait for a slot of the instance.
+IN_SLOTS = (Run, AskStatus)
--- a/jacinthhaven/sql/election.py
+++ b/jacinthhaven/sql/election.py
@@ -151,7 +151,9 @@
         """
         self.now_ms = now_ms
         self.failover.now_ms = now_ms
-        self.service.reported_unreachable = self._suspected_by_others()
+        self.service.primary_check.reported_unreachable = (
+            self._suspected_by_others()
+        )
         self._report_suspicion(lease)
         cause = self._cause(members)
         if cause is None:
@@ -162,7 +164,9 @@
         if not self._may_act(members):
             return
         self.retry_ms = now_ms + _RETRY_MS
-        script = self.failover.replace(self.service.presumed_leader(), cause)
+        script = self.failover.replace(
+            self.service.primary_check.presumed_leader(), cause
+        )
         self.runner = scripts.Runner(script, self.perform)
 
     def _may_act(self, members: tuple[str, ...]) -> bool:
@@ -219,7 +223,7 @@
 
     def _cause(self, members: tuple[str, ...]) -> failover.Cause | None:
         """Return why the primary has to be replaced, or None."""
-        name = self.service.presumed_leader()
+        name = self.service.primary_check.presumed_leader()
         state = self.service.pool.states.get(name)
         if state is not None and state.leaving_ms is not None:
             return failover.Cause.LEAVING
@@ -245,7 +249,7 @@
 
     def _suspected_by_others(self) -> bool:
         """Return whether another node reports the primary as unreachable."""
-        name = self.service.presumed_leader()
+        name = self.service.primary_check.presumed_leader()
         return any(
             suspect == name and node != self.node
             for node, suspect in self.suspects.items()
@@ -257,11 +261,11 @@
         suspect = ''
         limit_ms = (
             SECOND_SUSPICION_MS
-            if self.service.reported_unreachable
+            if self.service.primary_check.reported_unreachable
             else SUSPICION_MS
         )
-        if self.service.leader_silent_ms(self.now_ms) >= limit_ms:
-            suspect = self.service.presumed_leader()
+        if self.service.primary_check.silent_ms(self.now_ms) >= limit_ms:
+            suspect = self.service.primary_check.presumed_leader()
         if suspect == self.report.suspect or self.report.writing or not lease:
             return
         if self.now_ms < self.report.next_ms:
--- a/jacinthhaven/sql/election_test.py
+++ b/jacinthhaven/sql/election_test.py
@@ -206,9 +206,9 @@
     services = [
         member.gateway.groups[builders.SERVICE] for member in cluster.nodes
     ]
-    services[0].check_ms = 300
+    services[0].primary_check.check_ms = 300
     for service in services[1:]:
-        service.check_ms = 60_000
+        service.primary_check.check_ms = 60_000
     cluster.silence('db-a', 3)
     cluster.run(2600)
     assert len(cluster.orders()) == 1
--- a/jacinthhaven/sql/execution.py
+++ b/jacinthhaven/sql/execution.py
@@ -7,11 +7,11 @@
 
 import typing
 
+from jacinthhaven.scheduling import placement
 from jacinthhaven.sql import (
     commands,
     links,
     outcomes,
-    placement,
     ports,
     records,
     sessions,
@@ -159,7 +159,7 @@
             return
         command = link.steps.popleft()
         link.in_flight = command
-        link.sent_ms = now_ms
+        link.mark_sent(now_ms)
         work = link.work
         if isinstance(command, commands.Run):
             work.sent = True
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -105,6 +105,10 @@
                     self.executor,
                     now_ms,
                 )
+        for service_group in self.groups.values():
+            service_group.limits_ms = records.shortest_targets_ms(
+                configuration, service_group.name
+            )
         self.set_link_shares(self.owner_count, self.owned)
         self.register(self.entries, now_ms)
         for number, database in self.pending_starts:
--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -6,31 +6,22 @@
 executor answers the clients.
 """
 
-import typing
-
+from jacinthhaven.scheduling import backlog, placement, scheduler
 from jacinthhaven.sql import (
-    backlog,
     commands,
     execution,
     instances,
     leadership,
     links,
-    placement,
     pool,
     ports,
+    primary_check,
     proofs,
     reply_tracker,
     sessions,
     statements,
 )
 
-# Time without a reply of the primary after which a node requests its status, so
-# that a failure is detected without traffic too. The values are for the one
-# node that checks often, for the other nodes, and for nodes that were told
-# that another node cannot reach the primary.
-CHECK_MS = 800
-OTHERS_CHECK_MS = 5000
-REPORTED_CHECK_MS = 150
 # Timeout of a control command: once for a link and again for the reply.
 _CONTROL_TIMEOUT_MS = 400
 
@@ -44,12 +35,10 @@
         the statements of all nodes.
       removed: Whether the service was removed from the configuration.
       owners: Nodes that own the service, sorted by name.
-      check_ms: Time without a reply of the primary after which its status is
-        requested.
-      checked_ms: When the status of the primary was last requested.
-      reported_unreachable: Whether another node reported that it cannot reach
-        the primary.
+      primary_check: Check that the primary is alive.
       right: Right of this node to use the primary.
+      limits_ms: Shortest target of the routes of each priority.
+      scheduler: Queue of the statements.
     """
 
     def __init__(
@@ -72,8 +61,8 @@
         self.name = name
         self.zone = zone
         self.pool = pool.Pool(databases)
-        self.backlog = backlog.Backlog()
         self.executor = executor
+        self.scheduler = scheduler.Scheduler(self)
         self.journal = executor.journal
         self.tracker = reply_tracker.ReplyTracker(
             name,
@@ -82,12 +71,18 @@
             now_ms,
         )
         self.right = self.tracker.right
-        self.check_ms = CHECK_MS
-        self.checked_ms = 0
-        self.reported_unreachable = False
+        self.primary_check = primary_check.PrimaryCheck(
+            self.pool.states, self.tracker.leadership, self.ask
+        )
         self.owned = True
         self.removed = False
         self.owners: tuple[str, ...] = ()
+        self.limits_ms: dict[int, int] = {}
+
+    @property
+    def backlog(self) -> backlog.Backlog:
+        """Return the waiting statements."""
+        return self.scheduler.backlog
 
     @property
     def active(self) -> bool:
@@ -121,6 +116,16 @@
             may_use_primary=self.right.may_send(now_ms),
         )
 
+    def update_owners(self, owners: tuple[str, ...], node: str) -> None:
+        """Set the owners of the service.
+
+        Args:
+          owners: Names of the owners, sorted.
+          node: Name of this node.
+        """
+        self.owners = owners
+        self.primary_check.update_owners(self.name, owners, node)
+
     def submit(self, work: sessions.Work, now_ms: int) -> None:
         """Execute a statement, queue it or refuse it."""
         transaction = work.session.transaction
@@ -133,10 +138,7 @@
         if work.needs_primary and self.right.lacks_quorum(now_ms):
             self.executor.refuse(work, 'cut off from the owners', now_ms)
             return
-        if not self.backlog.accepts(work, self._links_for(work)):
-            self.executor.refuse(work, 'queue too long', now_ms)
-            return
-        self.backlog.add(work)
+        self.scheduler.add(work)
         self.dispatch(now_ms)
 
     def requeue(self, work: sessions.Work, now_ms: int) -> None:
@@ -148,7 +150,7 @@
         work.verifies_primary = False
         if work.tried.issuperset(self.pool.states):
             work.tried.clear()
-        self.backlog.add(work)
+        self.scheduler.add(work)
 
     def cancel(self, work: sessions.Work) -> None:
         """Remove a queued statement whose client has disconnected."""
@@ -157,21 +159,54 @@
     def dispatch(self, now_ms: int) -> None:
         """Assign free links to control commands and queued statements."""
         self._send_control_commands(now_ms)
-        for work in tuple(self.backlog.waiting):
-            view = self.view(now_ms)
-            choice = placement.choose(work, view)
-            if choice is not None:
-                self._place(work, choice, now_ms)
+        self.scheduler.dispatch(now_ms)
         self._update_wanted(now_ms)
 
     def tick(self, now_ms: int) -> None:
         """Enforce timeouts, maintain the links and check the primary."""
         self._end_overdue(now_ms)
         self._maintain_links(now_ms)
-        self._check_leader(now_ms)
-        self._find_leader(now_ms)
+        if self.active:
+            self.primary_check.tick(now_ms)
         self.dispatch(now_ms)
-        self._refuse_expired(now_ms)
+        self.scheduler.refuse_expired(now_ms)
+
+    def place(
+        self,
+        work: sessions.Work,
+        choice: placement.Choice,
+        now_ms: int,
+    ) -> None:
+        """Execute a statement on the link that was chosen."""
+        if choice.verifies_primary:
+            self.proofs.renewal_sent_ms = now_ms
+        self.executor.place(self, work, choice, now_ms)
+
+    def primary_expected_ms(self, now_ms: int) -> int | None:
+        """Return when a missing primary is expected to serve again.
+
+        Returns:
+          The time, or None if it is not known.
+        """
+        expected_ms = self.leadership.expected_ms
+        if expected_ms is None and now_ms < self.right.expected_ms:
+            return self.right.expected_ms
+        return expected_ms
+
+    def can_serve(self, work: sessions.Work, now_ms: int) -> bool:
+        """Return whether a queued statement lacks nothing but a free link."""
+        state = self.leader_state
+        if state is not None and state.reachable_at(now_ms):
+            if self.right.may_send(now_ms):
+                return True
+        if work.needs_primary:
+            return False
+        proof = self.proofs.required(
+            work.route.max_age_ms,
+            now_ms,
+            work.session.position,
+        )
+        return proof is not None
 
     def ask(
         self,
@@ -227,6 +262,8 @@
         link.in_flight = None
         state = self.pool.states[link.instance]
         state.mark_heard(now_ms)
+        if isinstance(command, commands.IN_SLOTS):
+            state.mark_overtaken(link, now_ms)
         self.tracker.on_reply(link, command, reply, now_ms)
         self.executor.handle_reply(self, link, command, reply, now_ms)
         self.dispatch(now_ms)
@@ -247,40 +284,6 @@
         self.executor.handle_loss(self, link, now_ms)
         self.dispatch(now_ms)
 
-    def leader_silent_ms(self, now_ms: int) -> int:
-        """Return how long the presumed primary has not replied."""
-        state = self.pool.states.get(self.presumed_leader())
-        return 0 if state is None else state.silent_for(now_ms)
-
-    def presumed_leader(self) -> str:
-        """Return the instance that should be primary, or '' if unknown."""
-        entries = [state.entry for state in self.pool.states.values()]
-        return leadership.presumed_leader(self.leadership, entries)
-
-    def _refuse_expired(self, now_ms: int) -> None:
-        primary_ms = self.leadership.expected_ms
-        if primary_ms is None and now_ms < self.right.expected_ms:
-            primary_ms = self.right.expected_ms
-        expired = self.backlog.expired(
-            now_ms,
-            primary_ms,
-            lambda work: self._servable(work, now_ms),
-        )
-        for work in expired:
-            self.backlog.remove(work)
-            missing = 'slot' if self._servable(work, now_ms) else 'instance'
-            self.executor.refuse(work, f'no {missing} in time', now_ms)
-
-    def _links_for(self, work: sessions.Work) -> int:
-        states = list(self.pool.states.values())
-        if work.needs_primary:
-            leader = self.leader_state
-            states = [] if leader is None else [leader]
-        usable = sum(
-            min(len(state.links), state.window.limit) for state in states
-        )
-        return max(usable, 1)
-
     def _maintain_links(self, now_ms: int) -> None:
         """Drop unresponsive links, close unused ones and open missing ones."""
         for link in self.pool.overdue(now_ms):
@@ -294,6 +297,8 @@
 
     def _end_overdue(self, now_ms: int) -> None:
         """Time out overdue statements and retry reads on other links."""
+        for state in self.pool.states.values():
+            state.mark_lost_replies(now_ms)
         for link in tuple(self.pool.by_number.values()):
             if isinstance(link.work, sessions.Work) and not link.work.done:
                 self._end_if_overdue(link, link.work, now_ms)
@@ -304,10 +309,9 @@
         work: sessions.Work,
         now_ms: int,
     ) -> None:
-        state = self.pool.states[link.instance]
         if now_ms >= work.deadline_ms and link.in_flight is not None:
             self.executor.expire(self, work, now_ms)
-        elif work.repeatable and _is_reply_lost(link, state, now_ms):
+        elif work.repeatable and link.reply_lost:
             self.executor.retry_elsewhere(self, work, now_ms)
 
     def _update_suspects(self, now_ms: int) -> None:
@@ -331,21 +335,6 @@
                     },
                 )
 
-    def _servable(self, work: sessions.Work, now_ms: int) -> bool:
-        """Return whether a queued statement lacks nothing but a free link."""
-        state = self.leader_state
-        if state is not None and state.reachable_at(now_ms):
-            if self.right.may_send(now_ms):
-                return True
-        if work.needs_primary:
-            return False
-        proof = self.proofs.required(
-            work.route.max_age_ms,
-            now_ms,
-            work.session.position,
-        )
-        return proof is not None
-
     def _update_wanted(self, now_ms: int) -> None:
         """Record the instances where a queued statement lacks a free link."""
         view = self.view(now_ms)
@@ -358,17 +347,6 @@
         if added:
             self.pool.open_missing(now_ms)
 
-    def _place(
-        self,
-        work: sessions.Work,
-        choice: placement.Choice,
-        now_ms: int,
-    ) -> None:
-        self.backlog.remove(work)
-        if choice.verifies_primary:
-            self.proofs.renewal_sent_ms = now_ms
-        self.executor.place(self, work, choice, now_ms)
-
     def _send_control_commands(self, now_ms: int) -> None:
         for state in self.pool.states.values():
             for link in state.free_links:
@@ -386,45 +364,3 @@
         link.work = question
         link.steps.append(question.command)
         self.executor.send_next(self, link, now_ms)
-
-    def _check_leader(self, now_ms: int) -> None:
-        """Request the status of a primary that has not replied lately."""
-        state = self.leader_state
-        if state is None or not self.active:
-            return
-        wait_ms = (
-            REPORTED_CHECK_MS if self.reported_unreachable else self.check_ms
-        )
-        if now_ms - max(state.heard_ms, self.checked_ms) >= wait_ms:
-            self.checked_ms = now_ms
-            name = state.entry.name
-            self.ask(name, commands.AskStatus(), _ignore, now_ms)
-
-    def _find_leader(self, now_ms: int) -> None:
-        silent = self.leader_silent_ms(now_ms) >= instances.SUSPECT_MS
-        if not self.active or not self.leadership.should_search(
-            now_ms,
-            silent=silent,
-        ):
-            return
-        for name in tuple(self.pool.states):
-            self.ask(name, commands.AskStatus(), _ignore, now_ms)
-
-
-def _is_reply_lost(
-    link: links.Link,
-    state: instances.InstanceState,
-    now_ms: int,
-) -> bool:
-    """Return whether the reply to a statement is presumed lost."""
-    if link.in_flight is None:
-        return False
-    waited_ms = now_ms - link.sent_ms
-    return waited_ms >= instances.LOST_REPLY_MS and (
-        state.heard_ms > link.sent_ms
-        or state.silent_for(now_ms) >= instances.LOST_REPLY_MS
-    )
-
-
-def _ignore(_reply: typing.Any) -> None:
-    """Ignore the reply; the group reads the status in every reply."""
--- a/jacinthhaven/sql/instances.py
+++ b/jacinthhaven/sql/instances.py
@@ -1,15 +1,20 @@
 """State of one instance: links, measured times, load and reachability."""
 
-from jacinthhaven.sql import averages, links, records, window
+from jacinthhaven.scheduling import window
+from jacinthhaven.sql import averages, links, records
 
 # Initial values, assumed until statements were measured.
 _INITIAL_LATENCY_MS = 25.0
 _INITIAL_REPLICATION_MS = 120.0
 # Safety margin added to the measured replication delay.
 _REPLICATION_MARGIN_MS = 30
-# Time after which a missing reply counts as lost if the instance answers other
-# commands; nearly all statements take less.
+# Time after which a missing reply counts as lost, if the instance has started
+# to execute the statement before or answers nothing at all; nearly all
+# statements take less.
 LOST_REPLY_MS = 350
+# The same for an instance that answers nothing, as a multiple of the average
+# latency, since it may be slow.
+_LOST_PER_LATENCY = 4
 # Time after which a missing reply makes an instance suspect; the slowest
 # statements of a busy instance take less.
 SUSPECT_MS = 600
@@ -126,25 +131,41 @@
         """Return the links that can execute new work."""
         return [link for link in self.links if link.free]
 
-    def running_at(self, now_ms: int) -> int:
-        """Return how many commands are in flight.
+    def mark_overtaken(self, answered: links.Link, now_ms: int) -> None:
+        """Record that a statement was answered.
 
-        Commands without a reply for a long time are not counted, since their
-        replies are probably lost rather than late.
+        The instance executes statements in the order of their arrival, so it
+        has started those that were sent before this one.
         """
-        since_ms = now_ms - LOST_REPLY_MS
+        for link in self.links:
+            if link.overtaken_ms is None and link.sent_ms < answered.sent_ms:
+                link.overtaken_ms = now_ms
+
+    def mark_lost_replies(self, now_ms: int) -> None:
+        """Record which replies are presumed lost.
+
+        A reply that is only late, because the statement is queued at the
+        instance or the instance is slow, is not lost.
+        """
+        latency_ms = self.latency.expected(now_ms)
+        patience_ms = max(LOST_REPLY_MS, _LOST_PER_LATENCY * latency_ms)
+        silent = self.silent_for(now_ms) >= patience_ms
+        for link in self.links:
+            if silent or link.overtaken_for(now_ms) >= LOST_REPLY_MS:
+                link.reply_lost = link.reply_lost or (
+                    now_ms - link.sent_ms >= LOST_REPLY_MS
+                )
+
+    def in_flight(self) -> int:
+        """Return how many commands await replies that are not lost."""
         return sum(
-            link.in_flight is not None and link.sent_ms > since_ms
+            link.in_flight is not None and not link.reply_lost
             for link in self.links
         )
 
-    def has_room(self, now_ms: int) -> bool:
+    def has_room(self) -> bool:
         """Return whether the window allows one more statement in flight."""
-        return self.window.allows(self.running_at(now_ms))
-
-    def available_links(self, now_ms: int) -> list[links.Link]:
-        """Return the free links, or none if the window is full."""
-        return self.free_links if self.has_room(now_ms) else []
+        return self.window.allows(self.in_flight())
 
     def mark_heard(self, now_ms: int) -> None:
         """Record that the instance has answered."""
@@ -167,7 +188,7 @@
 
     def expected_ms(self, now_ms: int) -> float:
         """Return the expected execution time of one more statement."""
-        waiting = self.running_at(now_ms) / max(self.entry.slots, 1)
+        waiting = self.in_flight() / max(self.entry.slots, 1)
         return self.latency.expected(now_ms) * (1 + waiting)
 
     def behind_for(self, now_ms: int) -> int:
--- a/jacinthhaven/sql/lending.py
+++ b/jacinthhaven/sql/lending.py
@@ -95,7 +95,7 @@
         if loan is None:
             return
         loan.open_replies += 1
-        loan.link.sent_ms = now_ms
+        loan.link.mark_sent(now_ms)
         self.gateway.databases.send_line(loan.link.number, line)
 
     def on_reply_line(
--- a/jacinthhaven/sql/links.py
+++ b/jacinthhaven/sql/links.py
@@ -35,6 +35,9 @@
         another node, if any.
       sent_ms: Time at which the command in flight, or the request to open
         the connection, was sent.
+      overtaken_ms: When the instance first answered a statement that was sent
+        after the command in flight, or None.
+      reply_lost: Whether the reply to the command in flight is presumed lost.
       idle_since_ms: Time since which the link is free.
     """
 
@@ -50,6 +53,8 @@
         'work',
         'pinned',
         'sent_ms',
+        'overtaken_ms',
+        'reply_lost',
         'idle_since_ms',
     )
 
@@ -73,8 +78,24 @@
         self.work: typing.Any = None
         self.pinned: typing.Any = None
         self.sent_ms = now_ms
+        self.overtaken_ms: int | None = None
+        self.reply_lost = False
         self.idle_since_ms = now_ms
 
+    def mark_sent(self, now_ms: int) -> None:
+        """Record that a command was sent."""
+        self.sent_ms = now_ms
+        self.overtaken_ms = None
+        self.reply_lost = False
+
+    def overtaken_for(self, now_ms: int) -> int:
+        """Return for how long the instance has certainly executed it.
+
+        Returns:
+          Milliseconds since a later statement was answered; 0 if none was.
+        """
+        return 0 if self.overtaken_ms is None else now_ms - self.overtaken_ms
+
     @property
     def waiting(self) -> bool:
         """Return whether a reply or the opening is awaited."""
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -11,15 +11,15 @@
 
 import msgspec
 
-from jacinthhaven.kernel import clock, ranking
+from jacinthhaven.kernel import clock
 from jacinthhaven.records import store
 from jacinthhaven.sql import (
     coordination,
     election,
     fan_out,
     gateway,
-    group,
     lending,
+    load_sharing,
     ownership,
     peer_messages,
     peering,
@@ -151,6 +151,11 @@
             adapters.journal,
         )
         self.peering.required = not identity.fenced
+        self.load_sharing = load_sharing.LoadSharing(
+            identity.name,
+            self.gateway.groups,
+            adapters.messenger,
+        )
         self.peers: dict[str, ownership.Peer] = {}
         self.elections: dict[str, election.Election] = {}
         self.registry = registry.Registry(documents, adapters.journal)
@@ -202,7 +207,10 @@
 
     def on_message(self, message: peer_messages.Message, now_ms: int) -> None:
         """Handle a message from another node."""
-        self.peering.on_message(message, now_ms)
+        if isinstance(message, peer_messages.PermitMessage):
+            self.load_sharing.on_message(message, now_ms)
+        else:
+            self.peering.on_message(message, now_ms)
 
     def on_key(self, key: str, text: str | None, revision: int) -> None:
         """Handle the new value of a watched key, or None if it was removed."""
@@ -261,6 +269,7 @@
         clients reconnect to another node.
         """
         self.peering.tick(now_ms)
+        self.load_sharing.tick(now_ms)
         if self.peering.isolated:
             self.gateway.close_inactive(now_ms)
             self.relay.close_inactive(now_ms)
@@ -344,14 +353,11 @@
         owned = set()
         for name, service_group in self.gateway.groups.items():
             owners = ownership.owners(name, self.peers)
-            service_group.owners = owners
-            checker = ranking.ranked(name, owners)[:1]
-            service_group.check_ms = group.OTHERS_CHECK_MS
-            if not owners or checker == [self.identity.name]:
-                service_group.check_ms = group.CHECK_MS
+            service_group.update_owners(owners, self.identity.name)
             owner_count = max(owner_count, len(owners))
             if not owners or self.identity.name in owners:
                 owned.add(name)
+        self._update_load_sharing()
         if self.peers:
             self.coordination.update_ownership(bool(owned))
         if (
@@ -363,6 +369,12 @@
         else:
             self.gateway.set_link_shares(self.gateway.owner_count, owned)
 
+    def _update_load_sharing(self) -> None:
+        """Apply the owners of all services and the addresses of nodes."""
+        addresses = {name: peer.address for name, peer in self.peers.items()}
+        addresses[self.identity.name] = self.identity.peer.address
+        self.load_sharing.update_owners(addresses)
+
     def _perform(
         self,
         service: str,
--- a/jacinthhaven/sql/pages_test.py
+++ b/jacinthhaven/sql/pages_test.py
@@ -5,7 +5,7 @@
 
 _PACKAGE = pathlib.Path(__file__).parents[1]
 _OPERATIONS_PAGE = _PACKAGE.parent / 'docs' / 'OPERATIONS.md'
-_FOLDERS = ('sql', 'process')
+_FOLDERS = ('sql', 'scheduling', 'process')
 # Words of the platform's wire protocols that only the adapter may use.
 _WIRE_WORDS = re.compile(
     'WAITPOS|X-Duty-Holder|X-Fence-Token|kv-txn|kv-key|kv-range|routeType'
@@ -62,7 +62,9 @@
 
 def test_only_the_adapter_uses_words_of_the_wire_protocols():
     """Guards against wire protocol details outside the adapter."""
-    sources = _sources('sql', 'process', 'decide', 'records', 'kernel')
+    sources = _sources(
+        'sql', 'scheduling', 'process', 'decide', 'records', 'kernel'
+    )
     assert [
         path for path, text in sources.items() if _WIRE_WORDS.search(text)
     ] == []
--- a/jacinthhaven/sql/peer_messages.py
+++ b/jacinthhaven/sql/peer_messages.py
@@ -1,4 +1,8 @@
-"""Datagrams between nodes that confirm or stop the use of a primary."""
+"""Datagrams between nodes.
+
+They confirm or stop the use of a primary, and share the execution slots of
+the instances while these are short.
+"""
 
 import typing
 
@@ -90,7 +94,79 @@
     users: dict[str, int]
 
 
-Message = ConfirmRequest | ConfirmReply | StopRequest | StopReply
+class Waiting(msgspec.Struct, frozen=True, array_like=True):
+    """Statement that waits for a slot.
+
+    Attributes:
+      number: Number of the statement at its owner.
+      priority: Priority of its route; 0 is the highest.
+      instances: Instances that can execute it, the best first.
+      service_ms: Expected execution time.
+      waited_ms: Time since its arrival.
+    """
+
+    number: int
+    priority: int
+    instances: tuple[str, ...]
+    service_ms: int
+    waited_ms: int
+
+
+class Load(msgspec.Struct, frozen=True, array_like=True):
+    """What an owner executes and what waits at it, for one service.
+
+    Attributes:
+      running: Number of statements in flight by instance.
+      waiting: Statements that wait for a slot.
+    """
+
+    running: dict[str, int]
+    waiting: tuple[Waiting, ...]
+
+
+class PermitRequest(msgspec.Struct, frozen=True, array_like=True, tag='p'):
+    """Reports the load of an owner, which asks for permits.
+
+    Attributes:
+      sender: Name of the owner.
+      service: Name of the service.
+      number: Number of the report, which increases.
+      answered: Number of the last reply that the load reflects.
+      load: Load of the owner.
+    """
+
+    sender: str
+    service: str
+    number: int
+    answered: int
+    load: Load
+
+
+class PermitReply(msgspec.Struct, frozen=True, array_like=True, tag='g'):
+    """Grants permits to an owner, or says that none are required.
+
+    Attributes:
+      sender: Name of the dispatcher.
+      service: Name of the service.
+      number: Number of the last permit of the owner.
+      required: Whether statements may be sent with a permit only.
+      granted: Instances of the permits that no report has reflected yet, by
+        number of the statement.
+      refused: Milliseconds after which refused statements may be repeated, by
+        number of the statement.
+    """
+
+    sender: str
+    service: str
+    number: int
+    required: bool
+    granted: dict[int, str]
+    refused: dict[int, int]
+
+
+RightMessage = ConfirmRequest | ConfirmReply | StopRequest | StopReply
+PermitMessage = PermitRequest | PermitReply
+Message = RightMessage | PermitMessage
 
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
--- a/jacinthhaven/sql/pool.py
+++ b/jacinthhaven/sql/pool.py
@@ -170,6 +170,8 @@
         """Mark a link as ready after the instance has accepted it."""
         state = self.states[link.instance]
         state.mark_heard(now_ms)
+        # Opening a connection waits for a slot, too.
+        state.mark_overtaken(link, now_ms)
         link.ready = True
         link.idle_since_ms = now_ms
 
@@ -298,7 +300,7 @@
         if state.leaving_ms is not None and not state.reachable_at(now_ms):
             return 0
         min_links = min(self.min_links, self.max_links)
-        if name not in self.wanted or not state.has_room(now_ms):
+        if name not in self.wanted or not state.has_room():
             return min_links
         return min(max(len(own) + 1, min_links), self.max_links)
 
--- a/jacinthhaven/sql/records.py
+++ b/jacinthhaven/sql/records.py
@@ -91,6 +91,24 @@
     transaction_idle_ms: int
 
 
+def shortest_targets_ms(
+    configuration: Configuration,
+    service: str,
+) -> dict[int, int]:
+    """Return the shortest target among the routes of each priority.
+
+    Args:
+      configuration: Configuration with the routes.
+      service: Name of the service whose routes count.
+    """
+    shortest: dict[int, int] = {}
+    for route in configuration.routes.values():
+        if route.service == service:
+            known_ms = shortest.get(route.priority, route.target_ms)
+            shortest[route.priority] = min(known_ms, route.target_ms)
+    return shortest
+
+
 EMPTY = Configuration(
     -1, types.MappingProxyType({}), types.MappingProxyType({}), 0
 )
--- a/jacinthhaven/sql/sessions.py
+++ b/jacinthhaven/sql/sessions.py
@@ -135,6 +135,7 @@
         its own, which succeeds only while the instance is the primary.
       tried: Instances that could not execute it so far.
       done: Whether it was answered or its client has disconnected.
+      permit_number: Number under which it waits for a permit, or 0.
     """
 
     __slots__ = (
@@ -153,6 +154,7 @@
         'verifies_primary',
         'tried',
         'done',
+        'permit_number',
     )
 
     def __init__(
@@ -182,6 +184,7 @@
         self.verifies_primary = False
         self.tried: set[str] = set()
         self.done = False
+        self.permit_number = 0
 
     @property
     def commits(self) -> bool:
