Send the commands that set a link up together

Cause: a link serves sessions with different settings and prepared statements, so most statements need RESET, SET or PREPARE before them; each waited for the reply to the one before.

Change: one command Setup with all of them and the begin; its reply says how many succeeded before the first error. The statement itself still waits for it.

--- a/jacinthhaven/lab/emulator.py
+++ b/jacinthhaven/lab/emulator.py
@@ -12,7 +12,7 @@
 import typing
 
 from jacinthhaven.lab import experiment, schedule
-from jacinthhaven.platform import instance_wire
+from jacinthhaven.platform import instance_wire, reply_reader
 from jacinthhaven.sql import commands, ports, records, statements
 from jacinthhaven.standins import sql_group
 
@@ -130,7 +130,7 @@
         self.plan = instances.plan
         self.numbers = itertools.count(1)
         self.connections: dict[int, sql_group.SqlConnection] = {}
-        self.readers: dict[int, instance_wire.ReplyReader] = {}
+        self.readers: dict[int, reply_reader.ReplyReader] = {}
         self.on_open: OnReply = _ignore
         self.on_reply: OnReply = _ignore
 
@@ -144,7 +144,7 @@
         name = instance.name
         model = self.instances.group.instances[name]
         self.connections[number] = sql_group.SqlConnection(model)
-        self.readers[number] = instance_wire.ReplyReader()
+        self.readers[number] = reply_reader.ReplyReader()
         line = _text(instance_wire.encode_start(instance))
         now_ms = self.plan.now_ms
         full = (
@@ -162,11 +162,8 @@
 
     def send(self, number: int, command: commands.Command) -> None:
         """Send a command."""
-        self.readers[number].wants_status = isinstance(
-            command,
-            commands.STATUS_COMMANDS,
-        )
-        line = _text(instance_wire.encode_command(command))
+        self.readers[number].expect(command)
+        lines = _text(instance_wire.encode_command(command)).split('\r\n')
         arrives_ms = self.plan.now_ms + _WAY_MS
         over_ms: float | None = arrives_ms + _INSTANT_MS
         if isinstance(command, commands.Run):
@@ -177,7 +174,7 @@
         if over_ms is None:
             self._later(arrives_ms, self._overflow, number)
             return
-        self.plan.at(over_ms, functools.partial(self._execute, number, line))
+        self.plan.at(over_ms, functools.partial(self._execute, number, lines))
 
     def send_line(self, number: int, line: str) -> None:
         """Refuse lines of other nodes; experiments lend no links."""
@@ -221,13 +218,14 @@
                 statements.Reply(code=busy, position=position),
             )
 
-    def _execute(self, number: int, line: str) -> None:
+    def _execute(self, number: int, lines: list[str]) -> None:
         connection = self._reachable(number)
         if connection is None:
             return
         reply = None
-        for text in connection.handle(line, self.plan.now_ms):
-            reply = self.readers[number].feed(text)
+        for line in lines:
+            for text in connection.handle(line, self.plan.now_ms):
+                reply = self.readers[number].feed(text)
         lost = self.instances.lossy.get(connection.instance.name, 0)
         if not lost or self.instances.rng.random() >= lost:
             answer = functools.partial(self._answer, reply)
--- a/jacinthhaven/platform/sockets.py
+++ b/jacinthhaven/platform/sockets.py
@@ -10,6 +10,7 @@
     client_wire,
     instance_wire,
     peer_wire,
+    reply_reader,
     words,
 )
 from jacinthhaven.sql import commands, ports, records, statements
@@ -184,7 +185,7 @@
     def __init__(self, stream: streams.Stream, number: int) -> None:
         self.stream = stream
         self.lines = words.LineReader()
-        self.replies = instance_wire.ReplyReader()
+        self.replies = reply_reader.ReplyReader()
         self.number = number
         self.opened = False
 
@@ -241,10 +242,7 @@
         connection = self.connections.get(number)
         if connection is None:
             return
-        connection.replies.wants_status = isinstance(
-            command,
-            commands.STATUS_COMMANDS,
-        )
+        connection.replies.expect(command)
         connection.stream.send(instance_wire.encode_command(command))
 
     def send_line(self, number: int, line: str) -> None:
--- a/jacinthhaven/platform/wire_test.py
+++ b/jacinthhaven/platform/wire_test.py
@@ -8,6 +8,7 @@
     documents,
     instance_wire,
     peer_wire,
+    reply_reader,
     words,
 )
 from jacinthhaven.records import store
@@ -67,7 +68,7 @@
 
 def test_status_row():
     """Guards against misinterpreting the status row of an instance."""
-    reader = instance_wire.ReplyReader()
+    reader = reply_reader.ReplyReader()
     reader.wants_status = True
     reader.feed('DATAROW replica 3 3.1209 0 12 2 17')
     reader.feed('COMPLETE -')
@@ -80,6 +81,22 @@
     assert reply.position == records.Position(3, 1204)
 
 
+def test_commands_sent_together_have_one_reply():
+    """Guards against taking the reply to a setting for that to the read."""
+    command = commands.Setup((commands.Reset(), commands.SetValue('v', '1')))
+    assert instance_wire.encode_command(command) == (
+        b'QUERY - RESET\r\nQUERY - SET v 1\r\n'
+    )
+    reader = reply_reader.ReplyReader()
+    reader.expect(command)
+    lines = ('COMPLETE -', 'READY I 3.1', 'ERROR FAILED x', 'READY E 3.2')
+    *missing, reply = [reader.feed(line) for line in lines]
+    assert missing == [None, None, None]
+    assert (reply.code, reply.succeeded) == (statements.Code.FAILED, 1)
+    assert reply.state is statements.State.FAILED
+    assert reader.feed('READY I 3.3').code is None
+
+
 @hypothesis.given(_TEXT)
 @hypothesis.settings(derandomize=True)
 def test_any_line_of_a_client_is_decoded_or_refused(text):
@@ -103,7 +120,7 @@
 @hypothesis.settings(derandomize=True)
 def test_any_reply_is_decoded_or_refused(lines):
     """Guards against replies that raise an unexpected exception."""
-    reader = instance_wire.ReplyReader()
+    reader = reply_reader.ReplyReader()
     reader.wants_status = True
     try:
         for line in lines:
--- a/jacinthhaven/sql/builders.py
+++ b/jacinthhaven/sql/builders.py
@@ -6,7 +6,7 @@
 import typing
 
 from jacinthhaven.kernel import failures
-from jacinthhaven.platform import client_wire, instance_wire
+from jacinthhaven.platform import client_wire, instance_wire, reply_reader
 from jacinthhaven.records import store
 from jacinthhaven.sql import (
     commands,
@@ -154,6 +154,7 @@
       silent: Instances that accept statements and never answer.
       cut: Instances that answer on borrowed connections only.
       lost_replies: Texts of statements that run and whose replies are lost.
+      failing: Texts of commands that fail without effect.
       before_line: Actions that run once, before a line with a text is handled.
       work_ms: Time that a statement takes.
     """
@@ -162,10 +163,11 @@
         """Start without connections to a group."""
         self.group = group
         self.connections: dict[int, sql_group.SqlConnection] = {}
-        self.readers: dict[int, instance_wire.ReplyReader] = {}
+        self.readers: dict[int, reply_reader.ReplyReader] = {}
         self.pending: collections.deque = collections.deque()
         self.silent: set[str] = set()
         self.lost_replies: set[str] = set()
+        self.failing: set[str] = set()
         self.before_line: dict[str, typing.Callable[[], None]] = {}
         self.lenders: list[records.Address] = []
         self.borrowed: set[int] = set()
@@ -187,28 +189,45 @@
         number = self.opened
         model = self.group.instances[instance.name]
         self.connections[number] = sql_group.SqlConnection(model)
-        self.readers[number] = instance_wire.ReplyReader()
+        self.readers[number] = reply_reader.ReplyReader()
         line = instance_wire.encode_start(instance).decode().strip()
         self.pending.append((self.now_ms + 1, number, line, True))
         return number
 
     def send(self, number: int, command: commands.Command) -> None:
         """Schedule a command."""
-        self.readers[number].wants_status = isinstance(
-            command,
-            commands.STATUS_COMMANDS,
-        )
-        line = instance_wire.encode_command(command).decode().strip()
-        self.pending.append((self.now_ms + self.work_ms, number, line, False))
+        self.readers[number].expect(command)
+        at_ms = self.now_ms + self.work_ms
+        for line in (
+            instance_wire.encode_command(command).decode().split('\r\n')
+        ):
+            if line:
+                self.pending.append((at_ms, number, line, False))
 
     def send_line(self, number: int, line: str) -> None:
         """Schedule a line of another node."""
         self.pending.append((self.now_ms + self.work_ms, number, line, False))
 
+    def answers(self, number: int) -> bool:
+        """Return whether the instance answers on a connection."""
+        connection = self.connections.get(number)
+        if connection is None:
+            return False
+        name = connection.instance.name
+        cut = name in self.cut and number not in self.borrowed
+        return not cut and name not in self.silent
+
     def loses_reply(self, line: str) -> bool:
         """Return whether the reply to a line is lost."""
         return any(text in line for text in self.lost_replies)
 
+    def handle(self, number: int, line: str) -> list[str]:
+        """Return the reply of the instance to a command."""
+        connection = self.connections[number]
+        if any(text in line for text in self.failing):
+            return ['ERROR FAILED -', f'READY {connection.state} -']
+        return connection.handle(line, self.now_ms)
+
     def close(self, number: int) -> None:
         """Close a connection."""
         self.connections.pop(number, None)
@@ -404,16 +423,9 @@
             self._run_line(*entry[1:])
 
     def _run_line(self, number: int, line: str, starts: bool) -> None:
-        connection = self.databases.connections.get(number)
-        if connection is None:
-            return
-        name = connection.instance.name
-        if name in self.databases.silent:
-            return
-        if name in self.databases.cut and (
-            number not in self.databases.borrowed
-        ):
+        if not self.databases.answers(number):
             return
+        connection = self.databases.connections[number]
         for word, action in tuple(self.databases.before_line.items()):
             if word in line:
                 self.databases.before_line.pop(word)
@@ -421,8 +433,8 @@
         if starts:
             lines = connection.start(line, self.now_ms)
         else:
-            self.lines.append((name, line))
-            lines = connection.handle(line, self.now_ms)
+            self.lines.append((connection.instance.name, line))
+            lines = self.databases.handle(number, line)
         if self.databases.loses_reply(line):
             return
         reply = None
@@ -431,7 +443,7 @@
         if starts:
             refused = self.databases.readers[number].reply
             self.service.on_open(number, reply or refused, self.now_ms)
-        else:
+        elif reply is not None:
             self.service.on_reply(number, reply, self.now_ms)
 
 
--- a/jacinthhaven/sql/commands.py
+++ b/jacinthhaven/sql/commands.py
@@ -74,6 +74,19 @@
     term: int
 
 
+class Setup(msgspec.Struct, frozen=True):
+    """Several commands that prepare a link for a statement, sent together.
+
+    The instance executes each of them even if an earlier one fails, so none
+    may change data.
+
+    Attributes:
+      steps: Commands in the order in which they are sent.
+    """
+
+    steps: tuple[Reset | SetValue | Prepare | Begin, ...]
+
+
 Command = (
     Run
     | Begin
@@ -81,6 +94,7 @@
     | Reset
     | SetValue
     | Prepare
+    | Setup
     | AskStatus
     | Pause
     | Resume
@@ -91,3 +105,8 @@
 STATUS_COMMANDS = (AskStatus, Pause, Resume, Demote)
 # Commands that wait for a slot of the instance.
 IN_SLOTS = (Run, AskStatus)
+
+
+def steps_of(command: Command) -> tuple[Command, ...]:
+    """Return the commands that are sent for a command, in order."""
+    return command.steps if isinstance(command, Setup) else (command,)
--- a/jacinthhaven/sql/execution.py
+++ b/jacinthhaven/sql/execution.py
@@ -135,13 +135,16 @@
         work.link = link
         begins = transaction is not None and not transaction.begun
         link.work = work
-        link.steps.extend(links.setup_steps(link, session, work.statement))
+        setup = links.setup_steps(link, session, work.statement)
         if begins or work.verifies_primary:
             # Only a primary executes a read-write transaction, so that a
             # read inside one needs no other proof that the instance leads.
             read_only = not (work.needs_primary or work.verifies_primary)
-            link.steps.append(commands.Begin(read_only, after))
+            setup.append(commands.Begin(read_only, after))
             after = None
+        if setup:
+            # The statement waits for the replies: it may change data.
+            link.steps.append(commands.Setup(tuple(setup)))
         link.steps.append(links.run_command(session, work.statement, after))
         if work.verifies_primary and transaction is None:
             link.steps.append(commands.Rollback())
@@ -468,9 +471,8 @@
         if reply.code is not None:
             self._setup_failed(group, link, command, reply, now_ms)
             return
-        links.record_setup(link, command)
-        if isinstance(command, commands.Begin) and link.pinned:
-            link.pinned.transaction.begun = True
+        for step in commands.steps_of(command):
+            links.record_setup(link, step)
         if work is None or work.done:
             self._discard_reply(group, link, reply, now_ms)
         else:
@@ -488,7 +490,10 @@
         work = link.work
         link.steps.clear()
         link.work = None
-        at_begin = isinstance(command, commands.Begin)
+        steps = commands.steps_of(command)
+        for step in steps[: reply.succeeded]:
+            links.record_setup(link, step)
+        at_begin = isinstance(steps[reply.succeeded], commands.Begin)
         if at_begin and reply.state is statements.State.IDLE:
             link.pinned = None
             self.send_next(group, link, now_ms)
--- a/jacinthhaven/sql/links.py
+++ b/jacinthhaven/sql/links.py
@@ -157,6 +157,9 @@
 def record_setup(link: Link, command: commands.Command) -> None:
     """Record the effect of a setup command that has succeeded."""
     match command:
+        case commands.Begin():
+            if link.pinned:
+                link.pinned.transaction.begun = True
         case commands.Reset():
             link.settings.clear()
             link.prepared.clear()
--- a/jacinthhaven/sql/reply_tracker.py
+++ b/jacinthhaven/sql/reply_tracker.py
@@ -57,6 +57,7 @@
         now_ms: int,
     ) -> None:
         """Update leader, positions and delays from a reply."""
+        command = commands.steps_of(command)[-1]
         state = self.pool.states[link.instance]
         if reply.position is not None:
             state.applied = reply.position
--- a/jacinthhaven/sql/statements.py
+++ b/jacinthhaven/sql/statements.py
@@ -103,6 +103,8 @@
       state: Transaction state of the link after the command.
       position: Last log position that the instance has applied.
       status: Status of the instance, if the command requested it.
+      succeeded: Number of commands that succeeded before the first error, if
+        several were sent together.
     """
 
     rows: tuple[str, ...] = ()
@@ -111,6 +113,7 @@
     detail: str = ''
     state: State = State.IDLE
     position: records.Position | None = None
+    succeeded: int = 0
     status: records.InstanceStatus | None = None
 
 
