Reach the store through other nodes; repeat first reads at once

Three of the six owners of each service start without any knowledge; they confirm no term, so nobody has the right to use a primary, and neither reads nor writes are served from 34 s until the store serves all again at 41.4 s (5,900 requests refused). Ruled out: the other three reach the store, know members and leaders 40 ms after their start, and ask for the right every 60 ms.

Change: a node whose call to the store fails sends it through another node, as bytes over a connection to that node's peer listener, and returns to the direct way after 8 s. Up to three nodes are tried before a pause, those of the settings (seeds) if no others are known. Reads are as current as direct ones, so that a starting owner knows of all promotions under way. A node that does not reach the store directly opens no tunnel.

--- a/jacinthhaven/adapters/http_store.py
+++ b/jacinthhaven/adapters/http_store.py
@@ -143,6 +143,19 @@
     def new_watch(self, client: http_client.Client) -> Watch:
         """Return a watch that takes ownership of a new connection."""
 
+    def connect(self) -> http_client.Client:
+        """Return a new connection to the store."""
+        client = http_client.Client(self.poller, self.addresses[0])
+        client.parser.max_body = _MAX_ANSWER_BYTES
+        return client
+
+    def close_idle(self) -> None:
+        """Close the connections that have no call."""
+        for connection in self.idle:
+            self.connections.discard(connection)
+            connection.client.close()
+        self.idle.clear()
+
     def _dispatch(self) -> None:
         while self.queue:
             connection = self._free_connection()
@@ -158,7 +171,7 @@
             return self.idle.pop()
         if len(self.connections) >= _MAX_CONNECTIONS:
             return None
-        client = self._connect()
+        client = self.connect()
         connection = _Connection(client)
         client.on_reply = functools.partial(self._on_reply, connection)
         client.on_lost = functools.partial(
@@ -172,11 +185,6 @@
         self.connections.add(connection)
         return connection
 
-    def _connect(self) -> http_client.Client:
-        client = http_client.Client(self.poller, self.addresses[0])
-        client.parser.max_body = _MAX_ANSWER_BYTES
-        return client
-
     def _on_reply(
         self,
         connection: _Connection,
@@ -237,7 +245,7 @@
         self._report(call.number, reply)
 
     def _open_watch(self, message: messages.StoreCall) -> None:
-        watch = self.new_watch(self._connect())
+        watch = self.new_watch(self.connect())
         self.watches[message.number] = watch
         watch.on_events = functools.partial(self._report, message.number)
         watch.on_lost = functools.partial(self._fail_watch, message.number)
--- a/jacinthhaven/adapters/sql_settings_file_test.py
+++ b/jacinthhaven/adapters/sql_settings_file_test.py
@@ -24,6 +24,9 @@
         '{{cloudApi.address|json}}': '"127.0.0.1:9106"',
         '{{limits.cpuShare|json}}': '0.537',
         '{{limits.cores|json}}': '2',
+        '{{#seeds}}{{.|json}}{{,}}{{/seeds}}': (
+            '"127.0.0.1:9107", "127.0.0.2:9107"'
+        ),
     }
 )
 
@@ -47,6 +50,7 @@
     assert loaded.listeners.peers.pair == ('127.0.0.1', 7455)
     assert loaded.grace_ms == 6000
     assert loaded.processor.capacity == 0.537 * 2
+    assert loaded.seed_nodes == (('127.0.0.2', 7455),)
 
 
 def test_template_has_no_unknown_placeholder():
--- a/jacinthhaven/platform/kv.py
+++ b/jacinthhaven/platform/kv.py
@@ -11,7 +11,7 @@
     poller,
 )
 from jacinthhaven.kernel import failures, plugins
-from jacinthhaven.platform import kv_answers, kv_requests
+from jacinthhaven.platform import kv_answers, kv_requests, peer_wire
 from jacinthhaven.records import store
 
 # Each poll counts as a call to the store, so a longer wait costs fewer calls.
@@ -28,10 +28,31 @@
 
     Attributes:
       watch_wait_ms: How long the store holds a poll if nothing changes.
+      through: Address of the node through which new connections are made;
+        None if they are made directly.
     """
 
     watch_wait_ms = _WATCH_WAIT_MS
 
+    def __init__(self, *args: typing.Any) -> None:
+        """Create a client that connects directly on the first call."""
+        super().__init__(*args)
+        self.through: http_store.Address | None = None
+
+    def use_way(self, node: http_store.Address | None) -> None:
+        """Make new connections through another node, or directly."""
+        if node != self.through:
+            self.through = node
+            self.close_idle()
+
+    def connect(self) -> http_client.Client:
+        """Return a new connection to the store."""
+        if self.through is None:
+            return super().connect()
+        client = http_client.Client(self.poller, self.through)
+        client.stream.send(peer_wire.TUNNEL)
+        return client
+
     def send(self, client: http_client.Client, request: store.Request) -> None:
         """Send a request to the store."""
         kv_requests.send(client, request)
--- a/jacinthhaven/platform/node_sockets.py
+++ b/jacinthhaven/platform/node_sockets.py
@@ -20,6 +20,8 @@
         connection.
       on_relayed: Called with the connection of a relayed session, the
         configuration version of the sending node and the database.
+      on_tunnel: Called with the connection of a node that wants to reach the
+        store, and the bytes that were received for it.
     """
 
     def __init__(self, loop: poller.Poller) -> None:
@@ -35,6 +37,9 @@
             [streams.Stream, int, str],
             None,
         ] = sockets.ignore
+        self.on_tunnel: typing.Callable[[streams.Stream, bytes], None] = (
+            sockets.ignore
+        )
 
     def listen(self, address: records.Address) -> int:
         """Start to accept connections and return the port."""
@@ -81,6 +86,13 @@
     def _on_bytes(
         self, connection: sockets.ClientConnection, chunk: bytes
     ) -> None:
+        if not connection.started:
+            received = connection.reader.rest + chunk
+            if received.startswith(peer_wire.TUNNEL):
+                self.connections.pop(connection.number)
+                first = received.removeprefix(peer_wire.TUNNEL)
+                self.on_tunnel(connection.stream, first)
+                return
         try:
             for line in connection.reader.feed(chunk):
                 self._on_text(connection, line)
--- a/jacinthhaven/platform/peer_wire.py
+++ b/jacinthhaven/platform/peer_wire.py
@@ -9,6 +9,8 @@
 
 PING = 'PING'
 PONG = 'PONG'
+# First line of a connection whose other bytes go to the store and back.
+TUNNEL = b'STORE\r\n'
 _RELAYED_KEYWORD = 'SESSION'
 _LOAN_KEYWORD = 'START'
 _LOAN_FIELDS = 4
--- a/jacinthhaven/platform/plugin.py
+++ b/jacinthhaven/platform/plugin.py
@@ -70,6 +70,10 @@
         self.store.call(messages.StoreCall(number, request))
         return number
 
+    def use_way(self, node: records.Address | None) -> None:
+        """Send the next store calls through another node, or directly."""
+        self.store.use_way(node)
+
     def end_watch(self, number: int) -> None:
         """End a watch; its callback is not called afterwards."""
         self.waiting.pop(number, None)
--- a/jacinthhaven/process/sql_proxy.py
+++ b/jacinthhaven/process/sql_proxy.py
@@ -26,11 +26,17 @@
 )
 from jacinthhaven.decide import messages
 from jacinthhaven.kernel import clock
-from jacinthhaven.platform import node_sockets, plugin, sockets
+from jacinthhaven.platform import (
+    node_sockets,
+    plugin,
+    sockets,
+    store_tunnel,
+)
 from jacinthhaven.process import ticker
 from jacinthhaven.records import sql_settings
 from jacinthhaven.sql import (
     node,
+    node_context,
     ownership,
     peer_messages,
     peering,
@@ -183,7 +189,7 @@
         self.messenger = NodeMessenger(self.poller, self.journal)
         self.health = http_server.Server(self.poller, self._on_health)
         self.node = node.Node(
-            node.Identity(
+            node_context.Identity(
                 settings.node,
                 settings.grace_ms,
                 ownership.Peer(
@@ -193,8 +199,9 @@
                 ),
                 settings.promotion.fenced,
                 settings.first_start,
+                settings.seed_nodes,
             ),
-            node.Adapters(
+            node_context.Adapters(
                 self.databases,
                 self.clients,
                 self.borrowers,
@@ -276,6 +283,11 @@
         self.borrowers.on_line = self._with_time(lender.on_line)
         self.borrowers.on_returned = self._with_time(lender.on_returned)
         self.borrowers.on_relayed = self._on_relayed
+        tunnels = store_tunnel.StoreTunnels(
+            self.poller, self.settings.store.address.pair
+        )
+        tunnels.may_open = self._reaches_store
+        self.borrowers.on_tunnel = tunnels.open
         self.relays.on_line = self._with_time(relay.on_line)
         self.relays.on_alive = relay.on_alive
         self.relays.on_lost = self._with_time(relay.on_lost)
@@ -298,6 +310,9 @@
         number = self.clients.adopt(stream)
         self.node.gateway.on_relayed(number, database, version)
 
+    def _reaches_store(self) -> bool:
+        return self.node.coordination.access.direct
+
     def _on_malformed(self) -> None:
         self.journal.count('clients_closed', 'malformed')
 
--- a/jacinthhaven/records/sql_settings.py
+++ b/jacinthhaven/records/sql_settings.py
@@ -44,6 +44,7 @@
 Grace = typing.Annotated[int, msgspec.Meta(ge=1000)]
 Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
 Name = typing.Annotated[str, msgspec.Meta(min_length=1)]
+Addresses = tuple[Address, ...]
 FlushTime = typing.Annotated[int, msgspec.Meta(ge=1, le=10_000)]
 Level = typing.Literal['debug', 'info', 'warning', 'error']
 
@@ -131,6 +132,9 @@
       first_start: Whether the whole system starts for the first time.
       log: Destination of the log.
       processor: Processor of the VM.
+      seeds: Addresses of nodes through which this one may reach the store
+        before it knows any other. Only their hosts count: nodes accept each
+        other on the port of `listeners.peers`, which is the same on all VMs.
     """
 
     node: Name
@@ -142,6 +146,14 @@
     first_start: bool = False
     log: Log = Log()
     processor: Processor = Processor()
+    seeds: Addresses = ()
+
+    @property
+    def seed_nodes(self) -> tuple[tuple[str, int], ...]:
+        """Return the addresses at which the seeds accept other nodes."""
+        own_host, port = self.listeners.peers.pair
+        hosts = (seed.pair[0] for seed in self.seeds)
+        return tuple((host, port) for host in hosts if host != own_host)
 
 
 def check(document: typing.Any) -> Located:
@@ -181,6 +193,8 @@
     try:
         if kind is Address:
             _parse_address(found)
+        elif kind == Addresses:
+            _parse_addresses(found)
         else:
             msgspec.convert(found, kind)
     except ValueError as error:
@@ -200,6 +214,12 @@
     return Address(host, number)
 
 
+def _parse_addresses(texts: typing.Any) -> Addresses:
+    if not isinstance(texts, list):
+        raise ValueError('must be a list of addresses')
+    return tuple(_parse_address(text) for text in texts)
+
+
 def _decode(kind: type, found: typing.Any) -> Address:
     if kind is Address:
         return _parse_address(found)
--- a/jacinthhaven/sql/builders.py
+++ b/jacinthhaven/sql/builders.py
@@ -457,7 +457,9 @@
 
     Attributes:
       orders: Accepted orders as (service, instance, fence).
-      down: Whether all store calls fail.
+      down: Whether the store refuses this node.
+      way: Node through which calls are sent, or None.
+      reaching: Addresses of nodes that the store serves.
       calls: Store calls so far.
       scheduled: Scheduled callbacks as (time, callback, argument).
       promote_ms: Time that a promotion takes.
@@ -470,16 +472,23 @@
         self.orders: list[tuple[str, str, int]] = []
         self.calls: list[store.Request] = []
         self.down = False
+        self.way: records.Address | None = None
+        self.reaching: set[records.Address] = set()
         self.scheduled: collections.deque = collections.deque()
         self.watches: list[tuple[typing.Any, ports.OnStore]] = []
         self.now_ms = 0
         self.promote_ms = 300
 
+    @property
+    def refused(self) -> bool:
+        """Return whether calls fail on the present way."""
+        return self.down if self.way is None else self.way not in self.reaching
+
     def call(self, request: store.Request, on_reply: ports.OnStore) -> int:
         """Run a call; its reply comes with the next `run`."""
         number = id(on_reply)
         self.calls.append(request)
-        if self.down:
+        if self.refused:
             lost = failures.STORE_UNAVAILABLE.because('cut off')
             self.scheduled.append((self.now_ms + 4, on_reply, lost))
         elif isinstance(request, store.WatchRequest):
@@ -490,6 +499,10 @@
             self.scheduled.append((self.now_ms + 4, on_reply, reply))
         return number
 
+    def use_way(self, node: records.Address | None) -> None:
+        """Send the next calls through another node, or directly."""
+        self.way = node
+
     def end_watch(self, number: int) -> None:
         """Remove a watch."""
         self.watches = [known for known in self.watches if known[0] != number]
@@ -527,7 +540,7 @@
         for entry in due:
             self.scheduled.remove(entry)
             entry[1](entry[2])
-        if self.down:
+        if self.refused:
             self._lose_watches()
         for number, on_reply in tuple(self.watches):
             for events in self.model.take_events(number):
--- a/jacinthhaven/sql/coordination.py
+++ b/jacinthhaven/sql/coordination.py
@@ -7,42 +7,16 @@
 """
 
 import functools
-import random
 import typing
 
 import msgspec
 
-from jacinthhaven.kernel import backoff, failures
 from jacinthhaven.records import store
-from jacinthhaven.sql import lease, ports
-
-# Interval of registry reads, of which every third one is fresh. A stale read
-# costs a tenth of a fresh one; fresh reads bound the age of the known registry.
-_STALE_READ_MS = 900
-_FRESH_READ_EVERY = 3
-# Faster interval while instances are missing after a store outage: entries that
-# expired during the outage return within two seconds after its end. The period
-# is limited, since a service may really have lost its instances.
-_MISSING_READ_MS = 250
-_MISSING_READ_FOR_MS = 6000
-_RETRY_FIRST_MS = 150
-_RETRY_LAST_MS = 800
-_IDLE_RETRY_LAST_MS = 4000
-# Shorter limit until the first reply, since no client can be served before it.
-_START_RETRY_LAST_MS = 200
-# Intervals of member reads: the first one doubles after each read, up to the
-# limit for nodes that own services or the limit for the others.
-_FIRST_MEMBERS_MS = 400
-_OWNER_MEMBERS_MS = 2000
-_IDLE_MEMBERS_MS = 6000
-# Shortest interval between member reads when no owner could be reached.
-_UNREACHABLE_MEMBERS_MS = 1000
+from jacinthhaven.sql import lease, ports, read_schedules, store_access
+
 # How long a starting node waits for the member list before it acts as an
 # owner.
 _MEMBERS_WAIT_MS = 1000
-# Factor of the registry interval on a node that owns no service; it needs the
-# registry only when no owner can be reached.
-_IDLE_REGISTRY_FACTOR = 5
 # Silence limit of the watch on such a node. It may detect a silent watch late,
 # since the owners make the decisions that depend on the configuration.
 _IDLE_WATCH_MS = 20_000
@@ -63,107 +37,13 @@
         """Apply the member keys of all nodes."""
 
 
-class RegistrySchedule:
-    """Schedule of registry reads, and which of them may be stale.
-
-    Attributes:
-      next_ms: When the next read is due.
-      reads: Successful reads; every third one is fresh. Reset to 0 to make
-        the next read fresh.
-      running: Whether a read is in progress.
-      expedite_until_ms: Until when the registry is read often because instances
-        are missing.
-      needs_fresh: Whether a new owner still needs its first fresh read.
-    """
-
-    __slots__ = (
-        'next_ms',
-        'reads',
-        'running',
-        'expedite_until_ms',
-        'needs_fresh',
-    )
-
-    def __init__(self) -> None:
-        """Schedule the first read at once."""
-        self.next_ms = 0
-        self.reads = 0
-        self.running = False
-        self.expedite_until_ms = 0
-        self.needs_fresh = False
-
-    def due(self, now_ms: int) -> bool:
-        """Return whether the next read is due."""
-        return not self.running and (self.needs_fresh or now_ms >= self.next_ms)
-
-    def require_fresh(self) -> None:
-        """Schedule a fresh read at once, for a new owner."""
-        self.needs_fresh = True
-
-    def start(self, now_ms: int, *, owns_service: bool) -> bool:
-        """Start a read; return whether it must be fresh."""
-        self.running = True
-        factor = 1 if owns_service else _IDLE_REGISTRY_FACTOR
-        self.next_ms = now_ms + _STALE_READ_MS * factor
-        fresh = self.needs_fresh or self.reads % _FRESH_READ_EVERY == 0
-        self.needs_fresh = self.needs_fresh and not owns_service
-        return owns_service and fresh
-
-    def expedite(self, now_ms: int) -> None:
-        """Read often for some time while instances are missing."""
-        self.expedite_until_ms = now_ms + _MISSING_READ_FOR_MS
-
-    def finish(self, complete: bool | None, now_ms: int) -> None:
-        """Handle the end of a read.
-
-        Args:
-          complete: Whether each service has instances; None if the read failed.
-          now_ms: Current time.
-        """
-        self.running = False
-        self.reads = 0 if complete is None else self.reads + 1
-        if complete is False and now_ms < self.expedite_until_ms:
-            self.reads = 0
-            self.next_ms = now_ms + _MISSING_READ_MS
-
-
-class MemberSchedule:
-    """Schedule of member reads.
-
-    Attributes:
-      next_ms: When the next read is due.
-      last_ms: When the last read was sent.
-      pause_ms: Pause after the next read, before the upper limit is applied.
-    """
-
-    __slots__ = ('next_ms', 'last_ms', 'pause_ms')
-
-    def __init__(self) -> None:
-        """Schedule the first read at once."""
-        self.next_ms = 0
-        self.last_ms = 0
-        self.pause_ms = _FIRST_MEMBERS_MS
-
-    def start(self, now_ms: int, *, owns_service: bool) -> None:
-        """Start a read and schedule the next one."""
-        longest_ms = _OWNER_MEMBERS_MS if owns_service else _IDLE_MEMBERS_MS
-        pause_ms = min(self.pause_ms, longest_ms)
-        self.pause_ms = pause_ms * 2
-        self.last_ms = now_ms
-        self.next_ms = now_ms + pause_ms
-
-    def expedite(self) -> None:
-        """Read earlier, since no known owner could be reached."""
-        self.next_ms = min(self.next_ms, self.last_ms + _UNREACHABLE_MEMBERS_MS)
-
-
 class Coordination:
     """Store access of one node: watch, registry reads and lease.
 
     Attributes:
       revisions: Revision of each existing watched key.
       keeper: Lease and member key of this node.
-      connected: Whether the last store call succeeded.
+      access: Calls to the store.
       registry: Schedule of registry reads.
       members: Schedule of member reads.
       owns_service: Whether this node owns services.
@@ -179,38 +59,31 @@
         platform: ports.Platform,
         prefixes: tuple[str, str, str, str],
         listener: Listener,
-        journal: ports.Journal,
-        rng: random.Random,
+        access: store_access.StoreAccess,
     ) -> None:
-        """Create the store access; nothing is sent before `tick`.
+        """Create the object; nothing is sent before `tick`.
 
         Args:
-          platform: Calls to the store.
+          platform: Ends watches.
           prefixes: Prefix that owners watch, prefix of the registry, prefix
             of the members, and prefix that nodes without a service watch.
           listener: Receiver of store contents.
-          journal: Log and metrics.
-          rng: Source of jitter.
+          access: Calls to the store.
         """
         self.platform = platform
         self.prefixes = prefixes
         self.listener = listener
-        self.journal = journal
-        self.backoff = backoff.Backoff(
-            rng,
-            _RETRY_FIRST_MS,
-            _START_RETRY_LAST_MS,
-        )
+        self.access = access
+        access.on_change = self._on_store_change
         self.revisions: dict[str, int] = {}
-        self.connected = False
         self.watch_number: int | None = None
-        self.registry = RegistrySchedule()
-        self.members = MemberSchedule()
+        self.registry = read_schedules.RegistrySchedule()
+        self.members = read_schedules.MemberSchedule()
         self.started_ms: int | None = None
         self.owns_service = False
         self.role_known = False
         self.snapshot_revision: int | None = None
-        self.keeper = lease.LeaseKeeper(self.call)
+        self.keeper = lease.LeaseKeeper(self.access.call)
         self.now_ms = 0
 
     @property
@@ -221,11 +94,12 @@
     def tick(self, now_ms: int) -> None:
         """Send the store calls that are due."""
         self.now_ms = now_ms
+        self.access.now_ms = now_ms
         if self.started_ms is None:
             self.started_ms = now_ms
         if not self.role_known and now_ms - self.started_ms >= _MEMBERS_WAIT_MS:
             self.update_ownership(True)
-        if now_ms < self.backoff.retry_ms:
+        if not self.access.ready:
             return
         if self.watch_number is None:
             self.watch_number = 0
@@ -263,6 +137,7 @@
             self._watch(self.snapshot_revision)
             return
         self.owns_service = owns
+        self.access.urgent = owns
         if owns:
             self.registry.require_fresh()
         self.snapshot_revision = None
@@ -287,44 +162,13 @@
         The pages are not a consistent snapshot. A watch that starts at that
         revision delivers the changes made between them.
         """
-        self.call(
+        self.access.call(
             request,
             functools.partial(self._on_page, request, None, on_reply),
         )
 
-    def call(
-        self,
-        request: store.Request,
-        on_reply: typing.Callable[[typing.Any], None],
-    ) -> int:
-        """Call the store, log connection changes and adapt the backoff."""
-        self.journal.count('store_calls', type(request).__name__)
-        return self.platform.call(
-            request,
-            functools.partial(self._on_reply, on_reply),
-        )
-
-    def _on_reply(
-        self,
-        on_reply: typing.Callable[[typing.Any], None],
-        reply: typing.Any,
-    ) -> None:
-        failed = isinstance(reply, failures.Failure)
-        if failed == self.connected:
-            self.connected = not failed
-            self.registry.expedite(self.now_ms)
-            event = 'store_lost' if failed else 'store_connected'
-            reason = reply.reason if failed else ''
-            self.journal.write(event, {'reason': reason})
-        if failed:
-            self.backoff.fail(self.now_ms)
-        else:
-            self.backoff.last_ms = _RETRY_LAST_MS
-            if not self.owns_service:
-                # The store calls of a node without a service are not urgent.
-                self.backoff.last_ms = _IDLE_RETRY_LAST_MS
-            self.backoff.reset()
-        on_reply(None if failed else reply)
+    def _on_store_change(self) -> None:
+        self.registry.expedite(self.now_ms)
 
     def _on_page(
         self,
@@ -349,7 +193,7 @@
             request,
             after=reply.entries[-1].key,
         )
-        self.call(
+        self.access.call(
             next_request,
             functools.partial(self._on_page, next_request, reply, on_reply),
         )
@@ -385,7 +229,7 @@
             revision + 1,
             0 if self.owns_service else _IDLE_WATCH_MS,
         )
-        self.watch_number = self.call(request, self._on_events)
+        self.watch_number = self.access.call(request, self._on_events)
 
     def _on_events(self, reply: store.WatchEvents | None) -> None:
         if reply is None:
@@ -433,6 +277,7 @@
         self.read_all(request, self._on_members)
 
     def _on_members(self, reply: store.ReadReply | None) -> None:
+        self.members.finish(succeeded=reply is not None, now_ms=self.now_ms)
         if reply is None:
             return
         self.keeper.listed_keys = {entry.key for entry in reply.entries}
--- a/jacinthhaven/sql/coordination_test.py
+++ b/jacinthhaven/sql/coordination_test.py
@@ -1,7 +1,12 @@
 """Tests of the reads and watches of the coordination store."""
 
 from jacinthhaven.records import store
-from jacinthhaven.sql import builders, coordination
+from jacinthhaven.sql import (
+    builders,
+    coordination,
+    store_access,
+    store_routes,
+)
 from jacinthhaven.standins import store_model
 
 _PAGE_SIZE = 3
@@ -85,8 +90,11 @@
             self.platform,
             ('o', 'servers/', 'nodes/', 'op/config'),
             self.listener,
-            builders.FakeJournal(),
-            builders.seeded_random(),
+            store_access.StoreAccess(
+                self.platform,
+                store_routes.StoreRoutes((), builders.seeded_random()),
+                builders.FakeJournal(),
+            ),
         )
         self.now_ms = 1000
 
@@ -191,6 +199,22 @@
     assert len(harness.reads('servers/')) <= 3
 
 
+def test_node_that_starts_without_the_store_reads_all_once_it_returns():
+    """Guards against a node that waits for its next scheduled reads.
+
+    It has failed to read the registry and the members during the outage.
+    """
+    harness = _Harness()
+    harness.platform.put('servers/db-a')
+    harness.platform.put('nodes/n1')
+    harness.platform.down = True
+    harness.run(3000)
+    harness.platform.down = False
+    harness.run(300)
+    assert harness.listener.registry == ['servers/db-a']
+    assert harness.listener.members == ['nodes/n1']
+
+
 def test_node_without_services_makes_few_calls():
     """Guards against store load from the many nodes without services."""
     harness = _Harness()
--- a/jacinthhaven/sql/election_test.py
+++ b/jacinthhaven/sql/election_test.py
@@ -9,6 +9,7 @@
     builders,
     failover,
     node,
+    node_context,
     ownership,
     ports,
     promotion_lock,
@@ -152,13 +153,13 @@
         platform = builders.FakePlatform(self.model, self.group)
         port = len(self.nodes) + 1
         member = node.Node(
-            node.Identity(
+            node_context.Identity(
                 name,
                 6000,
                 ownership.Peer(('127.0.0.1', port), builders.ZONE, 1.0),
                 self.fenced,
             ),
-            node.Adapters(
+            node_context.Adapters(
                 rig.databases,
                 rig.clients,
                 builders.FakeBorrowers(),
@@ -723,3 +724,44 @@
     assert not cluster.orders()
     late = {f'w{number}' for number in range(1801, 1981, 10)}
     assert late <= cluster.successes()
+
+
+def _restarted_without_store(refused: int) -> Cluster:
+    """Return a cluster of six nodes that has just been restarted.
+
+    Args:
+      refused: Number of nodes that the store refuses.
+    """
+    cluster = Cluster(6, fenced=False, settle_ms=0)
+    addresses = [member.identity.peer.address for member in cluster.nodes]
+    for index, member in enumerate(cluster.nodes):
+        platform = cluster.platforms[index]
+        platform.down = index < refused
+        platform.reaching = set(addresses[refused:])
+        others = tuple(addresses[:index] + addresses[index + 1 :])
+        member.coordination.access.routes.update_nodes(others)
+    return cluster
+
+
+def test_restarted_nodes_that_the_store_refuses_confirm_terms():
+    """Guards against a service that stops because half of its owners know
+    nothing after a restart, while the others reach the store.
+    """
+    cluster = _restarted_without_store(3)
+    cluster.run(800)
+    rights = [
+        member.gateway.groups[builders.SERVICE].right
+        for member in cluster.nodes
+    ]
+    assert all(right.may_send(cluster.now_ms) for right in rights)
+    assert {len(member.members) for member in cluster.nodes} == {6}
+
+
+def test_restarted_nodes_confirm_nothing_while_no_node_reaches_the_store():
+    """Guards against terms that are confirmed without any knowledge."""
+    cluster = _restarted_without_store(6)
+    cluster.run(3000)
+    for member in cluster.nodes:
+        right = member.gateway.groups[builders.SERVICE].right
+        assert not right.knows_promotions
+        assert not right.may_send(cluster.now_ms)
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -4,29 +4,26 @@
 access and the elections, and handles the planned stop.
 """
 
-import dataclasses
 import functools
-import random
 import typing
 
 import msgspec
 
-from jacinthhaven.kernel import clock
 from jacinthhaven.records import store
 from jacinthhaven.sql import (
     coordination,
     election,
-    fan_out,
     gateway,
     lending,
     load_sharing,
+    node_context,
     ownership,
     peer_messages,
     peering,
-    ports,
     registry,
     relaying,
-    scripts,
+    script_calls,
+    store_access,
     store_records,
 )
 
@@ -53,45 +50,6 @@
 Entries = typing.Sequence[store.KeyValue]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Identity:
-    """Static settings of this node.
-
-    Attributes:
-      name: Node name, unique among all nodes.
-      grace_ms: Time between the request to stop and the exit.
-      peer: Entry of this node in the member list.
-      fenced: Whether the platform rejects orders with an outdated fencing
-        number, so that a replaced primary serves nobody.
-      first_start: Whether the whole system starts for the first time.
-    """
-
-    name: str
-    grace_ms: int
-    peer: ownership.Peer
-    fenced: bool = True
-    first_start: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Adapters:
-    """Adapters that connect one node to its process and platform."""
-
-    databases: ports.Databases
-    clients: ports.Clients
-    borrowers: ports.Borrowers
-    relays: ports.Relays
-    messenger: peering.Messenger
-    clock: clock.Clock
-    platform: ports.Platform
-    journal: ports.Journal
-    documents: registry.Documents
-    rng: random.Random
-    sleepers: scripts.Timers = dataclasses.field(
-        default_factory=scripts.Timers,
-    )
-
-
 class Node:
     """Core of one process, without any I/O of its own.
 
@@ -103,11 +61,12 @@
       shrink_ms: When a smaller number of owners may change the shares.
     """
 
-    def __init__(self, identity: Identity, adapters: Adapters) -> None:
+    def __init__(
+        self, identity: node_context.Identity, adapters: node_context.Adapters
+    ) -> None:
         """Create a node that knows no configuration and no other nodes."""
         self.identity = identity
         self.adapters = adapters
-        self.journal = adapters.journal
         self.gateway = gateway.Gateway(
             identity.peer.zone,
             adapters.databases,
@@ -115,6 +74,12 @@
             adapters.journal,
         )
         documents = adapters.documents
+        access = store_access.create(
+            adapters.platform,
+            identity.seeds,
+            adapters.rng,
+            adapters.journal,
+        )
         self.coordination = coordination.Coordination(
             adapters.platform,
             (
@@ -124,8 +89,7 @@
                 documents.configuration_key,
             ),
             self,
-            adapters.journal,
-            adapters.rng,
+            access,
         )
         self.coordination.keeper.set_member(
             f'{documents.member_prefix}{identity.name}',
@@ -157,6 +121,9 @@
             adapters.messenger,
         )
         self.peers: dict[str, ownership.Peer] = {}
+        self.script_calls = script_calls.ScriptCalls(
+            self.gateway.groups, adapters
+        )
         self.elections: dict[str, election.Election] = {}
         self.registry = registry.Registry(documents, adapters.journal)
         self.stopping_ms: int | None = None
@@ -188,7 +155,7 @@
         self.gateway.tick(now_ms)
         self.relay.tick(now_ms)
         self._tick_peering(now_ms)
-        self.adapters.sleepers.fire(now_ms)
+        self.script_calls.tick(now_ms)
         if now_ms >= self.shrink_ms:
             self._update_link_shares()
         if self.stopping_ms is not None and not self.stopped:
@@ -198,7 +165,7 @@
         """Begin the planned stop, unless it has begun already."""
         if self.stopping_ms is None:
             self.stopping_ms = now_ms
-            self.journal.write(
+            self.adapters.journal.write(
                 'stopping',
                 {'sessions': len(self.gateway.sessions)},
             )
@@ -243,12 +210,12 @@
             try:
                 peers[name] = ownership.decode(entry.value)
             except msgspec.DecodeError as error:
-                self.journal.write(
+                self.adapters.journal.write(
                     'member_unusable',
                     {'member': name, 'reason': str(error)},
                 )
         for name in peers.keys() ^ self.peers.keys():
-            self.journal.write(
+            self.adapters.journal.write(
                 'members',
                 {'member': name, 'present': name in peers},
             )
@@ -257,6 +224,13 @@
         self._update_announcement()
         if peers == previous and self.coordination.role_known:
             return
+        self.coordination.access.routes.update_nodes(
+            tuple(
+                peer.address
+                for member, peer in sorted(peers.items())
+                if member != self.identity.name
+            )
+        )
         self.relay.set_members(peers)
         self.peering.set_members(peers, self.now_ms)
         self._choose_lenders()
@@ -300,7 +274,7 @@
     def _configure(self, text: str, revision: int) -> None:
         loaded = self.adapters.documents.configuration(text)
         if isinstance(loaded, str):
-            self.journal.write(
+            self.adapters.journal.write(
                 'configuration_unusable',
                 {'revision': revision, 'reason': loaded},
             )
@@ -313,8 +287,8 @@
                 self.elections[name] = election.Election(
                     service_group,
                     self.keys,
-                    functools.partial(self._perform, name),
-                    self.journal,
+                    functools.partial(self.script_calls.perform, name),
+                    self.adapters.journal,
                     self.peering,
                 )
                 self.peering.add_service(service_group, self.now_ms)
@@ -375,46 +349,6 @@
         addresses[self.identity.name] = self.identity.peer.address
         self.load_sharing.update_owners(addresses)
 
-    def _perform(
-        self,
-        service: str,
-        call: scripts.Call,
-        on_result: typing.Callable[[typing.Any], None],
-    ) -> None:
-        match call:
-            case scripts.Sleep(delay_ms=delay_ms):
-                self.adapters.sleepers.add(self.now_ms + delay_ms, on_result)
-            case scripts.Broadcast():
-                fan_out.FanOut(
-                    self.gateway.groups[service], call, on_result
-                ).start(
-                    self.now_ms,
-                )
-            case scripts.Promote():
-                self._promote(call, on_result)
-            case _:
-                self.adapters.platform.call(call, on_result)
-
-    def _promote(
-        self,
-        call: scripts.Promote,
-        on_result: ports.OnOrder,
-    ) -> None:
-        """Order a promotion unless another node may now be in charge of it.
-
-        The clock is read again because the process may have been suspended
-        since its last tick.
-        """
-        if self.adapters.clock.now_ms() >= call.until_ms:
-            on_result(ports.OrderResult(False, True, 'duty expired'))
-            return
-        self.adapters.platform.promote(
-            call.service,
-            call.instance,
-            call.fence,
-            on_result,
-        )
-
     def _continue_stop(self, now_ms: int) -> None:
         elapsed_ms = now_ms - self.stopping_ms
         if elapsed_ms >= ACCEPT_AFTER_STOP_MS:
--- a/jacinthhaven/sql/pool.py
+++ b/jacinthhaven/sql/pool.py
@@ -300,7 +300,8 @@
         if state.leaving_ms is not None and not state.reachable_at(now_ms):
             return 0
         min_links = min(self.min_links, self.max_links)
-        if name not in self.wanted or not state.has_room():
+        needs_link = name in self.wanted and not state.free_links
+        if not needs_link or not state.has_room():
             return min_links
         return min(max(len(own) + 1, min_links), self.max_links)
 
--- a/jacinthhaven/sql/ports.py
+++ b/jacinthhaven/sql/ports.py
@@ -168,6 +168,15 @@
           Number of the call, to be passed to `end_watch` for a watch.
         """
 
+    @abc.abstractmethod
+    def use_way(self, node: records.Address | None) -> None:
+        """Send the next store calls through another node, or directly.
+
+        Args:
+          node: Address at which that node accepts others; None for the
+            direct way.
+        """
+
     @abc.abstractmethod
     def end_watch(self, number: int) -> None:
         """End a watch; nothing is reported about it afterwards."""
