--- a/jacinthhaven/process/start.py
+++ b/jacinthhaven/process/start.py
@@ -2,10 +2,19 @@
 
 import os
 import sys
+import types
 
-# circuits imports pkg_resources only to declare a namespace package. The import
-# would take a third of the start-up time after a restart.
-sys.modules.setdefault('pkg_resources', None)
+
+def _ignore_namespace(_name: str) -> None:
+    """Do nothing; circuits is installed as an ordinary package."""
+
+
+# circuits imports pkg_resources, or importlib.metadata without it, only to
+# declare a namespace package. The imports would take a tenth and more of the
+# start-up time after a restart.
+_NAMESPACES = types.ModuleType('pkg_resources')
+_NAMESPACES.declare_namespace = _ignore_namespace
+sys.modules.setdefault('pkg_resources', _NAMESPACES)
 
 from jacinthhaven.adapters import (  # noqa: E402
     sql_settings_file,
