Log the watch of the store and the version that routes a request

Cause: the log could show that a node was late to learn of a version, but not since when its watch had been silent, what brought the version, nor by which version a request was handled.

Change: watch_started and watch_lost with the silence before, configuration_received with its source, the version in place, answer and session_refused. A statement keeps the version of its route, a transaction that of its begin. No decision changes.

--- a/jacinthhaven/sql/coordination.py
+++ b/jacinthhaven/sql/coordination.py
@@ -52,6 +52,8 @@
         `owns_service` is determined.
       watch_number: Number of the watch; 0 during the read that precedes it,
         None while there is no watch.
+      heard_ms: When the watch was started, or last had an answer.
+      source: What reported the keys that the listener gets: `read` or `watch`.
     """
 
     def __init__(
@@ -77,6 +79,8 @@
         access.on_change = self._on_store_change
         self.revisions: dict[str, int] = {}
         self.watch_number: int | None = None
+        self.heard_ms = 0
+        self.source = ''
         self.registry = read_schedules.RegistrySchedule()
         self.members = read_schedules.MemberSchedule()
         self.started_ms: int | None = None
@@ -208,6 +212,7 @@
         if reply is None:
             self.watch_number = None
             return
+        self.source = 'read'
         found = {entry.key for entry in reply.entries}
         for key in tuple(self.revisions):
             if key.startswith(prefix) and key not in found:
@@ -229,16 +234,28 @@
             revision + 1,
             0 if self.owns_service else _IDLE_WATCH_MS,
         )
+        self.heard_ms = self.now_ms
         self.watch_number = self.access.call(request, self._on_events)
+        self.access.journal.write(
+            'watch_started',
+            {'keys': self.watched, 'revision': revision},
+        )
 
     def _on_events(self, reply: store.WatchEvents | None) -> None:
+        silent_ms = self.now_ms - self.heard_ms
         if reply is None:
             self.watch_number = None
+            self.access.journal.write(
+                'watch_lost',
+                {'keys': self.watched, 'silent_ms': silent_ms},
+            )
             return
+        self.source = 'watch'
         for entry in reply.changed:
             self._accept(entry)
         for key in reply.deleted:
             self._remove(key, reply.revision)
+        self.heard_ms = self.now_ms
 
     def _accept(self, entry: store.KeyValue) -> None:
         if entry.mod_revision <= self.revisions.get(entry.key, 0):
--- a/jacinthhaven/sql/execution.py
+++ b/jacinthhaven/sql/execution.py
@@ -100,6 +100,7 @@
             'place',
             {
                 'request': work.statement.request_id,
+                'version': work.routing.version,
                 'service': group.name,
                 'instance': choice.link.instance,
                 'reason': choice.reason,
@@ -568,6 +569,7 @@
             'answer',
             {
                 'request': work.statement.request_id,
+                'version': work.routing.version,
                 'service': work.route.service,
                 'instance': _last_instance(work),
                 'outcome': outcome,
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -159,7 +159,13 @@
             self.pending_starts.append((number, database))
             return
         if database not in self.configuration.routes:
-            self.journal.write('session_refused', {'database': database})
+            self.journal.write(
+                'session_refused',
+                {
+                    'database': database,
+                    'version': self.configuration.version,
+                },
+            )
             self.clients.refuse(number, statements.Code.UNKNOWN_DATABASE)
             return
         session = sessions.Session(number, database, self.now_ms)
@@ -344,10 +350,8 @@
                     statement.name,
                 )
                 return
-        route = self.configuration.routes.get(session.database)
-        if session.transaction is not None:
-            route = session.transaction.route
-        if route is None or route.service not in self.groups:
+        routing = _find_routing(session, self.configuration)
+        if routing is None or routing.route.service not in self.groups:
             self.journal.write(
                 'no_route',
                 {
@@ -358,9 +362,9 @@
             )
             self._answer_error(session, statements.Code.UNKNOWN_DATABASE, '')
             return
-        work = sessions.Work(session, statement, route, now_ms)
+        work = sessions.Work(session, statement, routing, now_ms)
         session.work = work
-        self.groups[route.service].submit(work, now_ms)
+        self.groups[routing.route.service].submit(work, now_ms)
 
     def _begin(
         self,
@@ -373,15 +377,15 @@
                 session, statements.Code.MALFORMED, 'nested transaction'
             )
             return
-        route = self.configuration.routes.get(session.database)
-        if route is None:
+        routing = _find_routing(session, self.configuration)
+        if routing is None:
             self._answer_error(session, statements.Code.UNKNOWN_DATABASE, '')
             return
         read_only = (
             statement.verb is statements.Verb.BEGIN_READ
-            and route.mode is not records.ConsistencyLevel.PRIMARY
+            and routing.route.mode is not records.ConsistencyLevel.PRIMARY
         )
-        session.transaction = sessions.Transaction(route, read_only, now_ms)
+        session.transaction = sessions.Transaction(routing, read_only, now_ms)
         self._answer_success(session)
 
     def _rollback(
@@ -517,6 +521,18 @@
     return not clients.has_more(session.number)
 
 
+def _find_routing(
+    session: sessions.Session, configuration: records.Configuration
+) -> records.Routing | None:
+    """Return the route of the open transaction, or of the database."""
+    if session.transaction is not None:
+        return session.transaction.routing
+    route = configuration.routes.get(session.database)
+    if route is None:
+        return None
+    return records.Routing(route, configuration.version)
+
+
 def _end_if_unused(service_group: group.Group) -> bool:
     """Close the links of a removed service that has no statements left.
 
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -279,6 +279,15 @@
                 {'revision': revision, 'reason': loaded},
             )
             return
+        self.adapters.journal.write(
+            'configuration_received',
+            {
+                'version': loaded.version,
+                'revision': revision,
+                'source': self.coordination.source,
+                'silent_ms': self.now_ms - self.coordination.heard_ms,
+            },
+        )
         self.gateway.configure(loaded, self.now_ms)
         for name in self.elections.keys() - loaded.services.keys():
             self.elections.pop(name).end()
--- a/jacinthhaven/sql/outcomes_test.py
+++ b/jacinthhaven/sql/outcomes_test.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from jacinthhaven.sql import builders, outcomes, sessions, statements
+from jacinthhaven.sql import (
+    builders,
+    outcomes,
+    records,
+    sessions,
+    statements,
+)
 
 # Error codes that tell the client that the statement had no effect.
 _NO_EFFECT = frozenset((statements.Code.BUSY, statements.Code.ABORTED))
@@ -14,11 +20,11 @@
     rig = builders.Rig()
     number = rig.connect()
     session = rig.gateway.sessions[number]
-    route = builders.route()
+    routing = records.Routing(builders.route(), 1)
     if transaction:
-        session.transaction = sessions.Transaction(route, False, 0)
+        session.transaction = sessions.Transaction(routing, False, 0)
     verb = statements.Verb(text)
-    work = sessions.Work(session, statements.Statement('r', verb), route, 0)
+    work = sessions.Work(session, statements.Statement('r', verb), routing, 0)
     work.sent = sent
     return work
 
--- a/jacinthhaven/sql/records.py
+++ b/jacinthhaven/sql/records.py
@@ -59,6 +59,13 @@
     max_age_ms: int
 
 
+class Routing(typing.NamedTuple):
+    """Route of a statement, and the version of the configuration it is from."""
+
+    route: Route
+    version: int
+
+
 class Service(msgspec.Struct, frozen=True):
     """Replication group of a primary and its replicas.
 
--- a/jacinthhaven/sql/sessions.py
+++ b/jacinthhaven/sql/sessions.py
@@ -10,7 +10,7 @@
     """Open transaction of a session.
 
     Attributes:
-      route: Route that was in force when the transaction began.
+      routing: Route that was in force when the transaction began.
       read_only: Whether the client declared the transaction read-only.
       link: Link that executes it, set when its first statement is placed.
       begun: Whether the instance has begun the transaction.
@@ -20,7 +20,7 @@
     """
 
     __slots__ = (
-        'route',
+        'routing',
         'read_only',
         'link',
         'begun',
@@ -31,12 +31,12 @@
 
     def __init__(
         self,
-        route: records.Route,
+        routing: records.Routing,
         read_only: bool,
         now_ms: int,
     ) -> None:
         """Create a transaction that has no link yet."""
-        self.route = route
+        self.routing = routing
         self.read_only = read_only
         self.link: typing.Any = None
         self.begun = False
@@ -44,6 +44,11 @@
         self.failure_unreported = False
         self.active_ms = now_ms
 
+    @property
+    def route(self) -> records.Route:
+        """Return the route that was in force when the transaction began."""
+        return self.routing.route
+
 
 class Session:
     """One client connection.
@@ -120,7 +125,7 @@
     Attributes:
       session: Session of the client.
       statement: Statement to execute.
-      route: Route that applies to the statement.
+      routing: Route that applies to the statement.
       needs_primary: Whether only the primary may execute it.
       strict_read: Whether it is a read outside a transaction whose route
         requires the newest data.
@@ -141,7 +146,7 @@
     __slots__ = (
         'session',
         'statement',
-        'route',
+        'routing',
         'needs_primary',
         'strict_read',
         'repeatable',
@@ -161,13 +166,14 @@
         self,
         session: Session,
         statement: statements.Statement,
-        route: records.Route,
+        routing: records.Routing,
         now_ms: int,
     ) -> None:
         """Derive how a statement may be executed from its session and route."""
         self.session = session
         self.statement = statement
-        self.route = route
+        self.routing = routing
+        route = routing.route
         transaction = session.transaction
         writes = session.writes(statement)
         needs_newest = route.mode is records.ConsistencyLevel.PRIMARY
@@ -186,6 +192,11 @@
         self.done = False
         self.permit_number = 0
 
+    @property
+    def route(self) -> records.Route:
+        """Return the route that applies to the statement."""
+        return self.routing.route
+
     @property
     def commits(self) -> bool:
         """Return whether a successful reply means that changes are durable."""
