Prove the age of the configuration through other nodes, and replace silent watches

What callers saw: requests handled by a configuration that had been replaced for more than the longest time until a change is in force (CONFIG), on all nodes without services for up to 20 s, on owners for 4.7 s where the bound is 3 s.

Cause: a node took the silence of its watch for the absence of changes. A watch whose connection has fallen silent looks like one without changes until its poll should have ended: 20.7 s on nodes without services, contactMs and 0.7 s on owners. Nothing tied the watch to other calls, which worked again after 0.9 s on new connections. Class of fault: a belief that is refreshed only when the other side speaks.

Change: a node knows up to which time its configuration contains all changes (freshness), from replies of the store or of another node, never from silence. Nodes ask another node by datagram every sixth of the bound; the node that is asked polls the store at a quarter of the bound on behalf of all, by a call that returns the changes so far at once, on another connection than the watch. A node without an answer asks the next one after 300 ms and polls itself at half of the bound. A missed configuration is fetched from the node that reports it and from the store, so the bound holds while either is silent. A poll that finds what the watch has not reported replaces the watch. The bound comes from the settings (store.apply_within_ms).

Why this works: the time since the last proof is bounded by timers of the node itself, whatever falls silent, and each step has two independent ways.

The template test knows the new placeholder; coordination and election tests are unchanged but for a new adapter.

--- a/jacinthhaven/adapters/sql_settings_file_test.py
+++ b/jacinthhaven/adapters/sql_settings_file_test.py
@@ -18,6 +18,7 @@
         '{{internalPorts.1}}': '7455',
         '{{platform.address|json}}': '"127.0.0.1:9105"',
         '{{bounds.contactMs|json}}': '4000',
+        '{{bounds.configApplyMs|json}}': '3000',
         '{{bounds.graceS}}': '6',
         '{{bootstrap|json}}': 'true',
         '{{bounds.fencingRequired|json}}': 'true',
@@ -49,6 +50,7 @@
     assert loaded.listeners.clients.pair == ('127.0.0.1', 9101)
     assert loaded.listeners.peers.pair == ('127.0.0.1', 7455)
     assert loaded.grace_ms == 6000
+    assert loaded.store.apply_within_ms == 3000
     assert loaded.processor.capacity == 0.537 * 2
     assert loaded.seed_nodes == (('127.0.0.2', 7455),)
 
--- a/jacinthhaven/platform/kv.py
+++ b/jacinthhaven/platform/kv.py
@@ -66,6 +66,9 @@
         """Decode the response to a request."""
         if status == http.HTTPStatus.OK:
             return kv_answers.decode_ok(request, body)
+        if isinstance(request, store.ChangesRequest):
+            if status == http.HTTPStatus.GONE:
+                return store.HistoryLost()
         if isinstance(request, store.SwapRequest):
             if status in {
                 http.HTTPStatus.PRECONDITION_FAILED,
--- a/jacinthhaven/platform/kv_answers.py
+++ b/jacinthhaven/platform/kv_answers.py
@@ -96,13 +96,15 @@
                 entries,
                 answer.has_more,
             )
+        case store.ChangesRequest():
+            return watch_events(decode(Events, body))
         case store.SwapRequest():
             return store.SwapReply(True, decode(Committed, body).revision)
-        case store.LeaseRequest():
+        case store.LeaseRequest() | store.KeepAliveRequest():
             lease = decode(Lease, body)
-            return store.LeaseReply(lease.lease, lease.ttl_ms)
-        case store.KeepAliveRequest(lease=number):
-            return store.LeaseReply(number, decode(Lease, body).ttl_ms)
+            # The reply to a renewal does not repeat the number.
+            number = getattr(request, 'lease', lease.lease)
+            return store.LeaseReply(number, lease.ttl_ms)
     return store.LeaseReply(0, 0)
 
 
--- a/jacinthhaven/platform/kv_requests.py
+++ b/jacinthhaven/platform/kv_requests.py
@@ -27,6 +27,14 @@
     client.get(f'/kv-range?prefix={prefix}{after}{stale}')
 
 
+def _send_changes(client: http_client.Client, request: typing.Any) -> None:
+    # The store takes the last revision already seen, not the first one to
+    # report.
+    prefix = quote(request.prefix)
+    after = request.start_revision - 1
+    client.get(f'/kv-watch?prefix={prefix}&after={after}&waitMs=0')
+
+
 def _send_swap(client: http_client.Client, request: typing.Any) -> None:
     puts = []
     deletes = []
@@ -65,6 +73,7 @@
 _SENDERS = types.MappingProxyType(
     {
         store.ReadRequest: _send_read,
+        store.ChangesRequest: _send_changes,
         store.SwapRequest: _send_swap,
         store.LeaseRequest: _send_lease,
         store.KeepAliveRequest: _send_keep,
--- a/jacinthhaven/platform/node_sockets.py
+++ b/jacinthhaven/platform/node_sockets.py
@@ -2,6 +2,7 @@
 
 import functools
 import itertools
+import logging
 import typing
 
 from jacinthhaven.adapters import poller, streams
@@ -9,6 +10,14 @@
 from jacinthhaven.sql import ports, records, statements
 
 
+# Time in which another node must send its configuration.
+_COPY_TIMEOUT_MS = 900
+# The store holds values of up to 1 MB, which quoting can make twice as long.
+_MAX_COPY_BYTES = 2_200_000
+
+Copy = typing.Callable[[], tuple[int, str]]
+
+
 class BorrowerSockets(ports.Borrowers):
     """Accepts connections of nodes that borrow a link to an instance.
 
@@ -20,6 +29,8 @@
         connection.
       on_relayed: Called with the connection of a relayed session, the
         configuration version of the sending node and the database.
+      configuration: Returns the revision and the text of this node's
+        configuration.
       on_tunnel: Called with the connection of a node that wants to reach the
         store, and the bytes that were received for it.
     """
@@ -37,6 +48,7 @@
             [streams.Stream, int, str],
             None,
         ] = sockets.ignore
+        self.configuration: Copy = _nothing
         self.on_tunnel: typing.Callable[[streams.Stream, bytes], None] = (
             sockets.ignore
         )
@@ -107,6 +119,11 @@
             self.on_line(connection.number, line)
             return
         connection.started = True
+        if line == peer_wire.COPY:
+            self.connections.pop(connection.number)
+            connection.stream.send(peer_wire.encode_copy(*self.configuration()))
+            connection.stream.finish()
+            return
         relayed = peer_wire.decode_relayed(line)
         if relayed is None:
             self.on_request(connection.number, *peer_wire.decode_loan(line))
@@ -119,6 +136,49 @@
             self.on_returned(connection.number)
 
 
+class CopySockets(ports.ConfigurationCopies):
+    """Connections that fetch the configuration of other nodes."""
+
+    def __init__(self, loop: poller.Poller) -> None:
+        """Start without connections."""
+        self.poller = loop
+
+    def fetch(self, address: records.Address, on_copy: ports.OnCopy) -> None:
+        """Request the configuration of another node."""
+        stream = streams.connect(self.poller, address)
+        received = bytearray()
+        stream.on_bytes = functools.partial(
+            _on_copy_bytes, stream, received, on_copy
+        )
+        stream.send(words.encode([peer_wire.COPY]))
+        self.poller.call_later(_COPY_TIMEOUT_MS, stream.close)
+
+
+def _on_copy_bytes(
+    stream: streams.Stream,
+    received: bytearray,
+    on_copy: ports.OnCopy,
+    chunk: bytes,
+) -> None:
+    """Collect the reply, which is one line, and pass it on."""
+    received += chunk
+    line, end, _rest = received.partition(words.END)
+    if not end and len(received) <= _MAX_COPY_BYTES:
+        return
+    stream.close()
+    try:
+        copy = peer_wire.decode_copy(bytes(line))
+    except words.MalformedLineError:
+        logging.getLogger(__name__).exception('copy of the configuration')
+        return
+    on_copy(*copy)
+
+
+def _nothing() -> tuple[int, str]:
+    """Return that there is no configuration; default of an unset callback."""
+    return 0, ''
+
+
 class RelaySockets(ports.Relays):
     """Connections to owners, which execute relayed sessions.
 
--- a/jacinthhaven/platform/peer_wire.py
+++ b/jacinthhaven/platform/peer_wire.py
@@ -4,6 +4,8 @@
 forwarded unchanged.
 """
 
+import msgspec
+
 from jacinthhaven.platform import words
 from jacinthhaven.sql import statements
 
@@ -11,6 +13,8 @@
 PONG = 'PONG'
 # First line of a connection whose other bytes go to the store and back.
 TUNNEL = b'STORE\r\n'
+# First line of a connection that requests the configuration of a node.
+COPY = 'CONFIGURATION'
 _RELAYED_KEYWORD = 'SESSION'
 _LOAN_KEYWORD = 'START'
 _LOAN_FIELDS = 4
@@ -39,6 +43,25 @@
         raise words.MalformedLineError(line) from error
 
 
+def encode_copy(revision: int, text: str) -> bytes:
+    """Return the line with the configuration of a node."""
+    # As a JSON string, the text contains no line break.
+    return b'%d %b\r\n' % (revision, msgspec.json.encode(text))
+
+
+def decode_copy(line: bytes) -> tuple[int, str]:
+    """Return the revision and the text of a configuration.
+
+    Raises:
+      words.MalformedLineError: If the line is not made by `encode_copy`.
+    """
+    revision, _, text = line.partition(b' ')
+    try:
+        return int(revision), msgspec.json.decode(text, type=str)
+    except ValueError as error:
+        raise words.MalformedLineError('malformed configuration') from error
+
+
 def encode_query(statement: statements.Statement) -> bytes:
     """Return the QUERY line that forwards a client's statement."""
     return words.encode([f'QUERY {statement.request_id} {statement.text}'])
--- a/jacinthhaven/process/sql_proxy.py
+++ b/jacinthhaven/process/sql_proxy.py
@@ -200,12 +200,14 @@
                 settings.promotion.fenced,
                 settings.first_start,
                 settings.seed_nodes,
+                settings.store.apply_within_ms,
             ),
             node_context.Adapters(
                 self.databases,
                 self.clients,
                 self.borrowers,
                 self.relays,
+                node_sockets.CopySockets(self.poller),
                 self.messenger,
                 self.clock,
                 plugin.PlatformCalls(self.poller, settings),
@@ -283,6 +285,7 @@
         self.borrowers.on_line = self._with_time(lender.on_line)
         self.borrowers.on_returned = self._with_time(lender.on_returned)
         self.borrowers.on_relayed = self._on_relayed
+        self.borrowers.configuration = self._copy_configuration
         tunnels = store_tunnel.StoreTunnels(
             self.poller, self.settings.store.address.pair
         )
@@ -310,6 +313,9 @@
         number = self.clients.adopt(stream)
         self.node.gateway.on_relayed(number, database, version)
 
+    def _copy_configuration(self) -> tuple[int, str]:
+        return self.node.sync.copy
+
     def _reaches_store(self) -> bool:
         return self.node.coordination.access.direct
 
@@ -366,6 +372,7 @@
         gateway = self.node.gateway
         self.page.gauge('sessions', len(gateway.sessions))
         self.page.gauge('configuration_version', gateway.configuration.version)
+        self.page.gauge('configuration_age_ms', self.node.sync.age_ms)
         self.page.gauge('members', len(self.node.members))
         self.page.gauge('log_lines_lost', self.log.buffer.lost)
         waiting = sum(
--- a/jacinthhaven/records/sql_settings.py
+++ b/jacinthhaven/records/sql_settings.py
@@ -69,10 +69,12 @@
       address: Where it listens.
       minimum_lease_ms: Shortest lease that it grants.
       watch_wait_ms: How long a watch without changes waits for an answer.
+      apply_within_ms: Longest time until a new configuration is in force.
     """
 
     address: Address
     watch_wait_ms: Wait = 1500
+    apply_within_ms: Wait = 3000
 
 
 class Promotion(_Section, frozen=True):
--- a/jacinthhaven/records/store.py
+++ b/jacinthhaven/records/store.py
@@ -105,6 +105,20 @@
     wait_ms: int = 0
 
 
+class ChangesRequest(msgspec.Struct, frozen=True):
+    """Request for the changes made so far; the store does not wait for more.
+
+    The reply is `WatchEvents`, or `HistoryLost`.
+
+    Attributes:
+      prefix: Start of the keys.
+      start_revision: First revision to report.
+    """
+
+    prefix: str
+    start_revision: int
+
+
 class ReadReply(msgspec.Struct, frozen=True):
     """Keys found by a read and the store's revision at that time.
 
@@ -147,12 +161,17 @@
     deleted: tuple[str, ...]
 
 
+class HistoryLost(msgspec.Struct, frozen=True):
+    """The store has dropped changes that a request asks for."""
+
+
 Request = (
     ReadRequest
+    | ChangesRequest
     | SwapRequest
     | LeaseRequest
     | KeepAliveRequest
     | RevokeRequest
     | WatchRequest
 )
-Reply = ReadReply | SwapReply | LeaseReply | WatchEvents
+Reply = ReadReply | SwapReply | LeaseReply | WatchEvents | HistoryLost
--- a/jacinthhaven/sql/builders.py
+++ b/jacinthhaven/sql/builders.py
@@ -25,10 +25,15 @@
 STRICT = 'strict'
 BOUNDED = 'bounded'
 OWN = 'own'
+# Times of the client of the store.
+_WATCH_WAIT_MS = 4000
+_WATCH_MARGIN_MS = 700
+_CALL_TIMEOUT_MS = 900
 # Longer than every timeout of a statement.
 _ANSWER_TIMEOUT_MS = 3000
 
 Fields = dict[str, typing.Any]
+Source = typing.Callable[[], tuple[int, str]]
 
 
 def route(
@@ -265,6 +270,28 @@
         self.closed.add(number)
 
 
+class FakeCopies(ports.ConfigurationCopies):
+    """Copies of the configurations of the other nodes of one test.
+
+    Attributes:
+      sources: What returns the configuration, by the port of a node.
+    """
+
+    def __init__(self) -> None:
+        """Start without other nodes."""
+        self.sources: dict[int, Source] = {}
+
+    def fetch(
+        self,
+        address: records.Address,
+        on_copy: ports.OnCopy,
+    ) -> None:
+        """Return the copy of a node at once."""
+        source = self.sources.get(address[1])
+        if source is not None:
+            on_copy(*source())
+
+
 class FakeMessenger(peering.Messenger):
     """Delivers messages between the nodes of one test.
 
@@ -463,6 +490,8 @@
       calls: Store calls so far.
       scheduled: Scheduled callbacks as (time, callback, argument).
       promote_ms: Time that a promotion takes.
+      silent: Whether no call is answered, so that it fails after a while.
+      watch_wait_ms: How long a poll of a watch waits for changes.
     """
 
     def __init__(self, model: typing.Any, group: sql_group.SqlGroup) -> None:
@@ -476,8 +505,11 @@
         self.reaching: set[records.Address] = set()
         self.scheduled: collections.deque = collections.deque()
         self.watches: list[tuple[typing.Any, ports.OnStore]] = []
+        self.requests: dict[typing.Any, store.WatchRequest] = {}
         self.now_ms = 0
         self.promote_ms = 300
+        self.silent = False
+        self.watch_wait_ms = _WATCH_WAIT_MS
 
     @property
     def refused(self) -> bool:
@@ -491,9 +523,12 @@
         if self.refused:
             lost = failures.STORE_UNAVAILABLE.because('cut off')
             self.scheduled.append((self.now_ms + 4, on_reply, lost))
+        elif self.silent:
+            self._fail_later(request, on_reply)
         elif isinstance(request, store.WatchRequest):
             self.model.open_watch(number, request)
             self.watches.append((number, on_reply))
+            self.requests[number] = request
         else:
             reply = self.model.call(request, self.now_ms)
             self.scheduled.append((self.now_ms + 4, on_reply, reply))
@@ -503,8 +538,25 @@
         """Send the next calls through another node, or directly."""
         self.way = node
 
+    def silence_connections(self) -> None:
+        """Let the open connections fall silent; new ones work.
+
+        Watches notice it when their poll should have ended, and calls when
+        their time has passed.
+        """
+        pending = self.scheduled
+        self.scheduled = collections.deque()
+        for _due_ms, on_reply, _reply in pending:
+            self._fail_later(None, on_reply)
+        for number, on_watch in self.watches:
+            self._fail_later(self.requests[number], on_watch)
+        self.watches.clear()
+
     def end_watch(self, number: int) -> None:
         """Remove a watch."""
+        for entry in tuple(self.scheduled):
+            if id(entry[1]) == number:
+                self.scheduled.remove(entry)
         self.watches = [known for known in self.watches if known[0] != number]
 
     def promote(
@@ -546,6 +598,19 @@
             for events in self.model.take_events(number):
                 on_reply(events)
 
+    def _fail_later(
+        self,
+        request: store.Request | None,
+        on_reply: ports.OnStore,
+    ) -> None:
+        """Fail a call or a watch once its time has passed."""
+        after_ms = _CALL_TIMEOUT_MS
+        if isinstance(request, store.WatchRequest):
+            wait_ms = request.wait_ms or self.watch_wait_ms
+            after_ms = wait_ms + _WATCH_MARGIN_MS
+        lost = failures.STORE_UNAVAILABLE.because('silent')
+        self.scheduled.append((self.now_ms + after_ms, on_reply, lost))
+
     def _lose_watches(self) -> None:
         """End all watches with a failure."""
         lost = failures.STORE_UNAVAILABLE.because('cut off')
--- a/jacinthhaven/sql/coordination.py
+++ b/jacinthhaven/sql/coordination.py
@@ -1,8 +1,9 @@
 """Reads and watches of the coordination store, and this node's membership.
 
 One watch covers the operator's configuration and the keys of this product,
-or the configuration alone on a node that owns no service. The registry is
-polled, mostly with cheap reads that may be stale. After any failure
+or the configuration alone on a node that owns no service. A watch may fall
+silent unnoticed, so the store can be polled for changes beside it. The registry
+is polled, mostly with cheap reads that may be stale. After any failure
 everything is read again, so that no change is missed.
 """
 
@@ -12,13 +13,20 @@
 import msgspec
 
 from jacinthhaven.records import store
-from jacinthhaven.sql import lease, ports, read_schedules, store_access
+from jacinthhaven.sql import (
+    lease,
+    node_context,
+    ports,
+    read_schedules,
+    store_access,
+    store_routes,
+)
 
 # How long a starting node waits for the member list before it acts as an
 # owner.
 _MEMBERS_WAIT_MS = 1000
-# Silence limit of the watch on such a node. It may detect a silent watch late,
-# since the owners make the decisions that depend on the configuration.
+# Time that a poll of the watch waits on a node without services. It may detect a
+# silent watch late, since the exchange with other nodes does so earlier.
 _IDLE_WATCH_MS = 20_000
 
 Entries = tuple[store.KeyValue, ...]
@@ -37,6 +45,27 @@
         """Apply the member keys of all nodes."""
 
 
+class WatchProgress:
+    """Progress of one node's knowledge of the watched keys.
+
+    Attributes:
+      complete: Revision up to which all changes are known.
+      heard_ms: When the watch was started, or last had an answer.
+      polling: Whether a poll for changes is under way.
+      source: What reported the keys that the listener gets: `read`, `watch`,
+        `poll` or `node`.
+    """
+
+    __slots__ = ('complete', 'heard_ms', 'polling', 'source')
+
+    def __init__(self) -> None:
+        """Start without any knowledge."""
+        self.complete = 0
+        self.heard_ms = 0
+        self.polling = False
+        self.source = ''
+
+
 class Coordination:
     """Store access of one node: watch, registry reads and lease.
 
@@ -52,8 +81,8 @@
         `owns_service` is determined.
       watch_number: Number of the watch; 0 during the read that precedes it,
         None while there is no watch.
-      heard_ms: When the watch was started, or last had an answer.
-      source: What reported the keys that the listener gets: `read` or `watch`.
+      progress: What is known of the watched keys, and from when.
+      on_current: Called with a time up to which all changes are known.
     """
 
     def __init__(
@@ -79,8 +108,8 @@
         access.on_change = self._on_store_change
         self.revisions: dict[str, int] = {}
         self.watch_number: int | None = None
-        self.heard_ms = 0
-        self.source = ''
+        self.progress = WatchProgress()
+        self.on_current: typing.Callable[[int], None] = _ignore
         self.registry = read_schedules.RegistrySchedule()
         self.members = read_schedules.MemberSchedule()
         self.started_ms: int | None = None
@@ -109,7 +138,7 @@
             self.watch_number = 0
             self.read_all(
                 store.ReadRequest(self.watched),
-                functools.partial(self._on_snapshot, self.watched),
+                functools.partial(self._on_snapshot, self.watched, now_ms),
             )
         if self.registry.due(now_ms):
             self._read_registry(now_ms)
@@ -152,6 +181,31 @@
             self._remove_unwatched()
         self.tick(self.now_ms)
 
+    def poll(self) -> None:
+        """Ask for the changes that the watch should have reported.
+
+        If there are any, the watch has fallen silent and is replaced.
+        """
+        if self.progress.polling or not self.watch_number:
+            return
+        self.progress.polling = True
+        self.access.call(
+            store.ChangesRequest(self.watched, self.progress.complete + 1),
+            functools.partial(
+                self._on_changes,
+                self.watch_number,
+                self.progress.complete,
+                self.now_ms,
+            ),
+        )
+
+    def accept_copy(self, entry: store.KeyValue) -> None:
+        """Apply a watched key that another node has read."""
+        self.progress.source = 'node'
+        if self._accept(entry):
+            # The watch should have reported it.
+            self.poll()
+
     def expedite_members(self) -> None:
         """Read the members earlier, since no known owner could be reached."""
         self.members.expedite()
@@ -205,6 +259,7 @@
     def _on_snapshot(
         self,
         prefix: str,
+        sent_ms: int,
         reply: store.ReadReply | None,
     ) -> None:
         if prefix != self.watched:
@@ -212,13 +267,14 @@
         if reply is None:
             self.watch_number = None
             return
-        self.source = 'read'
+        self.progress.source = 'read'
         found = {entry.key for entry in reply.entries}
         for key in tuple(self.revisions):
             if key.startswith(prefix) and key not in found:
                 self._remove(key, reply.revision)
         for entry in reply.entries:
             self._accept(entry)
+        self.on_current(sent_ms)
         if prefix != self.watched:
             # The keys just read have changed which prefix to watch.
             return
@@ -229,12 +285,13 @@
 
     def _watch(self, revision: int) -> None:
         self.snapshot_revision = None
+        self.progress.complete = revision
         request = store.WatchRequest(
             self.watched,
             revision + 1,
             0 if self.owns_service else _IDLE_WATCH_MS,
         )
-        self.heard_ms = self.now_ms
+        self.progress.heard_ms = self.now_ms
         self.watch_number = self.access.call(request, self._on_events)
         self.access.journal.write(
             'watch_started',
@@ -242,7 +299,7 @@
         )
 
     def _on_events(self, reply: store.WatchEvents | None) -> None:
-        silent_ms = self.now_ms - self.heard_ms
+        silent_ms = self.now_ms - self.progress.heard_ms
         if reply is None:
             self.watch_number = None
             self.access.journal.write(
@@ -250,18 +307,63 @@
                 {'keys': self.watched, 'silent_ms': silent_ms},
             )
             return
-        self.source = 'watch'
+        self._apply('watch', reply)
+        self.on_current(self.progress.heard_ms)
+        self.progress.heard_ms = self.now_ms
+
+    def _on_changes(
+        self,
+        watch_number: int,
+        known: int,
+        sent_ms: int,
+        reply: store.WatchEvents | store.HistoryLost | None,
+    ) -> None:
+        self.progress.polling = False
+        if reply is None or watch_number != self.watch_number:
+            return
+        if isinstance(reply, store.HistoryLost):
+            self._restart_watch(None)
+            return
+        missed = self.progress.complete == known and (
+            reply.changed or reply.deleted
+        )
+        self._apply('poll', reply)
+        self.on_current(sent_ms)
+        if missed and watch_number == self.watch_number:
+            self._restart_watch(reply.revision)
+
+    def _apply(self, source: str, reply: store.WatchEvents) -> None:
+        """Report the changes that are not known yet."""
+        self.progress.source = source
+        known = self.progress.complete
+        self.progress.complete = max(known, reply.revision)
         for entry in reply.changed:
             self._accept(entry)
         for key in reply.deleted:
             self._remove(key, reply.revision)
-        self.heard_ms = self.now_ms
 
-    def _accept(self, entry: store.KeyValue) -> None:
+    def _restart_watch(self, revision: int | None) -> None:
+        """Replace the watch; read everything again without a revision."""
+        self.access.journal.write(
+            'watch_replaced',
+            {
+                'keys': self.watched,
+                'revision': revision or 0,
+                'silent_ms': self.now_ms - self.progress.heard_ms,
+            },
+        )
+        self.platform.end_watch(self.watch_number)
+        self.watch_number = None
+        if revision is not None:
+            self._watch(revision)
+
+    def _accept(self, entry: store.KeyValue) -> bool:
+        """Report a key unless it is known; return whether it was reported."""
         if entry.mod_revision <= self.revisions.get(entry.key, 0):
-            return
+            return False
         self.revisions[entry.key] = entry.mod_revision
         self.listener.on_key(entry.key, entry.value, entry.mod_revision)
+        return True
 
     def _remove_unwatched(self) -> None:
         """Report the keys that are no longer watched as removed."""
@@ -270,7 +372,9 @@
                 self._remove(key, revision)
 
     def _remove(self, key: str, revision: int) -> None:
-        if self.revisions.pop(key, None) is not None:
+        """Report a removal unless the key is unknown or was written later."""
+        if 0 < self.revisions.get(key, 0) <= revision:
+            self.revisions.pop(key)
             self.listener.on_key(key, None, revision)
 
     def _read_registry(self, now_ms: int) -> None:
@@ -299,3 +403,37 @@
             return
         self.keeper.listed_keys = {entry.key for entry in reply.entries}
         self.listener.on_members(reply.entries)
+
+
+def create(
+    identity: node_context.Identity,
+    adapters: node_context.Adapters,
+    listener: Listener,
+) -> Coordination:
+    """Return the store access of a node that has just started.
+
+    Args:
+      identity: Settings of the node.
+      adapters: Calls to the store, names of the keys, log and metrics.
+      listener: Receiver of store contents.
+    """
+    documents = adapters.documents
+    return Coordination(
+        adapters.platform,
+        (
+            documents.watched_prefix,
+            documents.registry_prefix,
+            documents.member_prefix,
+            documents.configuration_key,
+        ),
+        listener,
+        store_access.StoreAccess(
+            adapters.platform,
+            store_routes.StoreRoutes(identity.seeds, adapters.rng),
+            adapters.journal,
+        ),
+    )
+
+
+def _ignore(_at_ms: int) -> None:
+    """Do nothing; default of an unset callback."""
--- a/jacinthhaven/sql/election_test.py
+++ b/jacinthhaven/sql/election_test.py
@@ -164,6 +164,7 @@
                 rig.clients,
                 builders.FakeBorrowers(),
                 builders.FakeRelays(),
+                builders.FakeCopies(),
                 builders.FakeMessenger(port, self.network),
                 self.clock,
                 platform,
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -11,6 +11,7 @@
 
 from jacinthhaven.records import store
 from jacinthhaven.sql import (
+    configuration_sync,
     coordination,
     election,
     gateway,
@@ -23,7 +24,6 @@
     registry,
     relaying,
     script_calls,
-    store_access,
     store_records,
 )
 
@@ -74,22 +74,10 @@
             adapters.journal,
         )
         documents = adapters.documents
-        access = store_access.create(
-            adapters.platform,
-            identity.seeds,
-            adapters.rng,
-            adapters.journal,
-        )
-        self.coordination = coordination.Coordination(
-            adapters.platform,
-            (
-                documents.watched_prefix,
-                documents.registry_prefix,
-                documents.member_prefix,
-                documents.configuration_key,
-            ),
-            self,
-            access,
+        self.sync = configuration_sync.ConfigurationSync(
+            identity,
+            adapters,
+            coordination.create(identity, adapters, self),
         )
         self.coordination.keeper.set_member(
             f'{documents.member_prefix}{identity.name}',
@@ -131,6 +119,11 @@
         self.shrink_ms = 0
         self.now_ms = 0
 
+    @property
+    def coordination(self) -> coordination.Coordination:
+        """Return the reads and watches of the store."""
+        return self.sync.coordination
+
     @property
     def keys(self) -> store_records.Keys:
         """Return the key names that this product uses in the store."""
@@ -151,6 +144,7 @@
     def tick(self, now_ms: int) -> None:
         """Run all timers that are due."""
         self.now_ms = now_ms
+        self.sync.tick(now_ms)
         self.coordination.tick(now_ms)
         self.gateway.tick(now_ms)
         self.relay.tick(now_ms)
@@ -176,6 +170,8 @@
         """Handle a message from another node."""
         if isinstance(message, peer_messages.PermitMessage):
             self.load_sharing.on_message(message, now_ms)
+        elif isinstance(message, peer_messages.RevisionMessage):
+            self.sync.exchange.on_message(message, now_ms)
         else:
             self.peering.on_message(message, now_ms)
 
@@ -184,6 +180,7 @@
         documents = self.adapters.documents
         if key == documents.configuration_key:
             if text is not None:
+                self.sync.on_received(revision, text)
                 self._configure(text, revision)
             return
         name = key.removeprefix(documents.own_prefix)
@@ -224,18 +221,23 @@
         self._update_announcement()
         if peers == previous and self.coordination.role_known:
             return
-        self.coordination.access.routes.update_nodes(
-            tuple(
-                peer.address
-                for member, peer in sorted(peers.items())
-                if member != self.identity.name
-            )
-        )
+        self._update_addresses()
         self.relay.set_members(peers)
         self.peering.set_members(peers, self.now_ms)
         self._choose_lenders()
         self._update_link_shares()
 
+    def _update_addresses(self) -> None:
+        """Apply the addresses of the other nodes."""
+        others = {
+            member: peer.address
+            for member, peer in sorted(self.peers.items())
+            if member != self.identity.name
+        }
+        routes = self.coordination.access.routes
+        routes.update_nodes(tuple(others.values()))
+        self.sync.exchange.set_members(others)
+
     def _tick_peering(self, now_ms: int) -> None:
         """Run the timers of peering and elections.
 
@@ -279,13 +281,14 @@
                 {'revision': revision, 'reason': loaded},
             )
             return
+        progress = self.coordination.progress
         self.adapters.journal.write(
             'configuration_received',
             {
                 'version': loaded.version,
                 'revision': revision,
-                'source': self.coordination.source,
-                'silent_ms': self.now_ms - self.coordination.heard_ms,
+                'source': progress.source,
+                'silent_ms': self.now_ms - progress.heard_ms,
             },
         )
         self.gateway.configure(loaded, self.now_ms)
--- a/jacinthhaven/sql/node_context.py
+++ b/jacinthhaven/sql/node_context.py
@@ -19,6 +19,7 @@
         number, so that a replaced primary serves nobody.
       first_start: Whether the whole system starts for the first time.
       seeds: Addresses of nodes that may run.
+      apply_within_ms: Longest time until a new configuration is in force.
     """
 
     name: str
@@ -27,6 +28,7 @@
     fenced: bool = True
     first_start: bool = False
     seeds: tuple[records.Address, ...] = ()
+    apply_within_ms: int = 3000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,6 +39,7 @@
     clients: ports.Clients
     borrowers: ports.Borrowers
     relays: ports.Relays
+    copies: ports.ConfigurationCopies
     messenger: peering.Messenger
     clock: clock.Clock
     platform: ports.Platform
--- a/jacinthhaven/sql/peer_messages.py
+++ b/jacinthhaven/sql/peer_messages.py
@@ -1,7 +1,7 @@
 """Datagrams between nodes.
 
-They confirm or stop the use of a primary, and share the execution slots of
-the instances while these are short.
+They confirm or stop the use of a primary, share the execution slots of the
+instances while these are short, and tell which configuration is the newest.
 """
 
 import typing
@@ -164,9 +164,42 @@
     refused: dict[int, int]
 
 
+class RevisionRequest(msgspec.Struct, frozen=True, array_like=True, tag='r'):
+    """Asks a node which revision of the configuration is the newest.
+
+    Attributes:
+      sender: Name of the asking node.
+      address: Address at which it receives the reply.
+      at_ms: Time of the request on the sender's clock.
+      revision: Revision of the configuration that the sender has.
+    """
+
+    sender: str
+    address: records.Address
+    at_ms: int
+    revision: int
+
+
+class RevisionReply(msgspec.Struct, frozen=True, array_like=True, tag='n'):
+    """Says which revision of the configuration was the newest in the store.
+
+    Attributes:
+      sender: Name of the replying node.
+      at_ms: Time copied from the request.
+      revision: Revision of the configuration that the sender has.
+      age_ms: Time since the sender knew it to be the newest; -1 if never.
+    """
+
+    sender: str
+    at_ms: int
+    revision: int
+    age_ms: int
+
+
 RightMessage = ConfirmRequest | ConfirmReply | StopRequest | StopReply
 PermitMessage = PermitRequest | PermitReply
-Message = RightMessage | PermitMessage
+RevisionMessage = RevisionRequest | RevisionReply
+Message = RightMessage | PermitMessage | RevisionMessage
 
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
--- a/jacinthhaven/sql/ports.py
+++ b/jacinthhaven/sql/ports.py
@@ -8,6 +8,7 @@
 
 Fields = dict[str, typing.Any]
 OnOrder = typing.Callable[['OrderResult'], None]
+OnCopy = typing.Callable[[int, str], None]
 OnStore = typing.Callable[[typing.Any], None]
 
 
@@ -95,6 +96,24 @@
         """Close the connection after the link was lost."""
 
 
+class ConfigurationCopies(abc.ABC):
+    """Access to the configuration that other nodes have read."""
+
+    @abc.abstractmethod
+    def fetch(
+        self,
+        address: records.Address,
+        on_copy: OnCopy,
+    ) -> None:
+        """Request the configuration of another node.
+
+        Args:
+          address: Address at which that node accepts others.
+          on_copy: Called with the revision and the text of its
+            configuration; not called if the node does not reply.
+        """
+
+
 class Clients(abc.ABC):
     """Connections of clients, addressed by number."""
 
--- a/jacinthhaven/sql/store_access.py
+++ b/jacinthhaven/sql/store_access.py
@@ -1,7 +1,6 @@
 """Calls of one node to the store, with a backoff and a choice of the way."""
 
 import functools
-import random
 import typing
 
 from jacinthhaven.kernel import backoff, failures
@@ -64,6 +63,10 @@
         """Return whether a call may be sent now."""
         return self.now_ms >= self.backoff.retry_ms
 
+    def retry_now(self) -> None:
+        """Allow the next call at once."""
+        self.backoff.retry_ms = 0
+
     def call(self, request: store.Request, on_reply: OnReply) -> int:
         """Call the store; the callback gets None after a failure.
 
@@ -113,23 +116,5 @@
             self.backoff.fail(self.now_ms)
 
 
-def create(
-    platform: ports.Platform,
-    seeds: tuple[records.Address, ...],
-    rng: random.Random,
-    journal: ports.Journal,
-) -> StoreAccess:
-    """Return the access of a node that has just started.
-
-    Args:
-      platform: Calls to the store.
-      seeds: Addresses of nodes that may run.
-      rng: Chooses nodes and varies pauses.
-      journal: Log and metrics.
-    """
-    routes = store_routes.StoreRoutes(seeds, rng)
-    return StoreAccess(platform, routes, journal)
-
-
 def _ignore() -> None:
     """Do nothing; default of an unset callback."""
--- a/jacinthhaven/standins/store_model.py
+++ b/jacinthhaven/standins/store_model.py
@@ -73,6 +73,8 @@
             return self.space.read(request.prefix)
         if isinstance(request, store.SwapRequest):
             return self._swap(request)
+        if isinstance(request, store.ChangesRequest):
+            return self._changes(request)
         return self._call_lease(request, now_ms)
 
     def open_watch(
@@ -172,6 +174,24 @@
             self.space.change(puts, deletes)
         return store.SwapReply(succeeded, self.space.revision)
 
+    def _changes(
+        self, request: store.ChangesRequest
+    ) -> store.WatchEvents | store.HistoryLost:
+        space = self.space
+        if request.start_revision <= space.compacted:
+            return store.HistoryLost()
+        last: dict[str, store.KeyValue | None] = {}
+        for events in space.changes_from(
+            request.start_revision, request.prefix
+        ):
+            last.update((entry.key, entry) for entry in events.changed)
+            last.update(dict.fromkeys(events.deleted))
+        return store.WatchEvents(
+            space.revision,
+            tuple(entry for entry in last.values() if entry is not None),
+            tuple(key for key, entry in last.items() if entry is None),
+        )
+
     def _call_lease(
         self,
         request: store.Request,
