Refuse an unknown database only by a configuration that must be in force

Cause: the refusal came from the configuration of the node, however old it was.

Change: while it is not proved that the configuration contains all changes that must be in force, a session of an unknown database waits for the proof, 1 s at most, and is then refused as busy: nothing has run, and the client may try another node. A statement without a route in an open session gets busy at once. With a proof the refusal is final and immediate, as before. RouteCheck makes both decisions; the log has the code.

Tests: three in configuration_sync_test; without the change to the gateway the answers are UNKNOWN_DATABASE.

--- a/jacinthhaven/sql/configuration_sync.py
+++ b/jacinthhaven/sql/configuration_sync.py
@@ -55,8 +55,7 @@
         self.next_fetch_ms = 0
         self.now_ms = 0
 
-    @property
-    def certain(self) -> bool:
+    def is_certain(self) -> bool:
         """Return whether all changes that must be in force are known."""
         return self.exchange.freshness.is_certain(self.now_ms)
 
--- a/jacinthhaven/sql/configuration_sync_test.py
+++ b/jacinthhaven/sql/configuration_sync_test.py
@@ -5,7 +5,7 @@
 import pytest
 
 from jacinthhaven.records import store
-from jacinthhaven.sql import fleet_builders, revision_exchange
+from jacinthhaven.sql import fleet_builders, revision_exchange, statements
 
 _SMALL = 8
 _LARGE = 15
@@ -87,6 +87,60 @@
     assert max(counts) <= 10
 
 
+def _isolate(fleet: fleet_builders.Fleet) -> None:
+    """Cut the first node off from the store and from all other nodes."""
+    fleet.cut_messages(0)
+    fleet.platforms[0].silent = True
+    fleet.platforms[0].silence_connections()
+
+
+def test_added_database_is_not_refused_as_unknown():
+    """Guards against a false refusal by a node that was cut off."""
+    fleet = fleet_builders.Fleet(_SMALL)
+    _isolate(fleet)
+    fleet.run(fleet_builders.APPLY_WITHIN_MS)
+    fleet.change()
+    fleet.run(fleet_builders.APPLY_WITHIN_MS)
+    fleet.nodes[0].relay.on_start(1, 'database-2', fleet.now_ms)
+    fleet.run(500)
+    clients = fleet.clients[0]
+    assert not clients.refused
+    fleet.heal_messages()
+    fleet.run(500)
+    assert 1 in fleet.nodes[0].gateway.sessions
+    assert not clients.refused
+
+
+def test_unknown_database_is_refused_for_now_without_a_proof():
+    """Guards against clients that wait, and against a false final refusal."""
+    fleet = fleet_builders.Fleet(_SMALL)
+    relay = fleet.nodes[0].relay
+    relay.on_start(1, 'no-such-database', fleet.now_ms)
+    _isolate(fleet)
+    fleet.run(fleet_builders.APPLY_WITHIN_MS)
+    relay.on_start(2, 'no-such-database', fleet.now_ms)
+    fleet.run(1100)
+    assert fleet.clients[0].refused == {
+        1: statements.Code.UNKNOWN_DATABASE,
+        2: statements.Code.BUSY,
+    }
+
+
+def test_statement_without_a_proof_is_not_refused_as_unknown():
+    """Guards against a false refusal in an open session of a removed route."""
+    fleet = fleet_builders.Fleet(_SMALL)
+    member = fleet.nodes[0]
+    member.relay.on_start(1, 'database-1', fleet.now_ms)
+    fleet.change()
+    fleet.run(fleet_builders.APPLY_WITHIN_MS)
+    _isolate(fleet)
+    fleet.run(fleet_builders.APPLY_WITHIN_MS)
+    query = statements.Statement('r', statements.Verb.BEGIN)
+    member.relay.on_statement(1, query, fleet.now_ms)
+    answers = fleet.clients[0].answers[1]
+    assert [answer.code for answer in answers] == [statements.Code.BUSY]
+
+
 class _Search:
     """Random faults of the ways to the store and between nodes."""
 
@@ -130,7 +184,7 @@
     def is_certain(self, index: int) -> bool:
         """Return whether a running node trusts its configuration."""
         member = self.fleet.nodes[index]
-        return index not in self.fleet.frozen and member.sync.certain
+        return index not in self.fleet.frozen and member.sync.is_certain()
 
     def others(self) -> list[int]:
         """Return some of the nodes that are not calm."""
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -12,6 +12,7 @@
     group,
     ports,
     records,
+    route_check,
     sessions,
     statements,
 )
@@ -42,6 +43,7 @@
       entries: Latest registry entries.
       pending_starts: Connection number and database of sessions that were
         opened before the first configuration arrived.
+      route_check: Decision how a database without a route is refused.
       draining: Whether inactive sessions are closed.
       close_after_answer: Whether a session is closed once its statement is
         answered, because the process is about to exit.
@@ -68,6 +70,7 @@
         self.owned: typing.Container[str] | None = None
         self.entries: typing.Sequence[records.Instance] = ()
         self.pending_starts: list[tuple[int, str]] = []
+        self.route_check = route_check.RouteCheck()
         self.draining = False
         self.close_after_answer = False
         self.now_ms = 0
@@ -94,6 +97,7 @@
             },
         )
         self.configuration = configuration
+        self.route_check.configuration = configuration
         for name, service_group in self.groups.items():
             service_group.removed = name not in configuration.services
         for name in configuration.services:
@@ -159,14 +163,16 @@
             self.pending_starts.append((number, database))
             return
         if database not in self.configuration.routes:
+            code = self.route_check.refusal_code(database)
             self.journal.write(
                 'session_refused',
                 {
                     'database': database,
                     'version': self.configuration.version,
+                    'code': code.value,
                 },
             )
-            self.clients.refuse(number, statements.Code.UNKNOWN_DATABASE)
+            self.clients.refuse(number, code)
             return
         session = sessions.Session(number, database, self.now_ms)
         self.sessions[number] = session
@@ -360,7 +366,8 @@
                     'version': self.configuration.version,
                 },
             )
-            self._answer_error(session, statements.Code.UNKNOWN_DATABASE, '')
+            code = self.route_check.refusal_code(session.database)
+            self._answer_error(session, code, '')
             return
         work = sessions.Work(session, statement, routing, now_ms)
         session.work = work
@@ -379,7 +386,8 @@
             return
         routing = _find_routing(session, self.configuration)
         if routing is None:
-            self._answer_error(session, statements.Code.UNKNOWN_DATABASE, '')
+            code = self.route_check.refusal_code(session.database)
+            self._answer_error(session, code, '')
             return
         read_only = (
             statement.verb is statements.Verb.BEGIN_READ
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -83,6 +83,7 @@
             f'{documents.member_prefix}{identity.name}',
             ownership.encode(identity.peer),
         )
+        self.gateway.route_check.is_certain = self.sync.is_certain
         self.relay = relaying.Relay(
             identity.name,
             self.gateway,
--- a/jacinthhaven/sql/relaying.py
+++ b/jacinthhaven/sql/relaying.py
@@ -26,6 +26,9 @@
 # Time after the first configuration in which an empty member list delays new
 # sessions; after it, this node executes them.
 _MEMBERS_WAIT_MS = 1000
+# How long a session of an unknown database waits for a proof that the
+# configuration is the one in force.
+_PROOF_WAIT_MS = 1000
 # Range of the random offsets that spread the nodes over the owners.
 _OFFSET_RANGE = 1000
 # Shortest interval between two sessions that are returned to the owners.
@@ -93,6 +96,14 @@
         return self.state is statements.State.IDLE and not self.unanswered
 
 
+class PendingStart(typing.NamedTuple):
+    """Session that waits until it can be decided which node executes it."""
+
+    number: int
+    database: str
+    arrived_ms: int
+
+
 class Relay:
     """Relayed sessions of one node.
 
@@ -105,8 +116,8 @@
       failures: Number of consecutive failures of an owner, by name.
       owners_by_service: Owners of each service, split by availability zone.
       offset: Rotation offset of the owners; incremented for each session.
-      pending_starts: Connection number and database of sessions that were
-        opened before `routing_ready`.
+      pending_starts: Sessions that were opened before `routing_ready`, or whose
+        database may have been added since the configuration was read.
       configured_ms: When the first configuration was seen, or None.
       next_return_ms: When the next session may be returned to the owners.
       on_unreachable: Called when no owner of a session could be reached.
@@ -131,7 +142,7 @@
         self.failures: dict[str, int] = {}
         self.owners_by_service: dict[str, ownership.Owners] = {}
         self.offset = rng.randrange(_OFFSET_RANGE)
-        self.pending_starts: list[tuple[int, str]] = []
+        self.pending_starts: list[PendingStart] = []
         self.configured_ms: int | None = None
         self.next_return_ms = 0
         self.on_unreachable: typing.Callable[[], None] = _ignore
@@ -153,17 +164,7 @@
 
     def on_start(self, number: int, database: str, now_ms: int) -> None:
         """Relay a new session to an owner, or open it on this node."""
-        if not self.routing_ready:
-            self.pending_starts.append((number, database))
-            return
-        route = self.local.configuration.routes.get(database)
-        owners = [] if route is None else self._owners(route.service, now_ms)
-        if not owners or self.node in owners:
-            self.local.on_start(number, database)
-            return
-        session = RelayedSession(number, database, owners[:_MAX_TRIES])
-        self.sessions[number] = session
-        self._try_next(session, now_ms)
+        self._start(PendingStart(number, database, now_ms), now_ms)
 
     def on_statement(
         self,
@@ -178,7 +179,9 @@
             return
         routes = self.local.configuration.routes
         if session.idle and session.database not in routes:
-            answer = statements.Answer(code=statements.Code.UNKNOWN_DATABASE)
+            answer = statements.Answer(
+                code=self.local.route_check.refusal_code(session.database)
+            )
             self.local.clients.answer(number, answer)
             return
         if not session.unanswered:
@@ -193,7 +196,7 @@
             self._drop(session)
             return
         self.pending_starts = [
-            start for start in self.pending_starts if start[0] != number
+            start for start in self.pending_starts if start.number != number
         ]
         self.local.on_closed(number, now_ms)
 
@@ -259,11 +262,29 @@
             if session.accepted and self._is_inactive(session, now_ms):
                 self._close(session)
 
+    def _start(self, start: PendingStart, now_ms: int) -> None:
+        number, database, arrived_ms = start
+        if not self.routing_ready:
+            self.pending_starts.append(start)
+            return
+        in_doubt = self.local.route_check.is_in_doubt(database)
+        if in_doubt and now_ms - arrived_ms < _PROOF_WAIT_MS:
+            self.pending_starts.append(start)
+            return
+        route = self.local.configuration.routes.get(database)
+        owners = [] if route is None else self._owners(route.service, now_ms)
+        if not owners or self.node in owners:
+            self.local.on_start(number, database)
+            return
+        session = RelayedSession(number, database, owners[:_MAX_TRIES])
+        self.sessions[number] = session
+        self._try_next(session, now_ms)
+
     def _start_early(self, now_ms: int) -> None:
         waiting = self.pending_starts
         self.pending_starts = []
-        for number, database in waiting:
-            self.on_start(number, database, now_ms)
+        for start in waiting:
+            self._start(start, now_ms)
 
     def _return_session(self, now_ms: int) -> None:
         """Close one inactive local session that an owner can execute.
