Notice that a silent watch hides the records of the owners

Cause: leader records, suspicion reports and promotion locks reach an owner by the same watch as the configuration. If its connection falls silent, an owner learns of them when the poll of the watch should have ended: 4.7 s on the small deployments, 5.7 s on the grown ones. Votes of such owners are missing meanwhile.

Change: the reply to a question about the configuration also has the newest revision of these keys at the replying owner. An owner that knows an older one polls the store, which replaces the watch if it has missed a change. Large VMs are asked first, since they are the owners of a large fleet.

Test: test_silent_watches_do_not_hide_records_of_owners, which fails without the comparison. Tests of sql pass.

--- a/jacinthhaven/sql/configuration_sync.py
+++ b/jacinthhaven/sql/configuration_sync.py
@@ -78,6 +78,11 @@
     def tick(self, now_ms: int) -> None:
         """Exchange revisions with other nodes, and poll the store if due."""
         self.now_ms = now_ms
+        if self.coordination.owns_service:
+            progress = self.coordination.progress
+            self.exchange.records.revision = max(progress.newest_record, 1)
+        else:
+            self.exchange.records.revision = 0
         self.exchange.tick(now_ms)
         access = self.coordination.access
         access.urgent = (
--- a/jacinthhaven/sql/configuration_sync_test.py
+++ b/jacinthhaven/sql/configuration_sync_test.py
@@ -69,6 +69,17 @@
     assert not _late(fleet)
 
 
+def test_silent_watches_do_not_hide_records_of_owners():
+    """Guards against a promotion that owners learn of seconds late."""
+    fleet = fleet_builders.Fleet(_SMALL)
+    for platform in fleet.platforms[1:]:
+        platform.silence_connections()
+    fleet.put('ours/lead/other', '{}')
+    fleet.run(1500)
+    known = [member.coordination.revisions for member in fleet.nodes]
+    assert all('ours/lead/other' in revisions for revisions in known)
+
+
 def test_few_nodes_poll_the_store():
     """Guards against calls to the store that grow with the fleet."""
     counts = []
--- a/jacinthhaven/sql/coordination.py
+++ b/jacinthhaven/sql/coordination.py
@@ -50,17 +50,19 @@
 
     Attributes:
       complete: Revision up to which all changes are known.
+      newest_record: Newest revision of a key other than the configuration.
       heard_ms: When the watch was started, or last had an answer.
       polling: Whether a poll for changes is under way.
       source: What reported the keys that the listener gets: `read`, `watch`,
         `poll` or `node`.
     """
 
-    __slots__ = ('complete', 'heard_ms', 'polling', 'source')
+    __slots__ = ('complete', 'newest_record', 'heard_ms', 'polling', 'source')
 
     def __init__(self) -> None:
         """Start without any knowledge."""
         self.complete = 0
+        self.newest_record = 0
         self.heard_ms = 0
         self.polling = False
         self.source = ''
@@ -362,6 +364,10 @@
         if entry.mod_revision <= self.revisions.get(entry.key, 0):
             return False
         self.revisions[entry.key] = entry.mod_revision
+        if entry.key != self.prefixes[3]:
+            self.progress.newest_record = max(
+                self.progress.newest_record, entry.mod_revision
+            )
         self.listener.on_key(entry.key, entry.value, entry.mod_revision)
         return True
 
--- a/jacinthhaven/sql/fleet_builders.py
+++ b/jacinthhaven/sql/fleet_builders.py
@@ -102,10 +102,14 @@
     def change(self) -> None:
         """Write the next version."""
         version = len(self.changes) + 1
-        put = store.Put(CONFIGURATION_KEY, str(version))
-        self.model.call(store.SwapRequest((), (put,)), self.now_ms)
+        self.put(CONFIGURATION_KEY, str(version))
         self.changes.append((self.now_ms, version))
 
+    def put(self, key: str, text: str) -> None:
+        """Write a key of the store."""
+        swap = store.SwapRequest((), (store.Put(key, text),))
+        self.model.call(swap, self.now_ms)
+
     def run(self, for_ms: int) -> None:
         """Advance the clock of all nodes."""
         until_ms = self.now_ms + for_ms
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -231,12 +231,12 @@
     def _update_addresses(self) -> None:
         """Apply the addresses of the other nodes."""
         others = {
-            member: peer.address
+            member: peer
             for member, peer in sorted(self.peers.items())
             if member != self.identity.name
         }
         routes = self.coordination.access.routes
-        routes.update_nodes(tuple(others.values()))
+        routes.update_nodes(tuple(peer.address for peer in others.values()))
         self.sync.exchange.set_members(others)
 
     def _tick_peering(self, now_ms: int) -> None:
--- a/jacinthhaven/sql/peer_messages.py
+++ b/jacinthhaven/sql/peer_messages.py
@@ -188,12 +188,15 @@
       at_ms: Time copied from the request.
       revision: Revision of the configuration that the sender has.
       age_ms: Time since the sender knew it to be the newest; -1 if never.
+      records_revision: Newest revision of the keys that owners write; 0 if
+        the sender does not watch them.
     """
 
     sender: str
     at_ms: int
     revision: int
     age_ms: int
+    records_revision: int
 
 
 RightMessage = ConfirmRequest | ConfirmReply | StopRequest | StopReply
--- a/jacinthhaven/sql/revision_exchange.py
+++ b/jacinthhaven/sql/revision_exchange.py
@@ -11,7 +11,14 @@
 import typing
 
 from jacinthhaven.kernel import ranking
-from jacinthhaven.sql import freshness, peer_messages, peering, ports, records
+from jacinthhaven.sql import (
+    freshness,
+    ownership,
+    peer_messages,
+    peering,
+    ports,
+    records,
+)
 
 # Nodes that ask the same one. At the target size this keeps the messages of a
 # node below 4 KB a second.
@@ -54,6 +61,22 @@
         self.own_poll_ms = apply_within_ms // _OWN_POLL_DIVISOR
 
 
+class OwnerRecords:
+    """What a node knows of the keys that owners write.
+
+    Attributes:
+      revision: Newest known revision; 0 if the node does not watch them.
+      missed: Whether another node knows a newer one.
+    """
+
+    __slots__ = ('revision', 'missed')
+
+    def __init__(self) -> None:
+        """Start as a node that does not watch them."""
+        self.revision = 0
+        self.missed = False
+
+
 class RevisionExchange:
     """Questions and answers of one node.
 
@@ -69,6 +92,7 @@
       deferred: Arrival and content of the questions that wait for the result
         of a poll, by node.
       next_poll_ms: Earliest time of the next poll.
+      records: Knowledge of the keys that owners write.
       on_newer: Called with the address of a node that reports a newer
         configuration.
     """
@@ -104,13 +128,14 @@
         self.wanted_until_ms = 0
         self.deferred: dict[str, Deferred] = {}
         self.next_poll_ms = 0
+        self.records = OwnerRecords()
         self.on_newer: typing.Callable[[records.Address], None] = _ignore
 
-    def set_members(self, addresses: Addresses) -> None:
-        """Set the message addresses of the other listed nodes."""
-        if addresses.keys() != self.addresses.keys():
-            self.candidates = _candidates(self.node, addresses)
-        self.addresses = addresses
+    def set_members(self, peers: ownership.Peers) -> None:
+        """Set the other listed nodes."""
+        if peers.keys() != self.addresses.keys():
+            self.candidates = _candidates(self.node, peers)
+        self.addresses = {name: peer.address for name, peer in peers.items()}
 
     def is_wanted(self, now_ms: int) -> bool:
         """Return whether this node polls the store on behalf of others."""
@@ -128,11 +153,11 @@
         limit_ms = self.intervals.own_poll_ms
         if self.is_wanted(now_ms):
             limit_ms = self.intervals.poll_ms
+        missed = self.freshness.outdated or self.records.missed
         young = self.freshness.is_younger(limit_ms, now_ms)
-        if now_ms < self.next_poll_ms or (
-            young and not self.freshness.outdated
-        ):
+        if now_ms < self.next_poll_ms or (young and not missed):
             return False
+        self.records.missed = False
         self.next_poll_ms = now_ms + self.intervals.poll_ms // 2
         return True
 
@@ -211,6 +236,7 @@
             request.at_ms,
             self.freshness.revision,
             -1 if age_ms is None else age_ms,
+            self.records.revision,
         )
         self.messenger.send(request.address, reply)
 
@@ -223,6 +249,8 @@
             if not 0 <= reply.age_ms < self.intervals.own_poll_ms:
                 # The store does not answer that node either.
                 self.candidates.rotate(-1)
+        if 0 < self.records.revision < reply.records_revision:
+            self.records.missed = True
         self._note(
             reply.revision, reply.sender, self.addresses.get(reply.sender)
         )
@@ -265,13 +293,16 @@
         )
 
 
-def _candidates(node: str, addresses: Addresses) -> collections.deque[str]:
+def _candidates(node: str, peers: ownership.Peers) -> collections.deque[str]:
     """Return the other nodes in the order in which a node asks them.
 
     All nodes rank the nodes alike, and each begins with one of the first, so
-    that few nodes poll the store.
+    that few nodes poll the store. Large VMs come first: they own services, so
+    that they watch the records of the owners too.
     """
-    ranked = ranking.ranked('configuration', addresses)
+    ranked = ranking.ranked('configuration', peers)
+    # The sort is stable: nodes of equal capacity stay in ranking order.
+    ranked.sort(key=lambda name: -peers[name].capacity)
     pollers = 1 + len(ranked) // _NODES_PER_POLLER
     first = ranking.weight('configuration', node) % pollers
     candidates = collections.deque(ranked)
