Check in the soak by which version requests were handled

Cause: the soak changed the version, but looked at no answer for it, and its connections fell silent one at a time. So it could not find the incident.

Change: an operator changes the configuration at random times. After a run, the version in the answer lines of each proxy is compared with the acknowledged changes: none that is older than 3 s may be missing, unless the proxy was stopped or paused, or the store was away for all, in the 4 s before. A new harm lets all open connections of one kind fall silent while new ones work.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,29 +15,32 @@
 def kill(soak: 'run.Soak') -> None:
     """Kill a proxy and start it again."""
     proxy = soak.pick()
-    proxy.send(signal.SIGKILL)
-    if proxy.process is not None:
-        proxy.process.wait()
-    time.sleep(soak.rng.uniform(0, 1))
-    proxy.start()
+    with soak.disturbances.during(proxy.number):
+        proxy.send(signal.SIGKILL)
+        if proxy.process is not None:
+            proxy.process.wait()
+        time.sleep(soak.rng.uniform(0, 1))
+        proxy.start()
 
 
 def stop(soak: 'run.Soak') -> None:
     """Stop a proxy as planned and start it again."""
     proxy = soak.pick()
-    proxy.send(signal.SIGCONT)
-    proxy.send(signal.SIGTERM)
-    if proxy.process is not None:
-        proxy.process.wait()
-    proxy.start()
+    with soak.disturbances.during(proxy.number):
+        proxy.send(signal.SIGCONT)
+        proxy.send(signal.SIGTERM)
+        if proxy.process is not None:
+            proxy.process.wait()
+        proxy.start()
 
 
 def pause(soak: 'run.Soak') -> None:
     """Freeze a proxy for a while."""
     proxy = soak.pick()
-    proxy.send(signal.SIGSTOP)
-    time.sleep(soak.rng.uniform(0, 2))
-    proxy.send(signal.SIGCONT)
+    with soak.disturbances.during(proxy.number):
+        proxy.send(signal.SIGSTOP)
+        time.sleep(soak.rng.uniform(0, 2))
+        proxy.send(signal.SIGCONT)
 
 
 def reload_settings(soak: 'run.Soak') -> None:
@@ -70,22 +73,23 @@
 
 def refuse_store(soak: 'run.Soak') -> None:
     """Let the store refuse every call for a while."""
-    soak.fleet.control(refuse=True)
-    time.sleep(1)
-    soak.fleet.control(refuse=False)
+    with soak.disturbances.during():
+        soak.fleet.control(refuse=True)
+        time.sleep(1)
+        soak.fleet.control(refuse=False)
 
 
 def silence_store(soak: 'run.Soak') -> None:
     """Let the store answer nothing for a while."""
-    soak.fleet.control(silent_store=True)
-    time.sleep(1)
-    soak.fleet.control(silent_store=False)
+    with soak.disturbances.during():
+        soak.fleet.control(silent_store=True)
+        time.sleep(1)
+        soak.fleet.control(silent_store=False)
 
 
 def change_configuration(soak: 'run.Soak') -> None:
     """Put a newer configuration in force."""
-    soak.version += 1
-    soak.fleet.control(version=soak.version)
+    soak.operator.change()
 
 
 FAULTS: tuple[Fault, ...] = (
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -28,6 +28,7 @@
   peers: {host}:{peers}
 store:
   address: {host}:{store}
+  watch_wait_ms: 4000
 promotion:
   address: {host}:{store}
   fenced: {fenced}
@@ -70,10 +71,10 @@
     ) -> None:
         """Write the settings; nothing runs before `start`."""
         self.number = number
-        self.store_path = loopback.Path(store_port)
+        self.store_path = loopback.Path(store_port, 'store')
         self.reserved = [reserve_port() for _listener in range(_LISTENERS)]
         ports = [known.getsockname()[1] for known in self.reserved]
-        self.client_path = loopback.Path(ports[0])
+        self.client_path = loopback.Path(ports[0], 'clients')
         self.port = self.client_path.port
         self.health = ports[1]
         self.settings = folder / f'n{number}.yaml'
@@ -168,7 +169,8 @@
         self.control_port = int(words[2])
         ports = self.control()['ports']
         self.instance_paths = {
-            name: loopback.Path(port) for name, port in ports.items()
+            name: loopback.Path(port, 'instances')
+            for name, port in ports.items()
         }
         self.control(
             advertised={
--- a/soak/harms.py
+++ b/soak/harms.py
@@ -38,6 +38,7 @@
             self._swallow_requests,
             self._delay,
             self._reset,
+            self._silence_open,
         )
         while not self.stopped.wait(self.rng.uniform(0, _LONGEST_PAUSE_S)):
             path = self.rng.choice(self.paths)
@@ -69,6 +70,12 @@
     def _reset(self, path: loopback.Path) -> None:
         path.reset()
 
+    def _silence_open(self, path: loopback.Path) -> None:
+        """Let the open connections of all paths of one kind fall silent."""
+        for other in self.paths:
+            if other.kind == path.kind:
+                other.silence_open()
+
     def _harm(self, path: loopback.Path, harm: loopback.Harm) -> None:
         path.harm = harm
         self.stopped.wait(self.rng.uniform(0, _LONGEST_HARM_S))
--- a/soak/loopback.py
+++ b/soak/loopback.py
@@ -70,12 +70,14 @@
 
     Attributes:
       port: Port that accepts the connections.
+      kind: What connects through it to what.
       harm: What is done to them now.
     """
 
-    def __init__(self, target: int) -> None:
+    def __init__(self, target: int, kind: str = '') -> None:
         """Start to accept."""
         self.target = target
+        self.kind = kind
         self.harm = HEALTHY
         self.selector = selectors.DefaultSelector()
         self.listener = socket.create_server((_HOST, 0))
@@ -85,6 +87,7 @@
         self.late: list[tuple[float, int, _Flow, bytes]] = []
         self.numbers = itertools.count()
         self.resetting = threading.Event()
+        self.silencing = threading.Event()
         self.closed = threading.Event()
         self.thread = threading.Thread(target=self._run, daemon=True)
         self.thread.start()
@@ -93,6 +96,10 @@
         """Reset all connections."""
         self.resetting.set()
 
+    def silence_open(self) -> None:
+        """Let all open connections fall silent for good; new ones work."""
+        self.silencing.set()
+
     def close(self) -> None:
         """Close everything."""
         self.closed.set()
@@ -105,13 +112,21 @@
                     self._accept()
                 else:
                     self._read(self.flows.get(key.fileobj))
-            if self.resetting.is_set():
-                self.resetting.clear()
-                self._end_all()
+            self._harm_open()
             self._deliver()
         self._end_all()
         self.listener.close()
 
+    def _harm_open(self) -> None:
+        """Silence or reset the open connections, if it was asked for."""
+        if self.silencing.is_set():
+            self.silencing.clear()
+            for flow in self.flows.values():
+                flow.lost = True
+        if self.resetting.is_set():
+            self.resetting.clear()
+            self._end_all()
+
     def _accept(self) -> None:
         client, _address = self.listener.accept()
         try:
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,16 +11,27 @@
 import sys
 import tempfile
 import time
+import typing
 
 import typer
 
-from soak import clients, faults, fleet, harms, loopback, timeline
+from soak import (
+    clients,
+    faults,
+    fleet,
+    harms,
+    loopback,
+    timeline,
+    versions,
+)
 
 _PROXIES = 4
 _CLIENTS = 8
 _STEPS = 6
 _SETTLE_S = 1.5
 _MAX_PAUSE_S = 1.2
+# Longer than a silent watch stays unnoticed by itself.
+_SILENCE_S = 6
 
 
 class Soak:
@@ -33,6 +44,7 @@
         *,
         harmed: bool = True,
         fenced: bool = True,
+        proxies: int = _PROXIES,
     ) -> None:
         """Start the processes and the clients.
 
@@ -41,18 +53,21 @@
           folder: Where settings and logs go.
           harmed: Whether connections are harmed meanwhile.
           fenced: Whether a promotion ends the lead of the old primary.
+          proxies: Number of proxies.
         """
         self.rng = random.Random(seed)
-        self.fleet = fleet.Fleet(folder, _PROXIES, fenced=fenced)
+        self.fleet = fleet.Fleet(folder, proxies, fenced=fenced)
         self.clients = [
             clients.Client(number, self.fleet.proxies)
             for number in range(_CLIENTS)
         ]
-        self.version = 1
+        self.disturbances = versions.Disturbances()
+        self.operator = versions.Operator(seed, self._apply)
         self.faults = timeline.Recorder()
         self.harms = harms.Harms(seed, self.fleet.paths)
         if harmed:
             self.harms.start()
+            self.operator.start()
 
     def run(self) -> list[str]:
         """Play the faults and return the broken promises."""
@@ -63,10 +78,11 @@
             inject = functools.partial(fault, self)
             self.faults.record(fault.__name__, inject)
             time.sleep(self.rng.uniform(0, _MAX_PAUSE_S))
+        self.operator.stop()
         self.harms.stop()
         self._heal()
-        self._end_clients()
-        return self._problems()
+        self.end_clients()
+        return self.problems()
 
     def close(self) -> None:
         """End all processes."""
@@ -94,25 +110,15 @@
         spans = self.faults.spans + self.harms.recorder.spans
         timeline.draw(name, spans, marks)
 
-    def _end_clients(self) -> None:
+    def end_clients(self) -> None:
+        """Stop the clients and wait for their last answers."""
         for ended in self.clients:
             ended.stopped.set()
         for waited in self.clients:
             waited.join()
 
-    def _heal(self) -> None:
-        self.fleet.control(silent=[], refuse=False, silent_store=False)
-        for path in self.fleet.paths:
-            path.harm = loopback.HEALTHY
-        for proxy in self.fleet.proxies:
-            proxy.send(signal.SIGCONT)
-            if not proxy.running:
-                proxy.start()
-        for ready in self.fleet.proxies:
-            ready.wait_ready()
-        time.sleep(_SETTLE_S)
-
-    def _problems(self) -> list[str]:
+    def problems(self) -> list[str]:
+        """Return the broken promises so far."""
         state = self.fleet.control()
         committed = state['committed']
         lost = set(state['rolled_back'])
@@ -124,7 +130,35 @@
             problems.append(f'fences {fences}')
         for client in self.clients:
             problems.extend(client_problems(client, committed, lost))
-        return problems
+        return problems + self._late_requests()
+
+    def _apply(self, version: int) -> None:
+        self.fleet.control(version=version)
+
+    def _late_requests(self) -> list[str]:
+        """Return the statements that were routed by a replaced version."""
+        late = []
+        for proxy in self.fleet.proxies:
+            late.extend(
+                versions.late_requests(
+                    versions.read_log(proxy.log),
+                    self.operator.changes,
+                    functools.partial(self.disturbances.is_calm, proxy.number),
+                ),
+            )
+        return late
+
+    def _heal(self) -> None:
+        self.fleet.control(silent=[], refuse=False, silent_store=False)
+        for path in self.fleet.paths:
+            path.harm = loopback.HEALTHY
+        for proxy in self.fleet.proxies:
+            proxy.send(signal.SIGCONT)
+            if not proxy.running:
+                proxy.start()
+        for ready in self.fleet.proxies:
+            ready.wait_ready()
+        time.sleep(_SETTLE_S)
 
 
 def client_problems(
@@ -165,13 +199,18 @@
 def play(
     seed: int,
     folder: pathlib.Path,
-    *,
-    harmed: bool = True,
-    fenced: bool = True,
     plot: pathlib.Path | None = None,
+    **options: typing.Any,
 ) -> tuple[list[str], str]:
-    """Play one seed and return the broken promises and a summary."""
-    soak = Soak(seed, folder, harmed=harmed, fenced=fenced)
+    """Play one seed and return the broken promises and a summary.
+
+    Args:
+      seed: Seed of all draws.
+      folder: Where settings and logs go.
+      plot: File for the timeline.
+      options: Keyword arguments of `Soak`.
+    """
+    soak = Soak(seed, folder, **options)
     with contextlib.closing(soak):
         problems = soak.run()
     if plot is not None:
@@ -182,21 +221,46 @@
     return problems, f'{events}: {served}'
 
 
+def play_silence(folder: pathlib.Path) -> list[str]:
+    """Silence all open connections to the store while versions change.
+
+    Returns:
+      The broken promises.
+    """
+    soak = Soak(0, folder, harmed=False)
+    with contextlib.closing(soak):
+        for client in soak.clients:
+            client.start()
+        soak.operator.start()
+        time.sleep(_SETTLE_S)
+        for path in soak.fleet.paths:
+            if path.kind == 'store':
+                path.silence_open()
+        time.sleep(_SILENCE_S)
+        soak.operator.stop()
+        soak.end_clients()
+        return soak.problems()
+
+
 def main(
     seed: int,
     count: int = 1,
     plot: pathlib.Path | None = None,
     fenced: bool = True,
+    proxies: int = _PROXIES,
 ) -> None:
     """Play seeds and print one line for each.
 
     `--plot FILE` draws the timeline of the last one; with `--no-fenced` a
-    promotion does not end the lead of the old primary.
+    promotion does not end the lead of the old primary. With 10 `--proxies` or
+    more, some own the service and the others relay.
     """
     failed = False
     for number in range(seed, seed + count):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{number}-'))
-        problems, summary = play(number, folder, fenced=fenced, plot=plot)
+        problems, summary = play(
+            number, folder, plot, fenced=fenced, proxies=proxies
+        )
         verdict = 'FAILED' if problems else 'ok'
         typer.echo(f'seed {number} {verdict} {summary}')
         for problem in problems[:5]:
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -3,10 +3,11 @@
 import contextlib
 import socket
 import threading
+import time
 
 import pytest
 
-from soak import clients, loopback, run, timeline
+from soak import clients, loopback, run, timeline, versions
 
 # Both once stopped with a timeout of the stand-in, whose model copied the
 # whole log for each read. They are from before connections were harmed.
@@ -31,6 +32,11 @@
     assert "'done'" in summary
 
 
+def test_silent_connections_do_not_keep_an_old_version(tmp_path):
+    """Guards against requests by a replaced version on a silent watch."""
+    assert not run.play_silence(tmp_path)
+
+
 def test_unfenced_seed(tmp_path):
     """Guards against work at two primaries where no fence is checked."""
     problems, summary = run.play(_UNFENCED_SEED, tmp_path, fenced=False)
@@ -62,6 +68,37 @@
     assert not run.client_problems(client, {}, {'1x1'})
 
 
+@pytest.mark.parametrize(
+    ('arrived_s', 'version', 'disturbed', 'found'),
+    [
+        (10, 1, False, True),
+        (10, 2, False, False),
+        (10, 1, True, False),
+        (4.1, 1, False, False),
+    ],
+)
+def test_checks_find_a_replaced_version(arrived_s, version, disturbed, found):
+    """Guards against a check that cannot fail, or fails without a reason."""
+    late = versions.late_requests(
+        [versions.Handled(arrived_s, version, '1x1')],
+        [versions.Change(0, 1), versions.Change(1, 2)],
+        lambda _begin_s, _end_s: not disturbed,
+    )
+    assert bool(late) == found
+
+
+def test_disturbed_proxy_is_not_judged():
+    """Guards against blaming a proxy that was paused a moment ago."""
+    disturbances = versions.Disturbances()
+    now_s = time.time()
+    with disturbances.during(1):
+        assert disturbances.is_calm(1, now_s, now_s)
+    assert not disturbances.is_calm(1, now_s, now_s + 1)
+    assert disturbances.is_calm(2, now_s, now_s + 1)
+    later_s = now_s + versions.CONTACT_S + 1
+    assert disturbances.is_calm(1, later_s, later_s + 1)
+
+
 def test_checks_find_a_read_that_missed_an_own_write():
     """Guards against a check that cannot fail."""
     client = _client()
@@ -130,6 +167,22 @@
             client.recv(1)
 
 
+def test_silenced_connection_stays_silent_and_a_new_one_works(echo):
+    """Guards against a harm that harms nothing, or new connections too."""
+    with contextlib.closing(loopback.Path(echo)) as path:
+        client = _connect(path)
+        client.sendall(b'x')
+        assert client.recv(1) == b'x'
+        path.silence_open()
+        time.sleep(0.1)
+        client.sendall(b'y')
+        with pytest.raises(TimeoutError):
+            client.recv(1)
+        other = _connect(path)
+        other.sendall(b'z')
+        assert other.recv(1) == b'z'
+
+
 def test_reset_path_resets(echo):
     """Guards against a reset that is none."""
     with contextlib.closing(loopback.Path(echo)) as path:
