Judge the age of the configuration by the clock, not by the last tick

What callers could see: a VM that was suspended handles the requests that waited for it before its first tick. It then judged the age of its configuration by the time before the suspension and refused a database that had been added meanwhile as unknown. Found by reading, not seen in a run.

Change: the refusal reads the clock, which counts the suspension.

Test: test_resumed_node_does_not_refuse_as_unknown_before_a_tick, which fails on the commit before.

--- a/jacinthhaven/sql/configuration_sync.py
+++ b/jacinthhaven/sql/configuration_sync.py
@@ -41,6 +41,7 @@
         """
         self.coordination = store_reads
         self.copies = adapters.copies
+        self.clock = adapters.clock
         self.key = adapters.documents.configuration_key
         self.exchange = revision_exchange.RevisionExchange(
             identity.name,
@@ -57,7 +58,8 @@
 
     def is_certain(self) -> bool:
         """Return whether all changes that must be in force are known."""
-        return self.exchange.freshness.is_certain(self.now_ms)
+        # Not `now_ms`: a VM that was suspended may get requests before a tick.
+        return self.exchange.freshness.is_certain(self.clock.now_ms())
 
     @property
     def copy(self) -> tuple[int, str]:
--- a/jacinthhaven/sql/configuration_sync_test.py
+++ b/jacinthhaven/sql/configuration_sync_test.py
@@ -137,6 +137,16 @@
     }
 
 
+def test_resumed_node_does_not_refuse_as_unknown_before_a_tick():
+    """Guards against a proof that seems young after a suspension."""
+    fleet = fleet_builders.Fleet(_SMALL)
+    fleet.frozen.add(0)
+    fleet.change()
+    fleet.run(2 * fleet_builders.APPLY_WITHIN_MS)
+    fleet.nodes[0].relay.on_start(1, 'database-2', fleet.now_ms)
+    assert not fleet.clients[0].refused
+
+
 def test_statement_without_a_proof_is_not_refused_as_unknown():
     """Guards against a false refusal in an open session of a removed route."""
     fleet = fleet_builders.Fleet(_SMALL)
