--- a/jacinthhaven/sql/revision_exchange.py
+++ b/jacinthhaven/sql/revision_exchange.py
@@ -22,7 +22,7 @@
 
 # Nodes that ask the same one. At the target size this keeps the messages of a
 # node below 4 KB a second.
-_NODES_PER_POLLER = 60
+_NODES_PER_POLLER = 40
 # Intervals as divisors of the longest time until a change is in force. In the
 # worst usual case a node learns of a change after a poll and a question; then
 # there is time for two more attempts of either.
