Split the knowledge of watched keys from the calls to the store

Change: watched_keys holds the revisions, applies reads, changes and copies, and reports each change once. Coordination keeps the calls and their schedules. No behaviour changes.

--- a/jacinthhaven/sql/configuration_sync.py
+++ b/jacinthhaven/sql/configuration_sync.py
@@ -81,8 +81,8 @@
         """Exchange revisions with other nodes, and poll the store if due."""
         self.now_ms = now_ms
         if self.coordination.owns_service:
-            progress = self.coordination.progress
-            self.exchange.records.revision = max(progress.newest_record, 1)
+            newest = self.coordination.keys.newest_record
+            self.exchange.records.revision = max(newest, 1)
         else:
             self.exchange.records.revision = 0
         self.exchange.tick(now_ms)
--- a/jacinthhaven/sql/configuration_sync_test.py
+++ b/jacinthhaven/sql/configuration_sync_test.py
@@ -76,7 +76,7 @@
         platform.silence_connections()
     fleet.put('ours/lead/other', '{}')
     fleet.run(1500)
-    known = [member.coordination.revisions for member in fleet.nodes]
+    known = [member.coordination.keys.revisions for member in fleet.nodes]
     assert all('ours/lead/other' in revisions for revisions in known)
 
 
--- a/jacinthhaven/sql/coordination.py
+++ b/jacinthhaven/sql/coordination.py
@@ -20,6 +20,7 @@
     read_schedules,
     store_access,
     store_routes,
+    watched_keys,
 )
 
 # How long a starting node waits for the member list before it acts as an
@@ -32,12 +33,9 @@
 Entries = tuple[store.KeyValue, ...]
 
 
-class Listener(typing.Protocol):
+class Listener(watched_keys.Listener, typing.Protocol):
     """Receiver of store contents."""
 
-    def on_key(self, key: str, text: str | None, revision: int) -> None:
-        """Handle the value of a watched key, or None after its removal."""
-
     def on_registry(self, entries: Entries, fresh: bool) -> bool:
         """Apply all registry entries; return whether each service has some."""
 
@@ -46,33 +44,26 @@
 
 
 class WatchProgress:
-    """Progress of one node's knowledge of the watched keys.
+    """Calls that report changes.
 
     Attributes:
-      complete: Revision up to which all changes are known.
-      newest_record: Newest revision of a key other than the configuration.
       heard_ms: When the watch was started, or last had an answer.
       polling: Whether a poll for changes is under way.
-      source: What reported the keys that the listener gets: `read`, `watch`,
-        `poll` or `node`.
     """
 
-    __slots__ = ('complete', 'newest_record', 'heard_ms', 'polling', 'source')
+    __slots__ = ('heard_ms', 'polling')
 
     def __init__(self) -> None:
-        """Start without any knowledge."""
-        self.complete = 0
-        self.newest_record = 0
+        """Start without a call."""
         self.heard_ms = 0
         self.polling = False
-        self.source = ''
 
 
 class Coordination:
     """Store access of one node: watch, registry reads and lease.
 
     Attributes:
-      revisions: Revision of each existing watched key.
+      keys: Watched keys as far as they are known.
       keeper: Lease and member key of this node.
       access: Calls to the store.
       registry: Schedule of registry reads.
@@ -83,7 +74,7 @@
         `owns_service` is determined.
       watch_number: Number of the watch; 0 during the read that precedes it,
         None while there is no watch.
-      progress: What is known of the watched keys, and from when.
+      progress: Watch and polls under way.
       on_current: Called with a time up to which all changes are known.
     """
 
@@ -108,7 +99,7 @@
         self.listener = listener
         self.access = access
         access.on_change = self._on_store_change
-        self.revisions: dict[str, int] = {}
+        self.keys = watched_keys.WatchedKeys(prefixes[3], listener)
         self.watch_number: int | None = None
         self.progress = WatchProgress()
         self.on_current: typing.Callable[[int], None] = _ignore
@@ -180,7 +171,7 @@
             self.platform.end_watch(self.watch_number)
         self.watch_number = None
         if not owns:
-            self._remove_unwatched()
+            self.keys.remove_others(self.watched)
         self.tick(self.now_ms)
 
     def poll(self) -> None:
@@ -192,19 +183,18 @@
             return
         self.progress.polling = True
         self.access.call(
-            store.ChangesRequest(self.watched, self.progress.complete + 1),
+            store.ChangesRequest(self.watched, self.keys.complete + 1),
             functools.partial(
                 self._on_changes,
                 self.watch_number,
-                self.progress.complete,
+                self.keys.complete,
                 self.now_ms,
             ),
         )
 
     def accept_copy(self, entry: store.KeyValue) -> None:
         """Apply a watched key that another node has read."""
-        self.progress.source = 'node'
-        if self._accept(entry):
+        if self.keys.apply_copy(entry):
             # The watch should have reported it.
             self.poll()
 
@@ -269,13 +259,7 @@
         if reply is None:
             self.watch_number = None
             return
-        self.progress.source = 'read'
-        found = {entry.key for entry in reply.entries}
-        for key in tuple(self.revisions):
-            if key.startswith(prefix) and key not in found:
-                self._remove(key, reply.revision)
-        for entry in reply.entries:
-            self._accept(entry)
+        self.keys.apply_read(prefix, reply)
         self.on_current(sent_ms)
         if prefix != self.watched:
             # The keys just read have changed which prefix to watch.
@@ -287,7 +271,7 @@
 
     def _watch(self, revision: int) -> None:
         self.snapshot_revision = None
-        self.progress.complete = revision
+        self.keys.complete = revision
         request = store.WatchRequest(
             self.watched,
             revision + 1,
@@ -309,7 +293,7 @@
                 {'keys': self.watched, 'silent_ms': silent_ms},
             )
             return
-        self._apply('watch', reply)
+        self.keys.apply_changes('watch', reply)
         self.on_current(self.progress.heard_ms)
         self.progress.heard_ms = self.now_ms
 
@@ -326,24 +310,14 @@
         if isinstance(reply, store.HistoryLost):
             self._restart_watch(None)
             return
-        missed = self.progress.complete == known and (
+        missed = self.keys.complete == known and (
             reply.changed or reply.deleted
         )
-        self._apply('poll', reply)
+        self.keys.apply_changes('poll', reply)
         self.on_current(sent_ms)
         if missed and watch_number == self.watch_number:
             self._restart_watch(reply.revision)
 
-    def _apply(self, source: str, reply: store.WatchEvents) -> None:
-        """Report the changes that are not known yet."""
-        self.progress.source = source
-        known = self.progress.complete
-        self.progress.complete = max(known, reply.revision)
-        for entry in reply.changed:
-            self._accept(entry)
-        for key in reply.deleted:
-            self._remove(key, reply.revision)
-
     def _restart_watch(self, revision: int | None) -> None:
         """Replace the watch; read everything again without a revision."""
         self.access.journal.write(
@@ -359,30 +333,6 @@
         if revision is not None:
             self._watch(revision)
 
-    def _accept(self, entry: store.KeyValue) -> bool:
-        """Report a key unless it is known; return whether it was reported."""
-        if entry.mod_revision <= self.revisions.get(entry.key, 0):
-            return False
-        self.revisions[entry.key] = entry.mod_revision
-        if entry.key != self.prefixes[3]:
-            self.progress.newest_record = max(
-                self.progress.newest_record, entry.mod_revision
-            )
-        self.listener.on_key(entry.key, entry.value, entry.mod_revision)
-        return True
-
-    def _remove_unwatched(self) -> None:
-        """Report the keys that are no longer watched as removed."""
-        for key, revision in tuple(self.revisions.items()):
-            if not key.startswith(self.watched):
-                self._remove(key, revision)
-
-    def _remove(self, key: str, revision: int) -> None:
-        """Report a removal unless the key is unknown or was written later."""
-        if 0 < self.revisions.get(key, 0) <= revision:
-            self.revisions.pop(key)
-            self.listener.on_key(key, None, revision)
-
     def _read_registry(self, now_ms: int) -> None:
         fresh = self.registry.start(now_ms, owns_service=self.owns_service)
         self.read_all(
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -282,14 +282,14 @@
                 {'revision': revision, 'reason': loaded},
             )
             return
-        progress = self.coordination.progress
+        reads = self.coordination
         self.adapters.journal.write(
             'configuration_received',
             {
                 'version': loaded.version,
                 'revision': revision,
-                'source': progress.source,
-                'silent_ms': self.now_ms - progress.heard_ms,
+                'source': reads.keys.source,
+                'silent_ms': self.now_ms - reads.progress.heard_ms,
             },
         )
         self.gateway.configure(loaded, self.now_ms)
