Log the era of the store and the keys that a node ignores

The header reaches the decision code with each reply (StoreCalls). The fake of the platform moves to a module of its own, and numbers its calls.

A node that reaches the store through another one read answers of 1 MB at most, since the limit was set on direct connections only; a page of the store may be larger than that in base64. Both ways now have the same limit.

--- a/jacinthhaven/adapters/http_store.py
+++ b/jacinthhaven/adapters/http_store.py
@@ -56,13 +56,14 @@
     """Watch that owns its connection.
 
     Attributes:
-      on_events: Called with the changes.
+      on_events: Called with the changes, and with the era of the store if it
+        has one.
       on_lost: Called once with the reason when the watch ends, unless the
-        owner closes it.
+        owner closes it; and with the era if the store has ended it.
     """
 
-    on_events: typing.Callable[[store.WatchEvents], None]
-    on_lost: typing.Callable[[str], None]
+    on_events: typing.Callable[..., None]
+    on_lost: typing.Callable[..., None]
 
     @abc.abstractmethod
     def start(self, request: store.WatchRequest, timeout_ms: int) -> None:
@@ -143,6 +144,10 @@
     def new_watch(self, client: http_client.Client) -> Watch:
         """Return a watch that takes ownership of a new connection."""
 
+    def era(self, _message: http_messages.Message) -> int:
+        """Return the era of the store in a response; 0 if it has none."""
+        return 0
+
     def connect(self) -> http_client.Client:
         """Return a new connection to the store."""
         client = http_client.Client(self.poller, self.addresses[0])
@@ -204,7 +209,7 @@
             self.idle.append(connection)
         else:
             self.connections.discard(connection)
-        self._finish(call, reply)
+        self._finish(call, reply, self.era(message))
         self._dispatch()
 
     def _drop_connection(self, connection: _Connection, reason: str) -> None:
@@ -240,9 +245,10 @@
         self,
         call: _Call,
         reply: store.Reply | failures.Failure,
+        era: int = 0,
     ) -> None:
         self.calls.pop(call.number)
-        self._report(call.number, reply)
+        self._report(call.number, reply, era)
 
     def _open_watch(self, message: messages.StoreCall) -> None:
         watch = self.new_watch(self.connect())
@@ -251,14 +257,16 @@
         watch.on_lost = functools.partial(self._fail_watch, message.number)
         watch.start(message.request, self.call_timeout_ms)
 
-    def _fail_watch(self, number: int, reason: str) -> None:
+    def _fail_watch(self, number: int, reason: str, era: int = 0) -> None:
         self.watches.pop(number)
         self.addresses.rotate(-1)
-        self._report(number, failures.STORE_UNAVAILABLE.because(reason))
+        lost = failures.STORE_UNAVAILABLE.because(reason)
+        self._report(number, lost, era)
 
     def _report(
         self,
         number: int,
         reply: store.Reply | failures.Failure,
+        era: int = 0,
     ) -> None:
-        self.deliver(messages.StoreReply(number, reply))
+        self.deliver(messages.StoreReply(number, reply, era))
--- a/jacinthhaven/decide/messages.py
+++ b/jacinthhaven/decide/messages.py
@@ -179,10 +179,17 @@
 
     A failure of kind `store_unavailable` does not tell whether the call
     took effect.
+
+    Attributes:
+      number: Number of the call.
+      reply: Reply, or why there is none.
+      era: How often the store had been restored when it answered; 0 if it did
+        not answer, or does not tell.
     """
 
     number: int
     reply: store.Reply | failures.Failure
+    era: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/jacinthhaven/platform/kv.py
+++ b/jacinthhaven/platform/kv.py
@@ -19,7 +19,9 @@
 _WATCH_WAIT_MS = 1500
 # Time for the response after the wait.
 _WATCH_MARGIN_MS = 700
-_MAX_ANSWER_BYTES = 4_194_304
+_MAX_ANSWER_BYTES = 16_777_216
+# Header of all responses: a number that rises when the store is restored.
+_ERA_HEADER = 'store-era'
 
 
 @plugins.register(plugins.STORE_KIND, 'platform')
@@ -47,12 +49,20 @@
 
     def connect(self) -> http_client.Client:
         """Return a new connection to the store."""
-        if self.through is None:
-            return super().connect()
-        client = http_client.Client(self.poller, self.through)
-        client.stream.send(peer_wire.TUNNEL)
+        address = self.through or self.addresses[0]
+        client = http_client.Client(self.poller, address)
+        client.parser = http_messages.HeaderParser(
+            response=True,
+            max_body=_MAX_ANSWER_BYTES,
+        )
+        if self.through is not None:
+            client.stream.send(peer_wire.TUNNEL)
         return client
 
+    def era(self, message: http_messages.Message) -> int:
+        """Return the era in the header of a response; 0 without one."""
+        return _decode_era(message)
+
     def send(self, client: http_client.Client, request: store.Request) -> None:
         """Send a request to the store."""
         kv_requests.send(client, request)
@@ -97,7 +107,6 @@
         self.poller = loop
         self.wait_ms = wait_ms
         self.client = client
-        client.parser.max_body = _MAX_ANSWER_BYTES
         self.on_events = _ignore
         self.on_lost = _ignore
         self.closed = False
@@ -148,24 +157,30 @@
         if self.closed:
             return
         self.round += 1
+        era = _decode_era(message)
         if message.status != http.HTTPStatus.OK:
-            self._fail(f'status {message.status}')
+            self._fail(f'status {message.status}', era)
             return
         try:
             answer = kv_answers.decode(kv_answers.Events, message.body)
         except http_store.MalformedAnswerError as error:
-            self._fail(str(error))
+            self._fail(str(error), era)
             return
         self.revision = max(self.revision, answer.current_rev)
-        self.on_events(kv_answers.watch_events(answer))
+        self.on_events(kv_answers.watch_events(answer), era)
         if not self.closed:
             self._poll()
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, reason: str, era: int = 0) -> None:
         if not self.closed:
             self.close()
-            self.on_lost(reason)
+            self.on_lost(reason, era)
+
+
+def _decode_era(message: http_messages.Message) -> int:
+    text = message.headers.get(_ERA_HEADER, '')
+    return int(text) if text.isdecimal() else 0
 
 
-def _ignore(_subject: typing.Any) -> None:
+def _ignore(*_args: typing.Any) -> None:
     """Do nothing; default of an unset callback."""
--- a/jacinthhaven/platform/plugin.py
+++ b/jacinthhaven/platform/plugin.py
@@ -96,4 +96,4 @@
             return
         if not watching:
             self.waiting.pop(message.number)
-        on_reply(message.reply)
+        on_reply(message.era, message.reply)
--- a/jacinthhaven/sql/builders.py
+++ b/jacinthhaven/sql/builders.py
@@ -5,9 +5,7 @@
 import random
 import typing
 
-from jacinthhaven.kernel import failures
 from jacinthhaven.platform import client_wire, instance_wire, reply_reader
-from jacinthhaven.records import store
 from jacinthhaven.sql import (
     commands,
     gateway,
@@ -25,10 +23,6 @@
 STRICT = 'strict'
 BOUNDED = 'bounded'
 OWN = 'own'
-# Times of the client of the store.
-_WATCH_WAIT_MS = 4000
-_WATCH_MARGIN_MS = 700
-_CALL_TIMEOUT_MS = 900
 # Longer than every timeout of a statement.
 _ANSWER_TIMEOUT_MS = 3000
 
@@ -479,147 +473,6 @@
     return [name for name, line in rig.lines if text in line]
 
 
-class FakePlatform(ports.Platform):
-    """Platform on a store model that carries out promotion orders.
-
-    Attributes:
-      orders: Accepted orders as (service, instance, fence).
-      down: Whether the store refuses this node.
-      way: Node through which calls are sent, or None.
-      reaching: Addresses of nodes that the store serves.
-      calls: Store calls so far.
-      scheduled: Scheduled callbacks as (time, callback, argument).
-      promote_ms: Time that a promotion takes.
-      silent: Whether no call is answered, so that it fails after a while.
-      watch_wait_ms: How long a poll of a watch waits for changes.
-    """
-
-    def __init__(self, model: typing.Any, group: sql_group.SqlGroup) -> None:
-        """Use a store model and a database group, which may be shared."""
-        self.model = model
-        self.group = group
-        self.orders: list[tuple[str, str, int]] = []
-        self.calls: list[store.Request] = []
-        self.down = False
-        self.way: records.Address | None = None
-        self.reaching: set[records.Address] = set()
-        self.scheduled: collections.deque = collections.deque()
-        self.watches: list[tuple[typing.Any, ports.OnStore]] = []
-        self.requests: dict[typing.Any, store.WatchRequest] = {}
-        self.now_ms = 0
-        self.promote_ms = 300
-        self.silent = False
-        self.watch_wait_ms = _WATCH_WAIT_MS
-
-    @property
-    def refused(self) -> bool:
-        """Return whether calls fail on the present way."""
-        return self.down if self.way is None else self.way not in self.reaching
-
-    def call(self, request: store.Request, on_reply: ports.OnStore) -> int:
-        """Run a call; its reply comes with the next `run`."""
-        number = id(on_reply)
-        self.calls.append(request)
-        if self.refused:
-            lost = failures.STORE_UNAVAILABLE.because('cut off')
-            self.scheduled.append((self.now_ms + 4, on_reply, lost))
-        elif self.silent:
-            self._fail_later(request, on_reply)
-        elif isinstance(request, store.WatchRequest):
-            self.model.open_watch(number, request)
-            self.watches.append((number, on_reply))
-            self.requests[number] = request
-        else:
-            reply = self.model.call(request, self.now_ms)
-            self.scheduled.append((self.now_ms + 4, on_reply, reply))
-        return number
-
-    def use_way(self, node: records.Address | None) -> None:
-        """Send the next calls through another node, or directly."""
-        self.way = node
-
-    def silence_connections(self) -> None:
-        """Let the open connections fall silent; new ones work.
-
-        Watches notice it when their poll should have ended, and calls when
-        their time has passed.
-        """
-        pending = self.scheduled
-        self.scheduled = collections.deque()
-        for _due_ms, on_reply, _reply in pending:
-            self._fail_later(None, on_reply)
-        for number, on_watch in self.watches:
-            self._fail_later(self.requests[number], on_watch)
-        self.watches.clear()
-
-    def end_watch(self, number: int) -> None:
-        """Remove a watch."""
-        for entry in tuple(self.scheduled):
-            if id(entry[1]) == number:
-                self.scheduled.remove(entry)
-        self.watches = [known for known in self.watches if known[0] != number]
-
-    def promote(
-        self,
-        service: str,
-        instance: str,
-        fence: int,
-        on_result: ports.OnOrder,
-    ) -> None:
-        """Accept an order, and carry it out after `promote_ms`.
-
-        An order with an older fencing token is refused.
-        """
-        if self.orders and fence < self.orders[-1][2]:
-            outcome = ports.OrderResult(False, True, 'old fence')
-        else:
-            self.orders.append((service, instance, fence))
-            outcome = ports.OrderResult(True, False, 'done')
-            self.scheduled.append(
-                (
-                    self.now_ms + self.promote_ms,
-                    lambda _none: self.group.promote(instance),
-                    None,
-                ),
-            )
-        self.scheduled.append((self.now_ms + 4, on_result, outcome))
-
-    def run(self, now_ms: int) -> None:
-        """Deliver replies and events that are due."""
-        self.now_ms = now_ms
-        self.model.advance(now_ms)
-        due = [entry for entry in self.scheduled if entry[0] <= now_ms]
-        for entry in due:
-            self.scheduled.remove(entry)
-            entry[1](entry[2])
-        if self.refused:
-            self._lose_watches()
-        for number, on_reply in tuple(self.watches):
-            for events in self.model.take_events(number):
-                on_reply(events)
-
-    def _fail_later(
-        self,
-        request: store.Request | None,
-        on_reply: ports.OnStore,
-    ) -> None:
-        """Fail a call or a watch once its time has passed."""
-        after_ms = _CALL_TIMEOUT_MS
-        if isinstance(request, store.WatchRequest):
-            wait_ms = request.wait_ms or self.watch_wait_ms
-            after_ms = wait_ms + _WATCH_MARGIN_MS
-        lost = failures.STORE_UNAVAILABLE.because('silent')
-        self.scheduled.append((self.now_ms + after_ms, on_reply, lost))
-
-    def _lose_watches(self) -> None:
-        """End all watches with a failure."""
-        lost = failures.STORE_UNAVAILABLE.because('cut off')
-        watches = self.watches
-        self.watches = []
-        for _number, on_reply in watches:
-            on_reply(lost)
-
-
 def seeded_random() -> random.Random:
     """Return a random number generator with a fixed seed."""
     return random.Random(1)
--- a/jacinthhaven/sql/coordination.py
+++ b/jacinthhaven/sql/coordination.py
@@ -16,9 +16,9 @@
 from jacinthhaven.sql import (
     lease,
     node_context,
-    ports,
     read_schedules,
     store_access,
+    store_calls,
     store_routes,
     watched_keys,
 )
@@ -65,7 +65,7 @@
     Attributes:
       keys: Watched keys as far as they are known.
       keeper: Lease and member key of this node.
-      access: Calls to the store.
+      access: Calls to the store, and the end of watches.
       registry: Schedule of registry reads.
       members: Schedule of member reads.
       owns_service: Whether this node owns services.
@@ -80,7 +80,6 @@
 
     def __init__(
         self,
-        platform: ports.Platform,
         prefixes: tuple[str, str, str, str],
         listener: Listener,
         access: store_access.StoreAccess,
@@ -88,18 +87,18 @@
         """Create the object; nothing is sent before `tick`.
 
         Args:
-          platform: Ends watches.
           prefixes: Prefix that owners watch, prefix of the registry, prefix
             of the members, and prefix that nodes without a service watch.
           listener: Receiver of store contents.
           access: Calls to the store.
         """
-        self.platform = platform
         self.prefixes = prefixes
         self.listener = listener
         self.access = access
         access.on_change = self._on_store_change
-        self.keys = watched_keys.WatchedKeys(prefixes[3], listener)
+        self.keys = watched_keys.WatchedKeys(
+            prefixes[3], listener, access.journal
+        )
         self.watch_number: int | None = None
         self.progress = WatchProgress()
         self.on_current: typing.Callable[[int], None] = _ignore
@@ -168,7 +167,7 @@
             self.registry.require_fresh()
         self.snapshot_revision = None
         if self.watch_number:
-            self.platform.end_watch(self.watch_number)
+            self.access.calls.end_watch(self.watch_number)
         self.watch_number = None
         if not owns:
             self.keys.remove_others(self.watched)
@@ -328,7 +327,7 @@
                 'silent_ms': self.now_ms - self.progress.heard_ms,
             },
         )
-        self.platform.end_watch(self.watch_number)
+        self.access.calls.end_watch(self.watch_number)
         self.watch_number = None
         if revision is not None:
             self._watch(revision)
@@ -364,18 +363,19 @@
 def create(
     identity: node_context.Identity,
     adapters: node_context.Adapters,
+    calls: store_calls.StoreCalls,
     listener: Listener,
 ) -> Coordination:
     """Return the store access of a node that has just started.
 
     Args:
       identity: Settings of the node.
-      adapters: Calls to the store, names of the keys, log and metrics.
+      adapters: Names of the keys, log and metrics.
+      calls: Calls to the store.
       listener: Receiver of store contents.
     """
     documents = adapters.documents
     return Coordination(
-        adapters.platform,
         (
             documents.watched_prefix,
             documents.registry_prefix,
@@ -384,7 +384,7 @@
         ),
         listener,
         store_access.StoreAccess(
-            adapters.platform,
+            calls,
             store_routes.StoreRoutes(identity.seeds, adapters.rng),
             adapters.journal,
         ),
--- a/jacinthhaven/sql/coordination_test.py
+++ b/jacinthhaven/sql/coordination_test.py
@@ -4,7 +4,9 @@
 from jacinthhaven.sql import (
     builders,
     coordination,
+    platform_builders,
     store_access,
+    store_calls,
     store_routes,
 )
 from jacinthhaven.standins import store_model
@@ -12,7 +14,7 @@
 _PAGE_SIZE = 3
 
 
-class _PagedStore(builders.FakePlatform):
+class _PagedStore(platform_builders.FakePlatform):
     """Store that splits the reply to a read into small pages.
 
     Attributes:
@@ -31,7 +33,7 @@
         self.calls.append(request)
         found = self.model.call(request, self.now_ms)
         if not isinstance(found, store.ReadReply):
-            self.scheduled.append((self.now_ms + 4, on_reply, found))
+            self.answer(0, on_reply, found)
             return 0
         rest = [entry for entry in found.entries if entry.key > request.after]
         page = store.ReadReply(
@@ -39,7 +41,7 @@
             tuple(rest[:_PAGE_SIZE]),
             len(rest) > _PAGE_SIZE,
         )
-        self.scheduled.append((self.now_ms + 4, on_reply, page))
+        self.answer(0, on_reply, page)
         first = request.prefix == 'o' and not request.after
         if self.between is not None and first:
             self.between()
@@ -87,11 +89,10 @@
         self.platform = _PagedStore()
         self.listener = _Listener()
         self.node = coordination.Coordination(
-            self.platform,
             ('o', 'servers/', 'nodes/', 'op/config'),
             self.listener,
             store_access.StoreAccess(
-                self.platform,
+                store_calls.StoreCalls(self.platform, builders.FakeJournal()),
                 store_routes.StoreRoutes((), builders.seeded_random()),
                 builders.FakeJournal(),
             ),
--- a/jacinthhaven/sql/election_test.py
+++ b/jacinthhaven/sql/election_test.py
@@ -11,6 +11,7 @@
     node,
     node_context,
     ownership,
+    platform_builders,
     ports,
     promotion_lock,
     records,
@@ -150,7 +151,7 @@
         rig.clients = builders.FakeClients()
         rig.journal = builders.FakeJournal()
         rig.lines = []
-        platform = builders.FakePlatform(self.model, self.group)
+        platform = platform_builders.FakePlatform(self.model, self.group)
         port = len(self.nodes) + 1
         member = node.Node(
             node_context.Identity(
--- a/jacinthhaven/sql/fleet_builders.py
+++ b/jacinthhaven/sql/fleet_builders.py
@@ -7,6 +7,7 @@
     node,
     node_context,
     ownership,
+    platform_builders,
     records,
     registry,
 )
@@ -64,7 +65,7 @@
         self.model = store_model.StoreModel()
         self.network: dict[int, builders.FakeMessenger] = {}
         self.nodes: list[node.Node] = []
-        self.platforms: list[builders.FakePlatform] = []
+        self.platforms: list[platform_builders.FakePlatform] = []
         self.journals: list[builders.FakeJournal] = []
         self.clients: list[builders.FakeClients] = []
         self.copies: list[builders.FakeCopies] = []
@@ -153,7 +154,7 @@
 
     def _add(self, index: int, size: int) -> None:
         group = sql_group.SqlGroup(builders.SERVICE, builders.MEMBERS)
-        platform = builders.FakePlatform(self.model, group)
+        platform = platform_builders.FakePlatform(self.model, group)
         journal = builders.FakeJournal()
         clients = builders.FakeClients()
         copies = builders.FakeCopies()
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -24,6 +24,7 @@
     registry,
     relaying,
     script_calls,
+    store_calls,
     store_records,
 )
 
@@ -54,6 +55,7 @@
     """Core of one process, without any I/O of its own.
 
     Attributes:
+      store_calls: Calls to the store.
       peers: Listed nodes by name.
       elections: Elections by service name.
       stopping_ms: When the planned stop began, or None.
@@ -74,10 +76,13 @@
             adapters.journal,
         )
         documents = adapters.documents
+        self.store_calls = store_calls.StoreCalls(
+            adapters.platform, adapters.journal
+        )
         self.sync = configuration_sync.ConfigurationSync(
             identity,
             adapters,
-            coordination.create(identity, adapters, self),
+            coordination.create(identity, adapters, self.store_calls, self),
         )
         self.coordination.keeper.set_member(
             f'{documents.member_prefix}{identity.name}',
@@ -111,7 +116,7 @@
         )
         self.peers: dict[str, ownership.Peer] = {}
         self.script_calls = script_calls.ScriptCalls(
-            self.gateway.groups, adapters
+            self.gateway.groups, adapters, self.store_calls
         )
         self.elections: dict[str, election.Election] = {}
         self.registry = registry.Registry(documents, adapters.journal)
--- /dev/null
+++ b/jacinthhaven/sql/platform_builders.py
@@ -0,0 +1,206 @@
+"""Fake of the platform's store and of its promotion orders."""
+
+import dataclasses
+import itertools
+import typing
+
+from jacinthhaven.kernel import failures
+from jacinthhaven.records import store
+from jacinthhaven.sql import ports, records
+from jacinthhaven.standins import sql_group, store_model
+
+# Times of the client of the store.
+_WATCH_WAIT_MS = 4000
+_WATCH_MARGIN_MS = 700
+_CALL_TIMEOUT_MS = 900
+_ANSWER_MS = 4
+# Unique among all nodes, which may share one model.
+_NUMBERS = itertools.count(1)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Due:
+    """Callback that is due at a time.
+
+    Attributes:
+      at_ms: When it is called.
+      number: Number of the store call that it answers; 0 for none.
+      callback: Function to call.
+      arguments: Its arguments.
+    """
+
+    at_ms: int
+    number: int
+    callback: typing.Callable[..., None]
+    arguments: tuple[typing.Any, ...] = ()
+
+
+class FakePlatform(ports.Platform):
+    """Platform on a store model that carries out promotion orders.
+
+    Attributes:
+      orders: Accepted orders as (service, instance, fence).
+      down: Whether the store refuses this node.
+      way: Node through which calls are sent, or None.
+      reaching: Addresses of nodes that the store serves.
+      calls: Store calls so far.
+      scheduled: Callbacks that are due later.
+      watches: Callbacks of open watches by number.
+      promote_ms: Time that a promotion takes.
+      silent: Whether no call is answered, so that it fails after a while.
+      watch_wait_ms: How long a poll of a watch waits for changes.
+    """
+
+    def __init__(
+        self,
+        model: store_model.StoreModel,
+        group: sql_group.SqlGroup,
+    ) -> None:
+        """Use a store model and a database group, which may be shared."""
+        self.model = model
+        self.group = group
+        self.orders: list[tuple[str, str, int]] = []
+        self.calls: list[store.Request] = []
+        self.down = False
+        self.way: records.Address | None = None
+        self.reaching: set[records.Address] = set()
+        self.scheduled: list[_Due] = []
+        self.watches: dict[int, ports.OnStore] = {}
+        self.requests: dict[int, store.WatchRequest] = {}
+        self.now_ms = 0
+        self.promote_ms = 300
+        self.silent = False
+        self.watch_wait_ms = _WATCH_WAIT_MS
+
+    @property
+    def refused(self) -> bool:
+        """Return whether calls fail on the present way."""
+        return self.down if self.way is None else self.way not in self.reaching
+
+    def call(self, request: store.Request, on_reply: ports.OnStore) -> int:
+        """Run a call; its reply comes with the next `run`."""
+        number = next(_NUMBERS)
+        self.calls.append(request)
+        if self.refused:
+            self._fail(number, on_reply, 'cut off', _ANSWER_MS)
+        elif self.silent:
+            self._fail_later(number, request, on_reply)
+        elif isinstance(request, store.WatchRequest):
+            self.model.open_watch(number, request)
+            self.watches[number] = on_reply
+            self.requests[number] = request
+        else:
+            self.answer(number, on_reply, self.execute(request))
+        return number
+
+    def execute(self, request: store.Request) -> typing.Any:
+        """Run a call at the store and return its reply."""
+        return self.model.call(request, self.now_ms)
+
+    def answer(
+        self,
+        number: int,
+        on_reply: ports.OnStore,
+        reply: typing.Any,
+    ) -> None:
+        """Deliver a reply of the store a little later."""
+        self._schedule(_ANSWER_MS, number, on_reply, self.model.era, reply)
+
+    def use_way(self, node: records.Address | None) -> None:
+        """Send the next calls through another node, or directly."""
+        self.way = node
+
+    def silence_connections(self) -> None:
+        """Let the open connections fall silent; new ones work.
+
+        Watches notice it when their poll should have ended, and calls when
+        their time has passed.
+        """
+        pending = [due for due in self.scheduled if due.number]
+        self.scheduled = [due for due in self.scheduled if not due.number]
+        for due in pending:
+            self._fail(due.number, due.callback, 'silent', _CALL_TIMEOUT_MS)
+        for number, on_watch in self.watches.items():
+            self._fail_later(number, self.requests[number], on_watch)
+        self.watches.clear()
+
+    def end_watch(self, number: int) -> None:
+        """Remove a watch."""
+        self.scheduled = [due for due in self.scheduled if due.number != number]
+        self.watches.pop(number, None)
+
+    def promote(
+        self,
+        service: str,
+        instance: str,
+        fence: int,
+        on_result: ports.OnOrder,
+    ) -> None:
+        """Accept an order, and carry it out after `promote_ms`.
+
+        An order with an older fencing token is refused.
+        """
+        if self.orders and fence < self.orders[-1][2]:
+            outcome = ports.OrderResult(False, True, 'old fence')
+        else:
+            self.orders.append((service, instance, fence))
+            outcome = ports.OrderResult(True, False, 'done')
+            self._schedule(self.promote_ms, 0, self.group.promote, instance)
+        self._schedule(_ANSWER_MS, 0, on_result, outcome)
+
+    def run(self, now_ms: int) -> None:
+        """Deliver replies and events that are due."""
+        self.now_ms = now_ms
+        self.model.advance(now_ms)
+        ready = [due for due in self.scheduled if due.at_ms <= now_ms]
+        for due in ready:
+            # An earlier callback may have ended this call.
+            if due in self.scheduled:
+                self.scheduled.remove(due)
+                due.callback(*due.arguments)
+        if self.refused:
+            self._lose_watches()
+        for number, on_reply in tuple(self.watches.items()):
+            for events in self.model.take_events(number):
+                on_reply(self.model.era, events)
+
+    def _schedule(
+        self,
+        after_ms: int,
+        number: int,
+        callback: typing.Callable[..., None],
+        *arguments: typing.Any,
+    ) -> None:
+        at_ms = self.now_ms + after_ms
+        self.scheduled.append(_Due(at_ms, number, callback, arguments))
+
+    def _fail(
+        self,
+        number: int,
+        on_reply: ports.OnStore,
+        reason: str,
+        after_ms: int,
+    ) -> None:
+        lost = failures.STORE_UNAVAILABLE.because(reason)
+        self._schedule(after_ms, number, on_reply, 0, lost)
+
+    def _fail_later(
+        self,
+        number: int,
+        request: store.Request,
+        on_reply: ports.OnStore,
+    ) -> None:
+        """Fail a call or a watch once its time has passed."""
+        after_ms = _CALL_TIMEOUT_MS
+        if isinstance(request, store.WatchRequest):
+            wait_ms = request.wait_ms or self.watch_wait_ms
+            after_ms = wait_ms + _WATCH_MARGIN_MS
+        self._fail(number, on_reply, 'silent', after_ms)
+
+    def _lose_watches(self) -> None:
+        """End all watches with a failure."""
+        lost = failures.STORE_UNAVAILABLE.because('cut off')
+        watches = self.watches
+        self.watches = {}
+        for on_reply in watches.values():
+            on_reply(0, lost)
--- a/jacinthhaven/sql/ports.py
+++ b/jacinthhaven/sql/ports.py
@@ -9,7 +9,8 @@
 Fields = dict[str, typing.Any]
 OnOrder = typing.Callable[['OrderResult'], None]
 OnCopy = typing.Callable[[int, str], None]
-OnStore = typing.Callable[[typing.Any], None]
+# Gets the era of the store (0 if unknown), and a reply or a failure.
+OnStore = typing.Callable[[int, typing.Any], None]
 
 
 class Databases(abc.ABC):
@@ -181,7 +182,7 @@
 
     @abc.abstractmethod
     def call(self, request: store.Request, on_reply: OnStore) -> int:
-        """Call the store; the callback gets a reply or a failure.
+        """Call the store; the callback gets the era, and a reply or a failure.
 
         Returns:
           Number of the call, to be passed to `end_watch` for a watch.
--- a/jacinthhaven/sql/script_calls.py
+++ b/jacinthhaven/sql/script_calls.py
@@ -2,13 +2,21 @@
 
 import typing
 
-from jacinthhaven.sql import fan_out, group, node_context, ports, scripts
+from jacinthhaven.sql import (
+    fan_out,
+    group,
+    node_context,
+    ports,
+    scripts,
+    store_calls,
+)
 
 
 class ScriptCalls:
     """Performs the calls of the scripts of one node.
 
     Attributes:
+      store_calls: Calls to the store.
       sleepers: Timers of suspended scripts.
       now_ms: Current time.
     """
@@ -17,15 +25,18 @@
         self,
         groups: typing.Mapping[str, group.Group],
         adapters: node_context.Adapters,
+        calls: store_calls.StoreCalls,
     ) -> None:
         """Start without scripts.
 
         Args:
           groups: Service groups by service name.
           adapters: Adapters of the node.
+          calls: Calls to the store.
         """
         self.groups = groups
         self.adapters = adapters
+        self.store_calls = calls
         self.sleepers = scripts.Timers()
         self.now_ms = 0
 
@@ -57,7 +68,7 @@
             case scripts.Promote():
                 self._promote(call, on_result)
             case _:
-                self.adapters.platform.call(call, on_result)
+                self.store_calls.call(call, on_result)
 
     def _promote(
         self,
--- a/jacinthhaven/sql/store_access.py
+++ b/jacinthhaven/sql/store_access.py
@@ -5,7 +5,7 @@
 
 from jacinthhaven.kernel import backoff, failures
 from jacinthhaven.records import store
-from jacinthhaven.sql import ports, records, store_routes
+from jacinthhaven.sql import ports, records, store_calls, store_routes
 
 _RETRY_FIRST_MS = 150
 _RETRY_LAST_MS = 800
@@ -20,6 +20,7 @@
     """Access of one node to the store.
 
     Attributes:
+      calls: Calls to the store.
       routes: Ways to the store.
       connected: Whether the last call succeeded.
       urgent: Whether the node owns services, so that its calls are urgent.
@@ -29,18 +30,18 @@
 
     def __init__(
         self,
-        platform: ports.Platform,
+        calls: store_calls.StoreCalls,
         routes: store_routes.StoreRoutes,
         journal: ports.Journal,
     ) -> None:
         """Create an access that was not used yet.
 
         Args:
-          platform: Calls to the store.
+          calls: Calls to the store.
           routes: Ways to the store.
           journal: Log and metrics.
         """
-        self.platform = platform
+        self.calls = calls
         self.routes = routes
         self.journal = journal
         self.backoff = backoff.Backoff(
@@ -75,8 +76,8 @@
         """
         self.journal.count('store_calls', type(request).__name__)
         way = self.routes.choose(self.now_ms)
-        self.platform.use_way(way)
-        return self.platform.call(
+        self.calls.use_way(way)
+        return self.calls.call(
             request,
             functools.partial(self._on_reply, way, on_reply),
         )
--- a/jacinthhaven/sql/watched_keys.py
+++ b/jacinthhaven/sql/watched_keys.py
@@ -7,6 +7,7 @@
 import typing
 
 from jacinthhaven.records import store
+from jacinthhaven.sql import ports
 
 
 class Listener(typing.Protocol):
@@ -27,15 +28,22 @@
         `poll` or `node`.
     """
 
-    def __init__(self, configuration_key: str, listener: Listener) -> None:
+    def __init__(
+        self,
+        configuration_key: str,
+        listener: Listener,
+        journal: ports.Journal,
+    ) -> None:
         """Start without any knowledge.
 
         Args:
           configuration_key: Key of the operator's configuration.
           listener: Receiver of the values.
+          journal: Log and metrics.
         """
         self.configuration_key = configuration_key
         self.listener = listener
+        self.journal = journal
         self.revisions: dict[str, int] = {}
         self.complete = 0
         self.newest_record = 0
@@ -73,7 +81,9 @@
 
     def accept(self, entry: store.KeyValue) -> bool:
         """Report a key unless it is known; return whether it was reported."""
-        if entry.mod_revision <= self.revisions.get(entry.key, 0):
+        known = self.revisions.get(entry.key, 0)
+        if entry.mod_revision <= known:
+            self._log_ignored(entry, known)
             return False
         self.revisions[entry.key] = entry.mod_revision
         if entry.key != self.configuration_key:
@@ -86,3 +96,17 @@
         if 0 < self.revisions.get(key, 0) <= revision:
             self.revisions.pop(key)
             self.listener.on_key(key, None, revision)
+
+    def _log_ignored(self, entry: store.KeyValue, known: int) -> None:
+        self.journal.count('keys_ignored', self.source)
+        # Several nodes may send the same copy.
+        if self.source != 'node':
+            self.journal.write(
+                'key_ignored',
+                {
+                    'key': entry.key,
+                    'revision': entry.mod_revision,
+                    'known': known,
+                    'source': self.source,
+                },
+            )
--- a/jacinthhaven/standins/store_model.py
+++ b/jacinthhaven/standins/store_model.py
@@ -42,6 +42,7 @@
     Attributes:
       space: Stored keys.
       counts: Number of calls by kind, including those that failed.
+      era: Rises each time that the store is restored from a copy.
       outage: Whether all calls fail; leases do not expire meanwhile.
     """
 
@@ -53,6 +54,7 @@
         self.watches: dict[typing.Hashable, Watch] = {}
         self.counts: collections.Counter[str] = collections.Counter()
         self.outage = False
+        self.era = 1
 
     def call(self, request: store.Request, now_ms: int) -> Reply:
         """Run one call other than a watch.
