--- a/jacinthhaven/sql/fleet_builders.py
+++ b/jacinthhaven/sql/fleet_builders.py
@@ -11,7 +11,7 @@
     records,
     registry,
 )
-from jacinthhaven.standins import sql_group, store_model
+from jacinthhaven.standins import key_space, sql_group, store_model
 
 CONFIGURATION_KEY = 'op/config'
 APPLY_WITHIN_MS = 3000
@@ -111,6 +111,14 @@
         swap = store.SwapRequest((), (store.Put(key, text),))
         self.model.call(swap, self.now_ms)
 
+    def restore(self, copy: key_space.KeySpace) -> None:
+        """Bring the store back from a copy."""
+        self.model.restore(copy)
+
+    def write_again(self) -> None:
+        """Write the newest version again, as the operator does."""
+        self.put(CONFIGURATION_KEY, str(len(self.changes)))
+
     def run(self, for_ms: int) -> None:
         """Advance the clock of all nodes."""
         until_ms = self.now_ms + for_ms
--- a/jacinthhaven/sql/platform_builders.py
+++ b/jacinthhaven/sql/platform_builders.py
@@ -86,9 +86,7 @@
         elif self.silent:
             self._fail_later(number, request, on_reply)
         elif isinstance(request, store.WatchRequest):
-            self.model.open_watch(number, request)
-            self.watches[number] = on_reply
-            self.requests[number] = request
+            self._open_watch(number, request, on_reply)
         else:
             self.answer(number, on_reply, self.execute(request))
         return number
@@ -104,7 +102,8 @@
         reply: typing.Any,
     ) -> None:
         """Deliver a reply of the store a little later."""
-        self._schedule(_ANSWER_MS, number, on_reply, self.model.era, reply)
+        era = 0 if self.model.outage else self.model.era
+        self._schedule(_ANSWER_MS, number, on_reply, era, reply)
 
     def use_way(self, node: records.Address | None) -> None:
         """Send the next calls through another node, or directly."""
@@ -161,9 +160,30 @@
         if self.refused:
             self._lose_watches()
         for number, on_reply in tuple(self.watches.items()):
+            if number not in self.model.watches:
+                # The store was restored.
+                self.watches.pop(number)
+                self._fail(number, on_reply, 'connection lost', _ANSWER_MS)
+                continue
             for events in self.model.take_events(number):
                 on_reply(self.model.era, events)
 
+    def _open_watch(
+        self,
+        number: int,
+        request: store.WatchRequest,
+        on_reply: ports.OnStore,
+    ) -> None:
+        refusal = self.model.open_watch(number, request)
+        if request.start_revision > self.model.space.revision + 1:
+            self.model.close_watch(number)
+            refusal = failures.STORE_UNAVAILABLE.because('no such revision')
+        if refusal is not None:
+            self.answer(number, on_reply, refusal)
+            return
+        self.watches[number] = on_reply
+        self.requests[number] = request
+
     def _schedule(
         self,
         after_ms: int,
--- a/jacinthhaven/standins/key_space.py
+++ b/jacinthhaven/standins/key_space.py
@@ -26,6 +26,15 @@
         self.keys: dict[str, store.KeyValue] = {}
         self.history: list[store.WatchEvents] = []
 
+    def copy(self) -> 'KeySpace':
+        """Return a copy with the same keys, revision and history."""
+        copied = KeySpace()
+        copied.revision = self.revision
+        copied.compacted = self.compacted
+        copied.keys = dict(self.keys)
+        copied.history = list(self.history)
+        return copied
+
     def read(self, prefix: str) -> store.ReadReply:
         """Return the keys that start with a prefix, sorted by name."""
         return store.ReadReply(
--- a/jacinthhaven/standins/store_model.py
+++ b/jacinthhaven/standins/store_model.py
@@ -136,6 +136,21 @@
         for lease in self.leases.values():
             lease.expires_ms = now_ms + lease.ttl_ms
 
+    def restore(self, copy: key_space.KeySpace) -> None:
+        """Return to a copy made earlier, which begins a new era.
+
+        Leases and the keys that are bound to them are gone. Watches end.
+        Revisions and numbers of leases are given out again.
+        """
+        self.era += 1
+        self.space = copy.copy()
+        self.leases.clear()
+        self.lease_ids = itertools.count(_FIRST_LEASE)
+        self.watches.clear()
+        for key, entry in tuple(self.space.keys.items()):
+            if entry.lease:
+                self.space.keys.pop(key)
+
     def advance(self, now_ms: int) -> None:
         """End the leases whose time has passed, except in an outage."""
         if self.outage:
@@ -180,7 +195,7 @@
         self, request: store.ChangesRequest
     ) -> store.WatchEvents | store.HistoryLost:
         space = self.space
-        if request.start_revision <= space.compacted:
+        if not space.compacted < request.start_revision <= space.revision + 1:
             return store.HistoryLost()
         last: dict[str, store.KeyValue | None] = {}
         for events in space.changes_from(
