--- a/jacinthhaven/adapters/etcd.py
+++ b/jacinthhaven/adapters/etcd.py
@@ -5,6 +5,7 @@
     etcd_calls,
     etcd_watch,
     http_client,
+    http_messages,
     http_store,
 )
 from jacinthhaven.kernel import failures, plugins
@@ -22,12 +23,11 @@
     def decode(
         self,
         request: store.Request,
-        status: int,
-        body: bytes,
+        message: http_messages.Message,
     ) -> store.Reply | failures.Failure:
         """Decode an HTTP response to the reply of the store."""
         try:
-            return etcd_answers.decode(request, status, body)
+            return etcd_answers.decode(request, message.status, message.body)
         except etcd_answers.MALFORMED as error:
             raise http_store.MalformedAnswerError(str(error)) from error
 
--- a/jacinthhaven/adapters/http_store.py
+++ b/jacinthhaven/adapters/http_store.py
@@ -131,8 +131,7 @@
     def decode(
         self,
         request: store.Request,
-        status: int,
-        body: bytes,
+        message: http_messages.Message,
     ) -> store.Reply | failures.Failure:
         """Decode an HTTP response to the reply of the store.
 
@@ -200,7 +199,7 @@
             self._drop_connection(connection, 'response without a pending call')
             return
         try:
-            reply = self.decode(call.request, message.status, message.body)
+            reply = self.decode(call.request, message)
         except MalformedAnswerError as error:
             self._drop_connection(connection, f'malformed response: {error}')
             return
--- a/jacinthhaven/platform/kv.py
+++ b/jacinthhaven/platform/kv.py
@@ -12,7 +12,7 @@
 )
 from jacinthhaven.kernel import failures, plugins
 from jacinthhaven.platform import kv_answers, kv_requests, peer_wire
-from jacinthhaven.records import store
+from jacinthhaven.records import history, store
 
 # Each poll counts as a call to the store, so a longer wait costs fewer calls.
 # But the failure of an unresponsive connection is detected that much later.
@@ -70,12 +70,14 @@
     def decode(
         self,
         request: store.Request,
-        status: int,
-        body: bytes,
+        message: http_messages.Message,
     ) -> store.Reply | failures.Failure:
         """Decode the response to a request."""
+        status = message.status
         if status == http.HTTPStatus.OK:
-            return kv_answers.decode_ok(request, body)
+            return kv_answers.decode_ok(
+                request, message.body, self.era(message)
+            )
         if isinstance(request, store.ChangesRequest):
             if status == http.HTTPStatus.GONE:
                 return store.HistoryLost()
@@ -84,9 +86,12 @@
                 http.HTTPStatus.PRECONDITION_FAILED,
                 http.HTTPStatus.NOT_FOUND,
             }:
-                return store.SwapReply(False, 0)
-        if status == http.HTTPStatus.NOT_FOUND:
-            return store.LeaseReply(0, 0)
+                return store.SwapReply(False, history.NONE)
+        lost = isinstance(
+            request, (store.KeepAliveRequest, store.RevokeRequest)
+        )
+        if lost and status == http.HTTPStatus.NOT_FOUND:
+            return store.LeaseReply(history.NONE, 0)
         return failures.STORE_UNAVAILABLE.because(f'status {status}')
 
     def new_watch(self, client: http_client.Client) -> http_store.Watch:
@@ -125,7 +130,7 @@
         self.wait_ms = request.wait_ms or self.wait_ms
         # The store takes the last revision already seen, not the first one
         # to report.
-        self.revision = request.start_revision - 1
+        self.revision = kv_requests.number_after(request)
         self._poll()
 
     def close(self) -> None:
@@ -167,7 +172,7 @@
             self._fail(str(error), era)
             return
         self.revision = max(self.revision, answer.current_rev)
-        self.on_events(kv_answers.watch_events(answer), era)
+        self.on_events(kv_answers.watch_events(answer, era), era)
         if not self.closed:
             self._poll()
 
--- a/jacinthhaven/platform/kv_answers.py
+++ b/jacinthhaven/platform/kv_answers.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from jacinthhaven.adapters import http_store
-from jacinthhaven.records import store
+from jacinthhaven.records import history, store
 
 
 class Entry(msgspec.Struct, rename='camel'):
@@ -72,50 +72,63 @@
         raise http_store.MalformedAnswerError(str(error)) from error
 
 
-def _to_key_value(entry: Entry) -> store.KeyValue:
+def _to_key_value(era: int, entry: Entry) -> store.KeyValue:
     # Other writers may store arbitrary bytes. Values that are not valid
     # UTF-8 are rejected later, when their document is decoded.
     text = entry.value.decode(errors='replace')
     return store.KeyValue(
         entry.key,
         text,
-        entry.created,
-        entry.revision,
-        entry.lease,
+        history.EraNumber.at(era, entry.created),
+        history.EraNumber.at(era, entry.revision),
+        history.EraNumber.at(era, entry.lease) if entry.lease else history.NONE,
     )
 
 
-def decode_ok(request: store.Request, body: bytes) -> store.Reply:
-    """Decode the body of a successful response."""
+def decode_ok(request: store.Request, body: bytes, era: int) -> store.Reply:
+    """Decode the body of a successful response.
+
+    Args:
+      request: Request that it answers.
+      body: Body of the response.
+      era: Era of the store in the head of the response.
+    """
     match request:
         case store.ReadRequest():
             answer = decode(Page, body)
-            entries = tuple(_to_key_value(entry) for entry in answer.entries)
+            entries = tuple(
+                _to_key_value(era, entry) for entry in answer.entries
+            )
             return store.ReadReply(
-                answer.current_rev,
+                history.EraNumber.at(era, answer.current_rev),
                 entries,
                 answer.has_more,
             )
         case store.ChangesRequest():
-            return watch_events(decode(Events, body))
+            return watch_events(decode(Events, body), era)
         case store.SwapRequest():
-            return store.SwapReply(True, decode(Committed, body).revision)
+            answer = decode(Committed, body)
+            revision = history.EraNumber.at(era, answer.revision)
+            return store.SwapReply(True, revision)
         case store.LeaseRequest() | store.KeepAliveRequest():
             lease = decode(Lease, body)
             # The reply to a renewal does not repeat the number.
-            number = getattr(request, 'lease', lease.lease)
+            granted = history.EraNumber.at(era, lease.lease)
+            number = getattr(request, 'lease', granted)
             return store.LeaseReply(number, lease.ttl_ms)
-    return store.LeaseReply(0, 0)
+    return store.LeaseReply(history.NONE, 0)
 
 
-def watch_events(answer: Events) -> store.WatchEvents:
-    """Return the changes in the response to a watch."""
+def watch_events(answer: Events, era: int) -> store.WatchEvents:
+    """Return the changes in the response to a watch of an era."""
     # If a key changed several times, only the last change counts.
     last = {entry.key: entry for entry in answer.events}
     return store.WatchEvents(
-        answer.current_rev,
+        history.EraNumber.at(era, answer.current_rev),
         tuple(
-            _to_key_value(entry) for entry in last.values() if not entry.removed
+            _to_key_value(era, entry)
+            for entry in last.values()
+            if not entry.removed
         ),
         tuple(entry.key for entry in last.values() if entry.removed),
     )
--- a/jacinthhaven/platform/kv_requests.py
+++ b/jacinthhaven/platform/kv_requests.py
@@ -1,4 +1,7 @@
-"""Requests to the platform's metadata store."""
+"""Requests to the platform's metadata store.
+
+The store gets its own numbers, without the eras.
+"""
 
 import types
 import typing
@@ -7,7 +10,7 @@
 import msgspec
 
 from jacinthhaven.adapters import http_client
-from jacinthhaven.records import store
+from jacinthhaven.records import history, store
 
 
 def send(client: http_client.Client, request: store.Request) -> None:
@@ -20,6 +23,13 @@
     return urls.quote(prefix, safe='/')
 
 
+def number_after(
+    request: store.WatchRequest | store.ChangesRequest,
+) -> int:
+    """Return the store's number of the last revision that is known."""
+    return history.EraNumber(request.start_revision - 1).number
+
+
 def _send_read(client: http_client.Client, request: typing.Any) -> None:
     prefix = quote(request.prefix)
     stale = '&allowStale=1' if request.may_be_stale else ''
@@ -31,7 +41,7 @@
     # The store takes the last revision already seen, not the first one to
     # report.
     prefix = quote(request.prefix)
-    after = request.start_revision - 1
+    after = number_after(request)
     client.get(f'/kv-watch?prefix={prefix}&after={after}&waitMs=0')
 
 
@@ -46,11 +56,14 @@
                 {
                     'key': change.key,
                     'value': change.value.encode(),
-                    'lease': change.lease,
+                    'lease': history.EraNumber(change.lease).number,
                 },
             )
     expect = [
-        {'key': compare.key, 'revision': compare.mod_revision}
+        {
+            'key': compare.key,
+            'revision': history.EraNumber(compare.mod_revision).number,
+        }
         for compare in request.compares
     ]
     document = {'expect': expect, 'puts': puts, 'deletes': deletes}
@@ -63,11 +76,13 @@
 
 
 def _send_keep(client: http_client.Client, request: typing.Any) -> None:
-    client.send(f'/kv-keep/{request.lease}', b'')
+    lease = history.EraNumber(request.lease).number
+    client.send(f'/kv-keep/{lease}', b'')
 
 
 def _send_revoke(client: http_client.Client, request: typing.Any) -> None:
-    client.delete(f'/kv-lease-end/{request.lease}')
+    lease = history.EraNumber(request.lease).number
+    client.delete(f'/kv-lease-end/{lease}')
 
 
 _SENDERS = types.MappingProxyType(
--- a/jacinthhaven/process/sql_proxy.py
+++ b/jacinthhaven/process/sql_proxy.py
@@ -13,7 +13,6 @@
 import typing
 
 import circuits
-import msgspec
 
 from jacinthhaven.adapters import (
     datagrams,
@@ -135,7 +134,7 @@
     def _on_datagram(self, chunk: bytes) -> None:
         try:
             message = peer_messages.decode(chunk)
-        except msgspec.DecodeError as error:
+        except peer_messages.MALFORMED as error:
             self._on_malformed(str(error))
             return
         self.journal.count('node_messages', type(message).__name__)
--- a/jacinthhaven/records/store.py
+++ b/jacinthhaven/records/store.py
@@ -2,6 +2,10 @@
 
 The store offers compare-and-swap on revisions, leases and watches. Keys
 and values are text; revisions count all changes of the whole store.
+
+A store may be restored from an older copy and then gives revisions and numbers
+of leases out again. Where it tells so, these are `history.EraNumber`s, which stay in
+order; a store that does not tell has plain integers.
 """
 
 import msgspec
@@ -165,6 +169,10 @@
     """The store has dropped changes that a request asks for."""
 
 
+class Restored(msgspec.Struct, frozen=True):
+    """The store was restored since a request was made; its reply is void."""
+
+
 Request = (
     ReadRequest
     | ChangesRequest
@@ -174,4 +182,6 @@
     | RevokeRequest
     | WatchRequest
 )
-Reply = ReadReply | SwapReply | LeaseReply | WatchEvents | HistoryLost
+Reply = (
+    ReadReply | SwapReply | LeaseReply | WatchEvents | HistoryLost | Restored
+)
--- a/jacinthhaven/sql/builders.py
+++ b/jacinthhaven/sql/builders.py
@@ -5,6 +5,8 @@
 import random
 import typing
 
+import msgspec
+
 from jacinthhaven.platform import client_wire, instance_wire, reply_reader
 from jacinthhaven.sql import (
     commands,
@@ -473,6 +475,16 @@
     return [name for name, line in rig.lines if text in line]
 
 
+def pack(fields: list) -> bytes:
+    """Return fields as the payload of a datagram."""
+    return msgspec.msgpack.encode(fields)
+
+
+def unpack(chunk: bytes) -> list:
+    """Return the fields in the payload of a datagram."""
+    return msgspec.msgpack.decode(chunk)
+
+
 def seeded_random() -> random.Random:
     """Return a random number generator with a fixed seed."""
     return random.Random(1)
--- a/jacinthhaven/sql/configuration_sync.py
+++ b/jacinthhaven/sql/configuration_sync.py
@@ -5,9 +5,10 @@
 the store or from the node that reports it, whichever answers first.
 """
 
-from jacinthhaven.records import store
+from jacinthhaven.records import history, store
 from jacinthhaven.sql import (
     coordination,
+    freshness,
     node_context,
     records,
     revision_exchange,
@@ -15,6 +16,8 @@
 
 # Shortest interval between two fetches from other nodes.
 _FETCH_INTERVAL_MS = 200
+# Revision of the owners' keys at a node that watches them before there are any.
+_NO_RECORD = history.EraNumber(1)
 
 
 class ConfigurationSync:
@@ -62,9 +65,9 @@
         return self.exchange.freshness.is_certain(self.clock.now_ms())
 
     @property
-    def copy(self) -> tuple[int, str]:
+    def copy(self) -> tuple[history.EraNumber, str]:
         """Return the revision and the document, for other nodes."""
-        return self.exchange.freshness.revision, self.text
+        return self.exchange.freshness.edition.revision, self.text
 
     @property
     def age_ms(self) -> int:
@@ -72,19 +75,27 @@
         age_ms = self.exchange.freshness.age_ms(self.now_ms)
         return -1 if age_ms is None else age_ms
 
-    def on_received(self, revision: int, text: str) -> None:
-        """Record a configuration that was received, usable or not."""
-        self.exchange.freshness.on_received(revision)
-        self.text = text
+    def on_received(self, edition: freshness.Edition, text: str) -> None:
+        """Record a configuration that was received, usable or not.
+
+        Args:
+          edition: Its version, or `freshness.NO_VERSION` if it cannot be used;
+            and its revision.
+          text: Its document.
+        """
+        known = self.exchange.freshness
+        if edition.version >= known.edition.version:
+            self.text = text
+        known.on_received(edition)
 
     def tick(self, now_ms: int) -> None:
         """Exchange revisions with other nodes, and poll the store if due."""
         self.now_ms = now_ms
         if self.coordination.owns_service:
             newest = self.coordination.keys.newest_record
-            self.exchange.records.revision = max(newest, 1)
+            self.exchange.records.revision = max(newest, _NO_RECORD)
         else:
-            self.exchange.records.revision = 0
+            self.exchange.records.revision = history.NONE
         self.exchange.tick(now_ms)
         access = self.coordination.access
         access.urgent = (
@@ -102,7 +113,7 @@
             self.next_fetch_ms = self.now_ms + _FETCH_INTERVAL_MS
             self.copies.fetch(address, self._on_copy)
 
-    def _on_copy(self, revision: int, text: str) -> None:
+    def _on_copy(self, revision: history.EraNumber, text: str) -> None:
         self.coordination.accept_copy(
-            store.KeyValue(self.key, text, 0, revision)
+            store.KeyValue(self.key, text, history.NONE, revision)
         )
--- a/jacinthhaven/sql/configuration_sync_test.py
+++ b/jacinthhaven/sql/configuration_sync_test.py
@@ -272,7 +272,7 @@
 
     def forget_age(exchange, reply, now_ms):
         exchange.heard_ms = now_ms
-        exchange.freshness.on_proof(exchange.freshness.revision, now_ms)
+        exchange.freshness.on_proof(exchange.freshness.edition, now_ms)
 
     monkeypatch.setattr(
         revision_exchange.RevisionExchange, '_on_reply', forget_age
--- a/jacinthhaven/sql/coordination.py
+++ b/jacinthhaven/sql/coordination.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from jacinthhaven.records import store
+from jacinthhaven.records import history, store
 from jacinthhaven.sql import (
     lease,
     node_context,
@@ -74,6 +74,7 @@
         `owns_service` is determined.
       watch_number: Number of the watch; 0 during the read that precedes it,
         None while there is no watch.
+      watch_round: Number of the last read and of the watch that follows it.
       progress: Watch and polls under way.
       on_current: Called with a time up to which all changes are known.
     """
@@ -100,6 +101,7 @@
             prefixes[3], listener, access.journal
         )
         self.watch_number: int | None = None
+        self.watch_round = 0
         self.progress = WatchProgress()
         self.on_current: typing.Callable[[int], None] = _ignore
         self.registry = read_schedules.RegistrySchedule()
@@ -107,7 +109,7 @@
         self.started_ms: int | None = None
         self.owns_service = False
         self.role_known = False
-        self.snapshot_revision: int | None = None
+        self.snapshot_revision: history.EraNumber | None = None
         self.keeper = lease.LeaseKeeper(self.access.call)
         self.now_ms = 0
 
@@ -127,11 +129,7 @@
         if not self.access.ready:
             return
         if self.watch_number is None:
-            self.watch_number = 0
-            self.read_all(
-                store.ReadRequest(self.watched),
-                functools.partial(self._on_snapshot, self.watched, now_ms),
-            )
+            self._read_watched(now_ms)
         if self.registry.due(now_ms):
             self._read_registry(now_ms)
         if now_ms >= self.members.next_ms:
@@ -165,10 +163,7 @@
         self.access.urgent = owns
         if owns:
             self.registry.require_fresh()
-        self.snapshot_revision = None
-        if self.watch_number:
-            self.access.calls.end_watch(self.watch_number)
-        self.watch_number = None
+        self._end_watch()
         if not owns:
             self.keys.remove_others(self.watched)
         self.tick(self.now_ms)
@@ -191,6 +186,15 @@
             ),
         )
 
+    def on_restored(self) -> None:
+        """Read everything again, since the store was restored."""
+        self._end_watch()
+        self.progress.polling = False
+        self.registry.require_fresh()
+        self.registry.expedite(self.now_ms)
+        self.members.on_restored(self.now_ms)
+        self.keeper.on_restored()
+
     def accept_copy(self, entry: store.KeyValue) -> None:
         """Apply a watched key that another node has read."""
         if self.keys.apply_copy(entry):
@@ -216,6 +220,24 @@
             functools.partial(self._on_page, request, None, on_reply),
         )
 
+    def _read_watched(self, now_ms: int) -> None:
+        self.watch_number = 0
+        self.watch_round += 1
+        self.read_all(
+            store.ReadRequest(self.watched),
+            functools.partial(
+                self._on_snapshot, self.watched, self.watch_round, now_ms
+            ),
+        )
+
+    def _end_watch(self) -> None:
+        """End the watch, or the read that precedes it."""
+        self.snapshot_revision = None
+        if self.watch_number:
+            self.access.calls.end_watch(self.watch_number)
+        self.watch_number = None
+        self.watch_round += 1
+
     def _on_store_change(self) -> None:
         self.registry.expedite(self.now_ms)
 
@@ -250,17 +272,18 @@
     def _on_snapshot(
         self,
         prefix: str,
+        watch_round: int,
         sent_ms: int,
         reply: store.ReadReply | None,
     ) -> None:
-        if prefix != self.watched:
+        if watch_round != self.watch_round:
             return
         if reply is None:
             self.watch_number = None
             return
         self.keys.apply_read(prefix, reply)
         self.on_current(sent_ms)
-        if prefix != self.watched:
+        if watch_round != self.watch_round:
             # The keys just read have changed which prefix to watch.
             return
         if self.role_known:
@@ -268,7 +291,7 @@
         else:
             self.snapshot_revision = reply.revision
 
-    def _watch(self, revision: int) -> None:
+    def _watch(self, revision: history.EraNumber) -> None:
         self.snapshot_revision = None
         self.keys.complete = revision
         request = store.WatchRequest(
@@ -277,13 +300,22 @@
             0 if self.owns_service else _IDLE_WATCH_MS,
         )
         self.progress.heard_ms = self.now_ms
-        self.watch_number = self.access.call(request, self._on_events)
+        self.watch_number = self.access.call(
+            request,
+            functools.partial(self._on_events, self.watch_round),
+        )
         self.access.journal.write(
             'watch_started',
             {'keys': self.watched, 'revision': revision},
         )
 
-    def _on_events(self, reply: store.WatchEvents | None) -> None:
+    def _on_events(
+        self,
+        watch_round: int,
+        reply: store.WatchEvents | None,
+    ) -> None:
+        if watch_round != self.watch_round:
+            return
         silent_ms = self.now_ms - self.progress.heard_ms
         if reply is None:
             self.watch_number = None
@@ -299,7 +331,7 @@
     def _on_changes(
         self,
         watch_number: int,
-        known: int,
+        known: history.EraNumber,
         sent_ms: int,
         reply: store.WatchEvents | store.HistoryLost | None,
     ) -> None:
@@ -317,7 +349,7 @@
         if missed and watch_number == self.watch_number:
             self._restart_watch(reply.revision)
 
-    def _restart_watch(self, revision: int | None) -> None:
+    def _restart_watch(self, revision: history.EraNumber | None) -> None:
         """Replace the watch; read everything again without a revision."""
         self.access.journal.write(
             'watch_replaced',
@@ -327,8 +359,7 @@
                 'silent_ms': self.now_ms - self.progress.heard_ms,
             },
         )
-        self.access.calls.end_watch(self.watch_number)
-        self.watch_number = None
+        self._end_watch()
         if revision is not None:
             self._watch(revision)
 
--- a/jacinthhaven/sql/coordination_test.py
+++ b/jacinthhaven/sql/coordination_test.py
@@ -31,7 +31,7 @@
         if not isinstance(request, store.ReadRequest):
             return super().call(request, on_reply)
         self.calls.append(request)
-        found = self.model.call(request, self.now_ms)
+        found = self.execute(request)
         if not isinstance(found, store.ReadReply):
             self.answer(0, on_reply, found)
             return 0
--- a/jacinthhaven/sql/election.py
+++ b/jacinthhaven/sql/election.py
@@ -14,9 +14,7 @@
 import functools
 import typing
 
-import msgspec
-
-from jacinthhaven.records import store
+from jacinthhaven.records import history, store
 from jacinthhaven.sql import (
     failover,
     group,
@@ -52,15 +50,17 @@
 
     Attributes:
       suspect: Instance that this node does not reach, or ''.
+      lease: Lease that the report is bound to.
       writing: Whether a write is under way.
       next_ms: Earliest time of the next write.
     """
 
-    __slots__ = ('suspect', 'writing', 'next_ms')
+    __slots__ = ('suspect', 'lease', 'writing', 'next_ms')
 
     def __init__(self) -> None:
         """Start without a suspicion."""
         self.suspect = ''
+        self.lease = history.NONE
         self.writing = False
         self.next_ms = 0
 
@@ -77,6 +77,8 @@
       cause_ms: Since when a cause for a replacement exists, or None.
       retry_ms: Earliest time of the next attempt of this node.
       lag_failover_ms: Earliest time of a replacement because replicas lag.
+      era_settled: Whether no lock of before a restore can be in use.
+      stored: Leader record in the store.
     """
 
     def __init__(
@@ -109,9 +111,16 @@
         self.cause_ms: int | None = None
         self.retry_ms = 0
         self.lag_failover_ms = 0
+        self.era_settled = True
+        self.stored = store_records.StoredLeader(keys.leader(service.name))
         self.now_ms = 0
 
-    def on_key(self, name: str, text: str | None, revision: int) -> None:
+    def on_key(
+        self,
+        name: str,
+        text: str | None,
+        revision: history.EraNumber,
+    ) -> None:
         """Accept a key of this service.
 
         Args:
@@ -123,8 +132,29 @@
             self.suspects[name.rpartition('/')[2]] = text or ''
         elif name.startswith('duty/'):
             self.lock.on_holder(text, revision)
-        elif text is not None:
-            self._on_leader_record(text)
+        else:
+            self._on_leader_record(text, revision)
+
+    def on_restored(self) -> None:
+        """Give up the lock and all suspicions, whose leases are lost."""
+        self.lock.on_restored()
+        self.suspects.clear()
+        self.report.suspect = ''
+
+    def write_lost_record(self, rank: int, now_ms: int) -> None:
+        """Write the leader record again if a restored store has lost it.
+
+        Args:
+          rank: Number of nodes that sort before this one.
+          now_ms: Current time.
+        """
+        idle = self.runner is None or not self.runner.running
+        if idle and not self.lock.held_by_other:
+            request = self.stored.rewrite(
+                self.failover.orders.record, rank, now_ms
+            )
+            if request is not None:
+                self.perform(request, _ignore)
 
     def end(self) -> None:
         """Stop a running attempt, since the service was removed."""
@@ -141,12 +171,17 @@
         if not (self.lock.held_by_other or self.failover.orders.moving):
             self.service.right.knows_promotions = True
 
-    def tick(self, members: tuple[str, ...], lease: int, now_ms: int) -> None:
+    def tick(
+        self,
+        members: tuple[str, ...],
+        lease: history.EraNumber,
+        now_ms: int,
+    ) -> None:
         """Report a suspicion, and replace the primary if it is due.
 
         Args:
           members: Names of the owners of the service.
-          lease: Lease of this node; 0 while it has none.
+          lease: Lease of this node; `history.NONE` while it has none.
           now_ms: Current time.
         """
         self.now_ms = now_ms
@@ -173,21 +208,30 @@
         """Return whether this node may start an attempt now."""
         if self.runner is not None and self.runner.running:
             return False
-        if self.lock.held_by_other:
+        if self.lock.held_by_other or not self.era_settled:
             return False
         due_ms = self.cause_ms + self._stagger_delay_ms(members)
         return self.now_ms >= max(self.retry_ms, due_ms)
 
-    def _on_leader_record(self, text: str) -> None:
+    def _on_leader_record(
+        self, text: str | None, revision: history.EraNumber
+    ) -> None:
+        self.stored.on_key(None, revision if text else history.NONE)
+        if text is None:
+            return
         try:
-            record = msgspec.json.decode(text, type=store_records.LeaderRecord)
-        except msgspec.DecodeError as error:
+            record = store_records.decode(text)
+        except store_records.MALFORMED as error:
             self.journal.write(
                 'note_unusable',
                 {'service': self.service.name, 'reason': str(error)},
             )
             return
-        self._apply_leader_record(record)
+        self.stored.on_key(record, revision)
+        if record.supersedes(self.failover.orders.record):
+            self._apply_leader_record(record)
+        elif not record.moving:
+            self._set_leader(record)
 
     def _apply_leader_record(self, record: store_records.LeaderRecord) -> None:
         self.lag_failover_ms = self.now_ms + _LAG_FAILOVER_PAUSE_MS
@@ -201,9 +245,10 @@
                 right.stopped_term = right.draining_term
         else:
             right.on_ended(record.fence)
-            self.service.tracker.set_leader(
-                record.instance, record.term, 'store'
-            )
+            self._set_leader(record)
+
+    def _set_leader(self, record: store_records.LeaderRecord) -> None:
+        self.service.tracker.set_leader(record.instance, record.term, 'store')
 
     def _stagger_delay_ms(self, members: tuple[str, ...]) -> int:
         """Return how long this node waits for other nodes to act."""
@@ -256,8 +301,11 @@
             if suspect
         )
 
-    def _report_suspicion(self, lease: int) -> None:
+    def _report_suspicion(self, lease: history.EraNumber) -> None:
         """Write or delete this node's suspicion about the primary."""
+        if lease != self.report.lease:
+            # The report was deleted with the lease.
+            self.report.suspect = ''
         suspect = ''
         limit_ms = (
             SECOND_SUSPICION_MS
@@ -286,10 +334,20 @@
         self.report.writing = True
         self.perform(
             store.SwapRequest((), (change,)),
-            functools.partial(self._on_report_written, suspect),
+            functools.partial(self._on_report_written, suspect, lease),
         )
 
-    def _on_report_written(self, suspect: str, reply: typing.Any) -> None:
+    def _on_report_written(
+        self,
+        suspect: str,
+        lease: history.EraNumber,
+        reply: typing.Any,
+    ) -> None:
         self.report.writing = False
         if isinstance(reply, store.SwapReply) and reply.succeeded:
             self.report.suspect = suspect
+            self.report.lease = lease
+
+
+def _ignore(_reply: typing.Any) -> None:
+    """Ignore a reply; the watch reports the effect."""
--- a/jacinthhaven/sql/election_test.py
+++ b/jacinthhaven/sql/election_test.py
@@ -2,188 +2,22 @@
 
 import functools
 
-from jacinthhaven.kernel import clock
-from jacinthhaven.platform import client_wire
 from jacinthhaven.records import store
 from jacinthhaven.sql import (
     builders,
+    cluster_builders,
     failover,
-    node,
-    node_context,
-    ownership,
-    platform_builders,
     ports,
     promotion_lock,
     records,
-    registry,
     scripts,
     store_records,
 )
-from jacinthhaven.standins import sql_group, store_model
-
-_PREFIX = 'ours/'
-
-
-class _Documents(registry.Documents):
-    configuration_key = 'op/config'
-    own_prefix = _PREFIX
-    watched_prefix = 'o'
-    registry_prefix = 'servers/'
-    member_prefix = 'nodes/'
-
-    def __init__(self) -> None:
-        self.listed = [builders.instance(name) for name in builders.MEMBERS]
-
-    def configuration(self, text: str) -> records.Configuration | str:
-        """Return the only configuration."""
-        return builders.configuration()
-
-    def instances(self, entries, on_unusable) -> list[records.Instance]:
-        """Return the registry."""
-        return self.listed
-
-
-class Cluster:
-    """Several nodes that share a store model and a database group."""
-
-    def __init__(
-        self,
-        size: int = 3,
-        *,
-        fenced: bool = True,
-        settle_ms: int = 3000,
-    ) -> None:
-        """Start the nodes and run them for a while.
-
-        Args:
-          size: Number of nodes.
-          fenced: Whether the platform checks fencing tokens.
-          settle_ms: Time to run. If it is 0, the nodes are listed in the
-            store as after an earlier run, and do not run yet.
-        """
-        self.fenced = fenced
-        self.network: dict[int, builders.FakeMessenger] = {}
-        self.clock = clock.ManualClock(1000)
-        self.group = sql_group.SqlGroup(
-            builders.SERVICE,
-            builders.MEMBERS,
-            fenced=fenced,
-        )
-        self.model = store_model.StoreModel()
-        self.documents = _Documents()
-        self.nodes = []
-        self.rigs = []
-        self.platforms = []
-        self.now_ms = 1000
-        for index in range(size):
-            self._add(f'n{index}')
-        if not settle_ms:
-            self._list_members()
-        self.run(settle_ms)
-
-    def run(self, for_ms: int) -> None:
-        """Advance the clock of all nodes in steps of 10 ms."""
-        until_ms = self.now_ms + for_ms
-        while self.now_ms < until_ms:
-            self.now_ms += 10
-            self.clock.advance(10)
-            for index, member in enumerate(self.nodes):
-                self.platforms[index].run(self.now_ms)
-                rig = self.rigs[index]
-                rig.now_ms = self.now_ms
-                rig.databases.now_ms = self.now_ms
-                rig._deliver()
-                for message in member.adapters.messenger.take():
-                    member.on_message(message, self.now_ms)
-                member.tick(self.now_ms)
-
-    def orders(self) -> list[tuple[str, str, int]]:
-        """Return the promotion orders of all nodes by fencing token."""
-        return sorted(
-            (order for platform in self.platforms for order in platform.orders),
-            key=lambda order: order[2],
-        )
-
-    def silence(self, name: str, nodes: int) -> None:
-        """Let the first nodes get no more answers from an instance."""
-        for rig in self.rigs[:nodes]:
-            rig.databases.silent.add(name)
-
-    def isolate(self, isolated: set[int]) -> None:
-        """Cut the messages between some nodes and the others."""
-        for port, messenger in self.network.items():
-            messenger.lost = {
-                (port, other)
-                for other in self.network
-                if (port - 1 in isolated) != (other - 1 in isolated)
-            }
-
-    def write(self, index: int, number: int) -> None:
-        """Send a write of a new client of one node."""
-        rig = self.rigs[index]
-        request = f'w{number}'
-        rig.gateway.on_start(number, builders.STRICT)
-        statement = client_wire.decode_query(
-            f'QUERY {request} WRITE k {request}'
-        )
-        rig.gateway.on_statement(number, statement, self.now_ms)
-
-    def successes(self) -> set[str]:
-        """Return the writes that were acknowledged to clients."""
-        found = set()
-        for rig in self.rigs:
-            for number, answers in rig.clients.answers.items():
-                if any(answer.code is None for answer in answers):
-                    found.add(f'w{number}')
-        return found
-
-    def _list_members(self) -> None:
-        """Write the member keys of an earlier run of the same nodes."""
-        for member in self.nodes:
-            keeper = member.coordination.keeper
-            put = store.Put(keeper.member_key, keeper.member_value)
-            self.model.call(store.SwapRequest((), (put,)), self.now_ms)
-
-    def _add(self, name: str) -> None:
-        rig = object.__new__(builders.Rig)
-        rig.group = self.group
-        rig.databases = builders.FakeDatabases(self.group)
-        rig.clients = builders.FakeClients()
-        rig.journal = builders.FakeJournal()
-        rig.lines = []
-        platform = platform_builders.FakePlatform(self.model, self.group)
-        port = len(self.nodes) + 1
-        member = node.Node(
-            node_context.Identity(
-                name,
-                6000,
-                ownership.Peer(('127.0.0.1', port), builders.ZONE, 1.0),
-                self.fenced,
-            ),
-            node_context.Adapters(
-                rig.databases,
-                rig.clients,
-                builders.FakeBorrowers(),
-                builders.FakeRelays(),
-                builders.FakeCopies(),
-                builders.FakeMessenger(port, self.network),
-                self.clock,
-                platform,
-                rig.journal,
-                self.documents,
-                builders.seeded_random(),
-            ),
-        )
-        rig.gateway = member.gateway
-        member.on_key('op/config', '{}', 1)
-        self.nodes.append(member)
-        self.rigs.append(rig)
-        self.platforms.append(platform)
 
 
 def test_healthy_primary_is_not_replaced():
     """Guards against needless promotions."""
-    cluster = Cluster()
+    cluster = cluster_builders.Cluster()
     cluster.run(5000)
     assert not cluster.orders()
     assert cluster.nodes[0].members == ('n0', 'n1', 'n2')
@@ -191,7 +25,7 @@
 
 def test_lost_primary_is_replaced_once():
     """Guards against a service without a primary, and against two orders."""
-    cluster = Cluster()
+    cluster = cluster_builders.Cluster()
     cluster.silence('db-a', 3)
     cluster.run(4000)
     assert len(cluster.orders()) == 1
@@ -205,7 +39,7 @@
 
 def test_suspicion_of_one_node_makes_the_others_check():
     """Guards against a long wait for the votes of nodes without traffic."""
-    cluster = Cluster()
+    cluster = cluster_builders.Cluster()
     services = [
         member.gateway.groups[builders.SERVICE] for member in cluster.nodes
     ]
@@ -219,7 +53,7 @@
 
 def test_silent_replica_does_not_delay_a_promotion():
     """Guards against a choice that waits for an instance without an answer."""
-    cluster = Cluster()
+    cluster = cluster_builders.Cluster()
     cluster.silence('db-a', 3)
     cluster.silence('db-c', 3)
     cluster.run(3200)
@@ -228,7 +62,7 @@
 
 def test_idle_cluster_sends_few_status_requests():
     """Guards against status requests of every node, which occupy slots."""
-    cluster = Cluster()
+    cluster = cluster_builders.Cluster()
     for known in cluster.rigs:
         known.lines.clear()
     cluster.run(10_000)
@@ -238,7 +72,7 @@
 
 def test_one_node_alone_does_not_replace_the_primary():
     """Guards against replacing a primary that most nodes reach."""
-    cluster = Cluster()
+    cluster = cluster_builders.Cluster()
     cluster.silence('db-a', 1)
     cluster.run(4000)
     assert not cluster.orders()
@@ -246,7 +80,7 @@
 
 def test_replica_that_received_most_is_chosen():
     """Guards against losing commits that some replica has received."""
-    cluster = Cluster()
+    cluster = cluster_builders.Cluster()
     cluster.group.instances['db-c'].deaf = True
     cluster.group.commit((('k', '1'),), ('w1',), cluster.now_ms)
     cluster.silence('db-a', 3)
@@ -257,7 +91,7 @@
 
 def test_leaving_primary_is_replaced():
     """Guards against a primary that stops while it leads."""
-    cluster = Cluster()
+    cluster = cluster_builders.Cluster()
     cluster.documents.listed = [
         builders.instance(name, leaving=name == 'db-a')
         for name in builders.MEMBERS
@@ -269,7 +103,7 @@
 
 def test_primary_missing_from_the_registry_is_replaced_later():
     """Guards against acting on entries that return within two seconds."""
-    cluster = Cluster()
+    cluster = cluster_builders.Cluster()
     listed = cluster.documents.listed
     cluster.documents.listed = [
         entry for entry in listed if entry.name != 'db-a'
@@ -282,8 +116,8 @@
 
 def test_suspicions_of_the_old_primary_do_not_count_for_its_successor():
     """Guards against replacing a successor by votes against the old primary."""
-    cluster = Cluster()
-    election = cluster.nodes[0].elections[builders.SERVICE]
+    cluster = cluster_builders.Cluster()
+    election = cluster.election(0)
     for member in cluster.nodes:
         election.suspects[member.identity.name] = 'db-a'
     election.report.suspect = 'db-a'
@@ -298,7 +132,7 @@
 
     The nodes without a lease may still use their share of the connections.
     """
-    cluster = Cluster()
+    cluster = cluster_builders.Cluster()
     for key in ('nodes/n1', 'nodes/n2'):
         cluster.model.call(store.SwapRequest((), (store.Delete(key),)), 0)
     cluster.nodes = cluster.nodes[:1]
@@ -308,7 +142,7 @@
 
 def test_each_attempt_has_a_higher_fencing_token():
     """Guards against a fencing token that is used twice."""
-    cluster = Cluster()
+    cluster = cluster_builders.Cluster()
     cluster.silence('db-a', 3)
     cluster.run(4000)
     cluster.silence(cluster.group.primary, 3)
@@ -321,7 +155,7 @@
 
 def test_lock_of_a_stalled_holder_passes_to_another_node():
     """Guards against a promotion lock that is not acquired again."""
-    cluster = Cluster()
+    cluster = cluster_builders.Cluster()
     cluster.silence('db-a', 3)
     unanswered = functools.partial(_ignore_order)
     cluster.platforms[0].promote = unanswered
@@ -330,14 +164,14 @@
     assert cluster.group.primary != 'db-a'
 
 
-def _cluster_with_acknowledging_replicas() -> Cluster:
-    cluster = Cluster()
-    for member in cluster.nodes:
-        member.elections[builders.SERVICE].failover.acknowledging = 1
+def _cluster_with_acknowledging_replicas() -> cluster_builders.Cluster:
+    cluster = cluster_builders.Cluster()
+    for running in cluster.elections():
+        running.failover.acknowledging = 1
     return cluster
 
 
-def _instances_sent(cluster: Cluster, word: str) -> set[str]:
+def _instances_sent(cluster: cluster_builders.Cluster, word: str) -> set[str]:
     """Return the instances that were sent a command."""
     return {
         name
@@ -383,7 +217,7 @@
 
 def test_keys_do_not_overlap():
     """Guards against two kinds of records under one key."""
-    keys = store_records.Keys(_PREFIX)
+    keys = store_records.Keys(cluster_builders.PREFIX)
     names = {
         keys.suspicion('x', 'x'),
         keys.promotion_lock('x'),
@@ -398,7 +232,7 @@
 
 def test_node_without_services_watches_the_configuration_only():
     """Guards against an event to every node for each key of the owners."""
-    cluster = Cluster()
+    cluster = cluster_builders.Cluster()
     member, platform = cluster.nodes[0], cluster.platforms[0]
     member.coordination.update_ownership(False)
     platform.calls.clear()
@@ -410,7 +244,9 @@
     assert len(platform.watches) == 1
 
 
-def _simulate_read_overload(cluster: Cluster, lagging: tuple[str, ...]) -> None:
+def _simulate_read_overload(
+    cluster: cluster_builders.Cluster, lagging: tuple[str, ...]
+) -> None:
     """Mark reads of all nodes as refused for lack of replicas and slots."""
     for member in cluster.nodes:
         service = member.gateway.groups[builders.SERVICE]
@@ -421,7 +257,7 @@
 
 
 def _run_under_read_overload(
-    cluster: Cluster, lagging: tuple[str, ...]
+    cluster: cluster_builders.Cluster, lagging: tuple[str, ...]
 ) -> None:
     until_ms = cluster.now_ms + 3000
     while cluster.now_ms < until_ms:
@@ -431,7 +267,7 @@
 
 def test_primary_is_replaced_when_no_replica_can_serve_reads():
     """Guards against a service with one usable instance out of three."""
-    cluster = Cluster()
+    cluster = cluster_builders.Cluster()
     _run_under_read_overload(cluster, ('db-b', 'db-c'))
     assert len(cluster.orders()) == 1
     assert cluster.group.primary != 'db-a'
@@ -440,14 +276,14 @@
 
 def test_primary_stays_while_one_replica_can_serve_reads():
     """Guards against a replacement that brings no capacity for reads."""
-    cluster = Cluster()
+    cluster = cluster_builders.Cluster()
     _run_under_read_overload(cluster, ('db-b',))
     assert not cluster.orders()
 
 
 def test_primary_stays_while_the_replicas_lack_commits():
     """Guards against a planned replacement that loses acknowledged commits."""
-    cluster = Cluster()
+    cluster = cluster_builders.Cluster()
     for replica in ('db-b', 'db-c'):
         cluster.group.instances[replica].deaf = True
     cluster.group.commit((('k', '1'),), ('w1',), cluster.now_ms)
@@ -457,15 +293,15 @@
 
 def test_primary_is_not_replaced_repeatedly_for_lag():
     """Guards against a service that changes its primary continuously."""
-    cluster = Cluster()
+    cluster = cluster_builders.Cluster()
     _run_under_read_overload(cluster, ('db-b', 'db-c'))
     _run_under_read_overload(cluster, tuple(builders.MEMBERS))
     assert len(cluster.orders()) == 1
 
 
-def _partitioned_cluster(isolated: set[int]) -> Cluster:
+def _partitioned_cluster(isolated: set[int]) -> cluster_builders.Cluster:
     """Return a cluster in which only the isolated nodes reach the primary."""
-    cluster = Cluster(5, fenced=False)
+    cluster = cluster_builders.Cluster(5, fenced=False)
     cluster.isolate(isolated)
     for index, rig in enumerate(cluster.rigs):
         if index in isolated:
@@ -476,7 +312,7 @@
     return cluster
 
 
-def _run_with_writes(cluster: Cluster, for_ms: int) -> None:
+def _run_with_writes(cluster: cluster_builders.Cluster, for_ms: int) -> None:
     for step in range(for_ms // 50):
         for index, _member in enumerate(cluster.nodes):
             cluster.write(index, step * 10 + index + 1)
@@ -501,7 +337,7 @@
 
 def test_majority_keeps_using_the_old_primary():
     """Guards against a promotion by the isolated nodes."""
-    cluster = Cluster(5, fenced=False)
+    cluster = cluster_builders.Cluster(5, fenced=False)
     cluster.isolate({3, 4})
     for rig in cluster.rigs[3:]:
         rig.databases.silent.add('db-a')
@@ -514,7 +350,7 @@
     """Guards against waiting for rights to expire though all nodes answer."""
     waited = []
     for fenced in (True, False):
-        cluster = Cluster(5, fenced=fenced)
+        cluster = cluster_builders.Cluster(5, fenced=fenced)
         cluster.silence('db-a', 5)
         since_ms = cluster.now_ms
         while not cluster.orders():
@@ -525,7 +361,7 @@
 
 def test_old_primary_is_demoted():
     """Guards against an old primary that stays unused for a long time."""
-    cluster = Cluster(3, fenced=False)
+    cluster = cluster_builders.Cluster(3, fenced=False)
     cluster.documents.listed = [
         builders.instance(name, leaving=name == 'db-a')
         for name in builders.MEMBERS
@@ -537,7 +373,7 @@
 
 def test_refused_order_lets_all_nodes_use_the_primary_again():
     """Guards against a primary that stays unused after a failed attempt."""
-    cluster = Cluster(3, fenced=False)
+    cluster = cluster_builders.Cluster(3, fenced=False)
     for platform in cluster.platforms:
         platform.promote = _refuse_order
     cluster.silence('db-a', 3)
@@ -557,12 +393,12 @@
 
 def test_attempt_of_a_holder_that_ended_is_finished():
     """Guards against a service that stays stopped after its holder died."""
-    cluster = Cluster(3, fenced=False)
+    cluster = cluster_builders.Cluster(3, fenced=False)
     granted = cluster.model.call(
         store.LeaseRequest(promotion_lock.LOCK_TTL_MS),
         cluster.now_ms,
     )
-    key = cluster.nodes[0].keys.promotion_lock(builders.SERVICE)
+    key = cluster.keys.promotion_lock(builders.SERVICE)
     taken = cluster.model.call(
         store.SwapRequest((), (store.Put(key, 'n9', granted.lease),)),
         cluster.now_ms,
@@ -585,7 +421,7 @@
 
 def test_successor_of_an_unanswered_order_is_ordered_again():
     """Guards against two orders that may both be carried out."""
-    cluster = Cluster(3, fenced=False)
+    cluster = cluster_builders.Cluster(3, fenced=False)
     ordered = []
     for platform in cluster.platforms:
         platform.promote = functools.partial(_lose_order, ordered)
@@ -603,7 +439,7 @@
 
 def test_paused_holder_sends_no_order():
     """Guards against an order after the lock has passed to another node."""
-    cluster = Cluster(3)
+    cluster = cluster_builders.Cluster(3)
     cluster.clock.advance(promotion_lock.LOCK_TTL_MS)
     cluster.silence('db-a', 3)
     cluster.run(2500)
@@ -618,8 +454,8 @@
 
 def test_holder_that_lost_the_lock_writes_no_record():
     """Guards against an order that other nodes do not know of."""
-    cluster = Cluster(3, fenced=False)
-    election = cluster.nodes[0].elections[builders.SERVICE]
+    cluster = cluster_builders.Cluster(3, fenced=False)
+    election = cluster.election(0)
     record = store_records.LeaderRecord('db-b', 2, moving=True, fence=1)
     request = store_records.write_request(
         election.keys, builders.SERVICE, record
@@ -630,7 +466,7 @@
 
 def test_isolated_node_is_not_ready():
     """Guards against clients that stay at a node that cannot write."""
-    cluster = Cluster(5, fenced=False)
+    cluster = cluster_builders.Cluster(5, fenced=False)
     assert all(member.ready for member in cluster.nodes)
     cluster.isolate({4})
     cluster.run(3500)
@@ -643,7 +479,7 @@
 
 def test_store_outage_withdraws_no_right():
     """Guards against a store outage that stops all writes."""
-    cluster = Cluster(5, fenced=False)
+    cluster = cluster_builders.Cluster(5, fenced=False)
     cluster.model.outage = True
     _run_with_writes(cluster, 8000)
     late = {f'w{number}' for number in range(1401, 1581, 10)}
@@ -652,8 +488,8 @@
 
 def test_malformed_leader_record_is_skipped():
     """Guards against keys that are lost after one that cannot be decoded."""
-    cluster = Cluster()
-    key = cluster.nodes[0].keys.leader(builders.SERVICE)
+    cluster = cluster_builders.Cluster()
+    key = cluster.keys.leader(builders.SERVICE)
     for text in ('{', '[]', '{"instance": 1}', ''):
         cluster.model.call(store.SwapRequest((), (store.Put(key, text),)), 0)
     cluster.run(500)
@@ -665,7 +501,7 @@
 
 def test_starting_nodes_obtain_the_right_with_the_leader():
     """Guards against a start that takes longer where rights are required."""
-    cluster = Cluster(5, fenced=False, settle_ms=0)
+    cluster = cluster_builders.Cluster(5, fenced=False, settle_ms=0)
     services = [
         member.gateway.groups[builders.SERVICE] for member in cluster.nodes
     ]
@@ -677,7 +513,7 @@
 
 def test_starting_node_refuses_nothing_before_it_has_the_right():
     """Guards against refusing clients that would only have to wait briefly."""
-    cluster = Cluster(5, fenced=False, settle_ms=0)
+    cluster = cluster_builders.Cluster(5, fenced=False, settle_ms=0)
     for index, _member in enumerate(cluster.nodes):
         cluster.write(index, index + 1)
     cluster.run(1000)
@@ -686,8 +522,8 @@
 
 def test_holder_that_lost_the_lock_keeps_its_own_fencing_token():
     """Guards against two holders that use the same fencing token."""
-    cluster = Cluster(3, fenced=False)
-    election = cluster.nodes[0].elections[builders.SERVICE]
+    cluster = cluster_builders.Cluster(3, fenced=False)
+    election = cluster.election(0)
     script = election.failover.replace('db-a', failover.Cause.UNREACHABLE)
     call = next(script)
     while not isinstance(call, scripts.Broadcast):
@@ -714,7 +550,7 @@
     The leases of the nodes that do not reach the store expire meanwhile.
     Found by seed 1005092456656 of the small deployment without fencing.
     """
-    cluster = Cluster(5, fenced=False)
+    cluster = cluster_builders.Cluster(5, fenced=False)
     cluster.isolate({3, 4})
     for index, rig in enumerate(cluster.rigs):
         if index in {3, 4}:
@@ -728,13 +564,13 @@
     assert late <= cluster.successes()
 
 
-def _restarted_without_store(refused: int) -> Cluster:
+def _restarted_without_store(refused: int) -> cluster_builders.Cluster:
     """Return a cluster of six nodes that has just been restarted.
 
     Args:
       refused: Number of nodes that the store refuses.
     """
-    cluster = Cluster(6, fenced=False, settle_ms=0)
+    cluster = cluster_builders.Cluster(6, fenced=False, settle_ms=0)
     addresses = [member.identity.peer.address for member in cluster.nodes]
     for index, member in enumerate(cluster.nodes):
         platform = cluster.platforms[index]
--- a/jacinthhaven/sql/fleet_builders.py
+++ b/jacinthhaven/sql/fleet_builders.py
@@ -1,5 +1,7 @@
 """Test data and fakes: a fleet of nodes that share a store."""
 
+import typing
+
 from jacinthhaven.kernel import clock
 from jacinthhaven.records import store
 from jacinthhaven.sql import (
@@ -73,7 +75,8 @@
         self.changes: list[tuple[int, int]] = []
         self.change()
         for index in range(size):
-            self._add(index, size)
+            self._add(index)
+        self.heal_messages()
         self.run(_SETTLE_MS)
 
     @property
@@ -119,6 +122,11 @@
         """Write the newest version again, as the operator does."""
         self.put(CONFIGURATION_KEY, str(len(self.changes)))
 
+    def restart(self, index: int) -> None:
+        """Kill a node and start it again; it has forgotten everything."""
+        self._add(index)
+        self.heal_messages()
+
     def run(self, for_ms: int) -> None:
         """Advance the clock of all nodes."""
         until_ms = self.now_ms + for_ms
@@ -160,7 +168,7 @@
     def _source(self, index: int) -> builders.Source:
         return lambda: self.nodes[index].sync.copy
 
-    def _add(self, index: int, size: int) -> None:
+    def _add(self, index: int) -> None:
         group = sql_group.SqlGroup(builders.SERVICE, builders.MEMBERS)
         platform = platform_builders.FakePlatform(self.model, group)
         journal = builders.FakeJournal()
@@ -185,13 +193,19 @@
             _peer(index),
             apply_within_ms=APPLY_WITHIN_MS,
         )
-        self.nodes.append(node.Node(identity, adapters))
-        self.platforms.append(platform)
-        self.journals.append(journal)
-        self.clients.append(clients)
-        self.copies.append(copies)
-        if index + 1 == size:
-            self.heal_messages()
+        put_entry(self.nodes, index, node.Node(identity, adapters))
+        put_entry(self.platforms, index, platform)
+        put_entry(self.journals, index, journal)
+        put_entry(self.clients, index, clients)
+        put_entry(self.copies, index, copies)
+
+
+def put_entry(known: list, index: int, added: typing.Any) -> None:
+    """Append an entry, or replace that of a node before its restart."""
+    if index < len(known):
+        known[index] = added
+    else:
+        known.append(added)
 
 
 def _peer(index: int) -> ownership.Peer:
--- a/jacinthhaven/sql/lease.py
+++ b/jacinthhaven/sql/lease.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from jacinthhaven.records import store
+from jacinthhaven.records import history, store
 
 # Time to live of the lease, and interval of its renewals.
 LEASE_MS = 6000
@@ -16,7 +16,7 @@
     """Keeps the member key of this node in the store while it runs.
 
     Attributes:
-      lease: Lease of this node; 0 while there is none.
+      lease: Lease of this node; `history.NONE` while there is none.
       listed_keys: Member keys of all nodes at the last read.
       renewing: Whether a call for the lease is under way.
       announced: Whether this node is to be listed.
@@ -32,7 +32,7 @@
           call: Calls the store; the callback gets None after a failure.
         """
         self.call = call
-        self.lease = 0
+        self.lease = history.NONE
         self.listed_keys: set[str] = set()
         self.renewing = False
         self.announced = False
@@ -60,7 +60,13 @@
         self.renew_ms = 0
         if not announced and self.lease:
             self.call(store.RevokeRequest(self.lease), _ignore)
-            self.lease = 0
+            self.lease = history.NONE
+
+    def on_restored(self) -> None:
+        """Obtain a new lease, since the store has lost all leases."""
+        self.lease = history.NONE
+        self.listed_keys = set()
+        self.renew_ms = 0
 
     def revoke(self, on_revoked: typing.Callable[[], None]) -> None:
         """Revoke the lease, which deletes the key.
@@ -89,7 +95,7 @@
         if reply is None:
             return
         if not reply.ttl_ms:
-            self.lease = 0
+            self.lease = history.NONE
         if not self.lease:
             self.renew_ms = 0
         elif self.member_key not in self.listed_keys:
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -4,16 +4,16 @@
 access and the elections, and handles the planned stop.
 """
 
-import functools
 import typing
 
 import msgspec
 
-from jacinthhaven.records import store
+from jacinthhaven.records import history, store
 from jacinthhaven.sql import (
     configuration_sync,
     coordination,
-    election,
+    elections,
+    freshness,
     gateway,
     lending,
     load_sharing,
@@ -23,9 +23,7 @@
     peering,
     registry,
     relaying,
-    script_calls,
     store_calls,
-    store_records,
 )
 
 # How long a stopping node accepts new sessions: the load balancer needs two
@@ -55,9 +53,8 @@
     """Core of one process, without any I/O of its own.
 
     Attributes:
-      store_calls: Calls to the store.
       peers: Listed nodes by name.
-      elections: Elections by service name.
+      elections: Elections of the services.
       stopping_ms: When the planned stop began, or None.
       stopped: Whether the process may exit.
       shrink_ms: When a smaller number of owners may change the shares.
@@ -76,13 +73,12 @@
             adapters.journal,
         )
         documents = adapters.documents
-        self.store_calls = store_calls.StoreCalls(
-            adapters.platform, adapters.journal
-        )
+        calls = store_calls.StoreCalls(adapters.platform, adapters.journal)
+        calls.on_restored = self._on_restored
         self.sync = configuration_sync.ConfigurationSync(
             identity,
             adapters,
-            coordination.create(identity, adapters, self.store_calls, self),
+            coordination.create(identity, adapters, calls, self),
         )
         self.coordination.keeper.set_member(
             f'{documents.member_prefix}{identity.name}',
@@ -115,10 +111,9 @@
             adapters.messenger,
         )
         self.peers: dict[str, ownership.Peer] = {}
-        self.script_calls = script_calls.ScriptCalls(
-            self.gateway.groups, adapters, self.store_calls
+        self.elections = elections.Elections(
+            self.gateway.groups, adapters, calls, self.peering
         )
-        self.elections: dict[str, election.Election] = {}
         self.registry = registry.Registry(documents, adapters.journal)
         self.stopping_ms: int | None = None
         self.stopped = False
@@ -130,11 +125,6 @@
         """Return the reads and watches of the store."""
         return self.sync.coordination
 
-    @property
-    def keys(self) -> store_records.Keys:
-        """Return the key names that this product uses in the store."""
-        return store_records.Keys(self.adapters.documents.own_prefix)
-
     @property
     def members(self) -> tuple[str, ...]:
         """Return the sorted names of all listed nodes."""
@@ -155,7 +145,6 @@
         self.gateway.tick(now_ms)
         self.relay.tick(now_ms)
         self._tick_peering(now_ms)
-        self.script_calls.tick(now_ms)
         if now_ms >= self.shrink_ms:
             self._update_link_shares()
         if self.stopping_ms is not None and not self.stopped:
@@ -174,6 +163,8 @@
 
     def on_message(self, message: peer_messages.Message, now_ms: int) -> None:
         """Handle a message from another node."""
+        calls = self.coordination.access.calls
+        calls.on_report(peer_messages.newest_era(message))
         if isinstance(message, peer_messages.PermitMessage):
             self.load_sharing.on_message(message, now_ms)
         elif isinstance(message, peer_messages.RevisionMessage):
@@ -181,20 +172,17 @@
         else:
             self.peering.on_message(message, now_ms)
 
-    def on_key(self, key: str, text: str | None, revision: int) -> None:
+    def on_key(
+        self,
+        key: str,
+        text: str | None,
+        revision: history.EraNumber,
+    ) -> None:
         """Handle the new value of a watched key, or None if it was removed."""
-        documents = self.adapters.documents
-        if key == documents.configuration_key:
-            if text is not None:
-                self.sync.on_received(revision, text)
-                self._configure(text, revision)
-            return
-        name = key.removeprefix(documents.own_prefix)
-        rest = name.partition('/')[2]
-        service = rest.partition('/')[0]
-        service_election = self.elections.get(service)
-        if service_election is not None:
-            service_election.on_key(name, text, revision)
+        if key != self.adapters.documents.configuration_key:
+            self.elections.on_key(key, text, revision)
+        elif text is not None:
+            self._on_configuration(text, revision)
 
     def on_registry(self, entries: Entries, fresh: bool) -> bool:
         """Apply all registry entries; return whether every service has some."""
@@ -255,12 +243,12 @@
         if self.peering.isolated:
             self.gateway.close_inactive(now_ms)
             self.relay.close_inactive(now_ms)
-        for name, service_election in self.elections.items():
-            if self.coordination.synced:
-                service_election.on_keys_known()
-            owners = self.gateway.groups[name].owners
-            if self.identity.name in owners:
-                service_election.tick(owners, self.coordination.lease, now_ms)
+        self.elections.tick(
+            self.members,
+            self.coordination.lease,
+            now_ms,
+            synced=self.coordination.synced,
+        )
 
     def _update_announcement(self) -> None:
         """List this node as a member if it may become an owner.
@@ -279,14 +267,27 @@
         )
         self.coordination.keeper.announce(wanted)
 
-    def _configure(self, text: str, revision: int) -> None:
+    def _on_restored(self) -> None:
+        """Give up all that is known from the store, since it was restored.
+
+        The configuration stays in force: the operator writes what was lost
+        again, and a newer version replaces it.
+        """
+        self.coordination.on_restored()
+        self.elections.on_restored()
+
+    def _on_configuration(self, text: str, revision: history.EraNumber) -> None:
         loaded = self.adapters.documents.configuration(text)
         if isinstance(loaded, str):
+            unusable = freshness.Edition(freshness.NO_VERSION, revision)
+            self.sync.on_received(unusable, text)
             self.adapters.journal.write(
                 'configuration_unusable',
                 {'revision': revision, 'reason': loaded},
             )
             return
+        edition = freshness.Edition(loaded.version, revision)
+        self.sync.on_received(edition, text)
         reads = self.coordination
         self.adapters.journal.write(
             'configuration_received',
@@ -297,26 +298,11 @@
                 'silent_ms': self.now_ms - reads.progress.heard_ms,
             },
         )
-        self.gateway.configure(loaded, self.now_ms)
-        for name in self.elections.keys() - loaded.services.keys():
-            self.elections.pop(name).end()
-        for name, service_group in self.gateway.groups.items():
-            if name not in self.elections and not service_group.removed:
-                self.elections[name] = election.Election(
-                    service_group,
-                    self.keys,
-                    functools.partial(self.script_calls.perform, name),
-                    self.adapters.journal,
-                    self.peering,
-                )
-                self.peering.add_service(service_group, self.now_ms)
-        for name, declared in loaded.services.items():
-            service_election = self.elections[name]
-            service_election.failover.acknowledging = (
-                declared.acknowledging_replicas
-            )
-        self._choose_lenders()
-        self._update_link_shares()
+        if loaded.version > self.gateway.configuration.version:
+            self.gateway.configure(loaded, self.now_ms)
+            self.elections.configure(loaded, self.now_ms)
+            self._choose_lenders()
+            self._update_link_shares()
 
     def _choose_lenders(self) -> None:
         """Set the other owners as lenders of links, in rotated order.
--- a/jacinthhaven/sql/peer_messages.py
+++ b/jacinthhaven/sql/peer_messages.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from jacinthhaven.records import history
 from jacinthhaven.sql import records
 
 
@@ -24,7 +25,7 @@
     service: str
     term: int
     stopped: int
-    resumed: int
+    resumed: history.EraNumber
 
 
 class ConfirmRequest(msgspec.Struct, frozen=True, array_like=True, tag='q'):
@@ -72,7 +73,7 @@
     address: records.Address
     service: str
     term: int
-    fence: int
+    fence: history.EraNumber
 
 
 class StopReply(msgspec.Struct, frozen=True, array_like=True, tag='d'):
@@ -90,7 +91,7 @@
     sender: str
     service: str
     term: int
-    fence: int
+    fence: history.EraNumber
     users: dict[str, int]
 
 
@@ -172,12 +173,14 @@
       address: Address at which it receives the reply.
       at_ms: Time of the request on the sender's clock.
       revision: Revision of the configuration that the sender has.
+      version: Its version; -1 from a build that does not send it.
     """
 
     sender: str
     address: records.Address
     at_ms: int
-    revision: int
+    revision: history.EraNumber
+    version: int = -1
 
 
 class RevisionReply(msgspec.Struct, frozen=True, array_like=True, tag='n'):
@@ -190,13 +193,16 @@
       age_ms: Time since the sender knew it to be the newest; -1 if never.
       records_revision: Newest revision of the keys that owners write; 0 if
         the sender does not watch them.
+      version: Version of that configuration; -1 from a build that does not
+        send it.
     """
 
     sender: str
     at_ms: int
-    revision: int
+    revision: history.EraNumber
     age_ms: int
-    records_revision: int
+    records_revision: history.EraNumber
+    version: int = -1
 
 
 RightMessage = ConfirmRequest | ConfirmReply | StopRequest | StopReply
@@ -204,8 +210,10 @@
 RevisionMessage = RevisionRequest | RevisionReply
 Message = RightMessage | PermitMessage | RevisionMessage
 
-_decoder = msgspec.msgpack.Decoder(Message)
-_encoder = msgspec.msgpack.Encoder()
+# What decoding bytes of another writer may raise; deep nesting is one cause.
+MALFORMED = (msgspec.DecodeError, RecursionError)
+_decoder = msgspec.msgpack.Decoder(Message, dec_hook=history.decode)
+_encoder = msgspec.msgpack.Encoder(enc_hook=history.encode)
 
 
 def encode(message: Message) -> bytes:
@@ -217,9 +225,22 @@
     """Return the message in the payload of a datagram.
 
     Raises:
-      msgspec.DecodeError: If the payload is not a message.
+      MALFORMED: If the payload is not a message.
     """
     return _decoder.decode(chunk)
 
 
+def newest_era(message: Message) -> int:
+    """Return the newest era of the store that a message shows."""
+    match message:
+        case RevisionRequest() | RevisionReply():
+            return message.revision.era
+        case StopRequest() | StopReply():
+            return message.fence.era
+        case ConfirmReply():
+            ended = (report.resumed for report in message.held)
+            return max(ended, default=history.NONE).era
+    return history.FIRST_ERA
+
+
 Handler = typing.Callable[[Message], None]
--- a/jacinthhaven/sql/platform_builders.py
+++ b/jacinthhaven/sql/platform_builders.py
@@ -4,8 +4,10 @@
 import itertools
 import typing
 
+import msgspec
+
 from jacinthhaven.kernel import failures
-from jacinthhaven.records import store
+from jacinthhaven.records import history, store
 from jacinthhaven.sql import ports, records
 from jacinthhaven.standins import sql_group, store_model
 
@@ -16,6 +18,11 @@
 _ANSWER_MS = 4
 # Unique among all nodes, which may share one model.
 _NUMBERS = itertools.count(1)
+# Fields of replies that hold numbers of the store, and fields with entries.
+_NUMBERED = frozenset(
+    ('revision', 'mod_revision', 'create_revision', 'lease'),
+)
+_NESTED = frozenset(('entries', 'changed'))
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -86,14 +93,15 @@
         elif self.silent:
             self._fail_later(number, request, on_reply)
         elif isinstance(request, store.WatchRequest):
-            self._open_watch(number, request, on_reply)
+            self._open_watch(number, _strip(request), on_reply)
         else:
             self.answer(number, on_reply, self.execute(request))
         return number
 
     def execute(self, request: store.Request) -> typing.Any:
         """Run a call at the store and return its reply."""
-        return self.model.call(request, self.now_ms)
+        reply = self.model.call(_strip(request), self.now_ms)
+        return _stamp(self.model.era, reply)
 
     def answer(
         self,
@@ -166,7 +174,7 @@
                 self._fail(number, on_reply, 'connection lost', _ANSWER_MS)
                 continue
             for events in self.model.take_events(number):
-                on_reply(self.model.era, events)
+                on_reply(self.model.era, _stamp(self.model.era, events))
 
     def _open_watch(
         self,
@@ -224,3 +232,51 @@
         self.watches = {}
         for on_reply in watches.values():
             on_reply(0, lost)
+
+
+def _strip(request: store.Request) -> store.Request:
+    """Return a request with the store's own numbers, without eras."""
+    replace = msgspec.structs.replace
+    match request:
+        case store.WatchRequest() | store.ChangesRequest():
+            last = history.EraNumber(request.start_revision - 1).number
+            return replace(request, start_revision=last + 1)
+        case store.KeepAliveRequest() | store.RevokeRequest():
+            return replace(
+                request, lease=history.EraNumber(request.lease).number
+            )
+        case store.SwapRequest():
+            return store.SwapRequest(
+                tuple(
+                    replace(
+                        known,
+                        mod_revision=history.EraNumber(
+                            known.mod_revision
+                        ).number,
+                    )
+                    for known in request.compares
+                ),
+                tuple(_strip_lease(change) for change in request.changes),
+            )
+    return request
+
+
+def _strip_lease(change: store.Put | store.Delete) -> store.Put | store.Delete:
+    if isinstance(change, store.Delete):
+        return change
+    lease = history.EraNumber(change.lease).number
+    return msgspec.structs.replace(change, lease=lease)
+
+
+def _stamp(era: int, known: typing.Any) -> typing.Any:
+    """Return a reply, or an entry of one, with numbers of an era."""
+    if not isinstance(known, msgspec.Struct):
+        return known
+    stamped: dict[str, typing.Any] = {}
+    for name in known.__struct_fields__:
+        value = getattr(known, name)
+        if name in _NUMBERED and value:
+            stamped[name] = history.EraNumber.at(era, value)
+        elif name in _NESTED:
+            stamped[name] = tuple(_stamp(era, entry) for entry in value)
+    return msgspec.structs.replace(known, **stamped)
--- a/jacinthhaven/sql/promotion_lock.py
+++ b/jacinthhaven/sql/promotion_lock.py
@@ -2,10 +2,10 @@
 
 A node acquires the lock by compare-and-swap on its key. The revision of the
 key is the fencing token, so every attempt has a higher one than all attempts
-before.
+before, also if the store is restored in between.
 """
 
-from jacinthhaven.records import store
+from jacinthhaven.records import history, store
 from jacinthhaven.sql import scripts
 
 # Time to live of the lock; no other node starts a promotion meanwhile.
@@ -24,7 +24,7 @@
     Attributes:
       key: Key of the lock in the store.
       node: Name of this node.
-      revision: Revision of the key; 0 while no node holds the lock.
+      revision: Revision of the key; `history.NONE` while no node holds the lock.
       holder: Node that holds the lock, or ''.
       fence: Fencing token of this node's own attempt; it does not change
         when other nodes acquire the lock.
@@ -46,22 +46,32 @@
         """Start without a known holder."""
         self.key = key
         self.node = node
-        self.revision = 0
+        self.revision = history.NONE
         self.holder = ''
-        self.fence = 0
+        self.fence = history.NONE
         self.until_ms = 0
-        self.lease = 0
+        self.lease = history.NONE
 
     @property
     def held_by_other(self) -> bool:
         """Return whether another node holds the lock."""
         return self.revision > 0 and self.holder != self.node
 
-    def on_holder(self, holder: str | None, revision: int) -> None:
+    def on_holder(
+        self,
+        holder: str | None,
+        revision: history.EraNumber,
+    ) -> None:
         """Accept the current holder, or None if no node holds the lock."""
-        self.revision = 0 if holder is None else revision
+        self.revision = history.NONE if holder is None else revision
         self.holder = holder or ''
 
+    def on_restored(self) -> None:
+        """Give the lock up, since the store has lost its lease."""
+        self.on_holder(None, history.NONE)
+        self.lease = history.NONE
+        self.until_ms = 0
+
     def acquire(self, clock: scripts.Now) -> scripts.Script:
         """Acquire the lock; return the fencing token, or 0 on failure."""
         sent_ms = clock()
@@ -86,6 +96,8 @@
         Returns:
           Whether the lock is held for long enough to send an order.
         """
+        if not self.lease:
+            return False
         if self.until_ms - clock() >= _RENEW_BELOW_MS:
             return True
         sent_ms = clock()
--- a/jacinthhaven/sql/read_schedules.py
+++ b/jacinthhaven/sql/read_schedules.py
@@ -16,6 +16,9 @@
 _IDLE_MEMBERS_MS = 6000
 # Shortest interval between member reads when no owner could be reached.
 _UNREACHABLE_MEMBERS_MS = 1000
+# Delay of the member read after a restore of the store, which has lost the keys
+# of all nodes: they write them again within a renewal of their leases.
+_RESTORED_MEMBERS_MS = 1500
 # Factor of the registry interval on a node that owns no service; it needs the
 # registry only when no owner can be reached.
 _IDLE_REGISTRY_FACTOR = 5
@@ -133,6 +136,11 @@
             self.next_ms = now_ms
             self.pause_ms = _FIRST_MEMBERS_MS
 
+    def on_restored(self, now_ms: int) -> None:
+        """Read again once the nodes have written their keys again."""
+        self.pause_ms = _FIRST_MEMBERS_MS
+        self.next_ms = now_ms + _RESTORED_MEMBERS_MS
+
     def expedite(self) -> None:
         """Read earlier, since no known owner could be reached."""
         self.next_ms = min(self.next_ms, self.last_ms + _UNREACHABLE_MEMBERS_MS)
--- a/jacinthhaven/sql/revision_exchange.py
+++ b/jacinthhaven/sql/revision_exchange.py
@@ -11,6 +11,7 @@
 import typing
 
 from jacinthhaven.kernel import ranking
+from jacinthhaven.records import history
 from jacinthhaven.sql import (
     freshness,
     ownership,
@@ -65,7 +66,8 @@
     """What a node knows of the keys that owners write.
 
     Attributes:
-      revision: Newest known revision; 0 if the node does not watch them.
+      revision: Newest known revision; `history.NONE` if the node does not
+        watch them.
       missed: Whether another node knows a newer one.
     """
 
@@ -73,7 +75,7 @@
 
     def __init__(self) -> None:
         """Start as a node that does not watch them."""
-        self.revision = 0
+        self.revision = history.NONE
         self.missed = False
 
 
@@ -189,7 +191,7 @@
 
         The changes in it must have been applied before.
         """
-        self.freshness.on_proof(self.freshness.revision, at_ms)
+        self.freshness.on_store_proof(at_ms)
 
     def _needs_answers(self, now_ms: int) -> bool:
         if not self.candidates:
@@ -205,7 +207,11 @@
         self.next_ask_ms = now_ms + self.intervals.ask_ms
         self.journal.count('revision_messages', 'asked')
         request = peer_messages.RevisionRequest(
-            self.node, self.address, now_ms, self.freshness.revision
+            self.node,
+            self.address,
+            now_ms,
+            self.freshness.edition.revision,
+            self.freshness.edition.version,
         )
         self.messenger.send(self.addresses[name], request)
 
@@ -221,7 +227,8 @@
     ) -> None:
         until_ms = now_ms + _WANTED_QUESTIONS * self.intervals.ask_ms
         self.wanted_until_ms = until_ms
-        self._note(request.revision, request.sender, request.address)
+        edition = freshness.Edition(request.version, request.revision)
+        self._note(edition, request.sender, request.address, now_ms)
         if self.freshness.is_younger(self.intervals.poll_ms, now_ms):
             self._reply(request, now_ms)
         else:
@@ -234,9 +241,10 @@
         reply = peer_messages.RevisionReply(
             self.node,
             request.at_ms,
-            self.freshness.revision,
+            self.freshness.edition.revision,
             -1 if age_ms is None else age_ms,
             self.records.revision,
+            self.freshness.edition.version,
         )
         self.messenger.send(request.address, reply)
 
@@ -251,30 +259,35 @@
                 self.candidates.rotate(-1)
         if 0 < self.records.revision < reply.records_revision:
             self.records.missed = True
-        self._note(
-            reply.revision, reply.sender, self.addresses.get(reply.sender)
-        )
+        edition = freshness.Edition(reply.version, reply.revision)
+        address = self.addresses.get(reply.sender)
+        self._note(edition, reply.sender, address, now_ms)
         if reply.age_ms >= 0:
             # The reply was sent after the question.
             at_ms = reply.at_ms - reply.age_ms
-            self.freshness.on_proof(reply.revision, at_ms)
+            self.freshness.on_proof(edition, at_ms)
 
     def _note(
-        self, revision: int, sender: str, address: records.Address | None
+        self,
+        edition: freshness.Edition,
+        sender: str,
+        address: records.Address | None,
+        now_ms: int,
     ) -> None:
-        """Handle the revision that another node has."""
-        if revision <= self.freshness.revision:
-            return
-        if revision > self.freshness.newest:
-            self.freshness.newest = revision
+        """Handle the edition that another node has."""
+        if self.freshness.on_report(edition, now_ms):
             self.journal.write(
                 'configuration_outdated',
                 {
-                    'revision': self.freshness.revision,
-                    'newest': revision,
+                    'version': self.freshness.edition.version,
+                    'revision': self.freshness.edition.revision,
+                    'newest_version': edition.version,
+                    'newest': edition.revision,
                     'source': sender,
                 },
             )
+        if self.freshness.edition.covers(edition):
+            return
         if address is not None:
             self.on_newer(address)
 
@@ -287,7 +300,7 @@
         self.journal.write(
             'configuration_certain' if certain else 'configuration_uncertain',
             {
-                'revision': self.freshness.revision,
+                'revision': self.freshness.edition.revision,
                 'age_ms': self.freshness.age_ms(now_ms),
             },
         )
--- a/jacinthhaven/sql/store_access.py
+++ b/jacinthhaven/sql/store_access.py
@@ -88,6 +88,10 @@
         on_reply: OnReply,
         reply: typing.Any,
     ) -> None:
+        if isinstance(reply, store.Restored):
+            # The way works; the call has to be made again.
+            on_reply(None)
+            return
         failed = isinstance(reply, failures.Failure)
         if failed == self.connected:
             self.connected = not failed
--- a/jacinthhaven/sql/store_records.py
+++ b/jacinthhaven/sql/store_records.py
@@ -2,12 +2,16 @@
 
 import msgspec
 
-from jacinthhaven.records import store
+from jacinthhaven.records import history, store
 
 # Time in which an unanswered promotion order may still be carried out.
 LATE_ORDER_MS = 12_000
 # Time within which an accepted promotion is expected to be complete.
 PROMOTE_LIMIT_MS = 4000
+# Delay of the write of a lost record for each node that sorts before, and the
+# interval of a node's attempts.
+_REWRITE_STEP_MS = 300
+_REWRITE_RETRY_MS = 1000
 
 
 class LeaderRecord(msgspec.Struct):
@@ -25,9 +29,38 @@
     instance: str
     term: int
     moving: bool
-    fence: int = 0
+    fence: history.EraNumber = history.NONE
     accepted: bool = False
 
+    @property
+    def progress(self) -> tuple[history.EraNumber, bool, bool]:
+        """Return the place of the record among all records of a service."""
+        return self.fence, not self.moving, self.accepted
+
+    def supersedes(self, other: 'LeaderRecord | None') -> bool:
+        """Return whether this record is newer than another one."""
+        return other is None or self.progress > other.progress
+
+
+# What decoding text of another writer may raise; deep nesting is one cause.
+MALFORMED = (msgspec.DecodeError, RecursionError)
+_decoder = msgspec.json.Decoder(LeaderRecord, dec_hook=history.decode)
+_encoder = msgspec.json.Encoder(enc_hook=history.encode)
+
+
+def decode(text: str) -> LeaderRecord:
+    """Return the leader record in a JSON text.
+
+    Raises:
+      MALFORMED: If the text is not a leader record.
+    """
+    return _decoder.decode(text)
+
+
+def encode(record: LeaderRecord) -> str:
+    """Return a leader record as JSON."""
+    return _encoder.encode(record).decode()
+
 
 class Keys:
     """Names of the store keys that the nodes write."""
@@ -48,6 +81,11 @@
         """Return the key of the leader record."""
         return f'{self.prefix}lead/{service}'
 
+    @property
+    def settled_era(self) -> str:
+        """Return the key of the era whose predecessors left no locks."""
+        return f'{self.prefix}era'
+
 
 def write_request(
     keys: Keys, service: str, record: LeaderRecord
@@ -57,13 +95,65 @@
     It succeeds only while the node of the record's fencing token holds the
     promotion lock.
     """
-    text = msgspec.json.encode(record).decode()
     return store.SwapRequest(
         (store.Compare(keys.promotion_lock(service), record.fence),),
-        (store.Put(keys.leader(service), text),),
+        (store.Put(keys.leader(service), encode(record)),),
     )
 
 
+class StoredLeader:
+    """Leader record of one service as the store has it.
+
+    A restored store may have lost the newest record. The owners know it still, and
+    one of them writes it again, so that nodes that start later find it.
+
+    Attributes:
+      key: Key of the record.
+      record: Record, or None if there is no usable one.
+      revision: Its revision; `history.NONE` without one.
+      next_ms: Earliest time of the next write, or None if none is due.
+    """
+
+    __slots__ = ('key', 'record', 'revision', 'next_ms')
+
+    def __init__(self, key: str) -> None:
+        """Start without a record."""
+        self.key = key
+        self.record: LeaderRecord | None = None
+        self.revision = history.NONE
+        self.next_ms: int | None = None
+
+    def on_key(
+        self, record: LeaderRecord | None, revision: history.EraNumber
+    ) -> None:
+        """Accept the record, or None if there is no usable one."""
+        self.record = record
+        self.revision = revision
+
+    def rewrite(
+        self, known: LeaderRecord | None, rank: int, now_ms: int
+    ) -> store.SwapRequest | None:
+        """Return the request that writes a lost record again, if it is due.
+
+        Args:
+          known: Newest record that this node knows.
+          rank: Number of nodes that sort before this one; they write earlier.
+          now_ms: Current time.
+        """
+        if known is None or not known.supersedes(self.record):
+            self.next_ms = None
+            return None
+        if self.next_ms is None:
+            self.next_ms = now_ms + rank * _REWRITE_STEP_MS
+        if now_ms < self.next_ms:
+            return None
+        self.next_ms = now_ms + _REWRITE_RETRY_MS
+        return store.SwapRequest(
+            (store.Compare(self.key, self.revision),),
+            (store.Put(self.key, encode(known)),),
+        )
+
+
 class PendingOrders:
     """Promotion orders that may still be carried out.
 
@@ -98,7 +188,12 @@
         """Record that an order had no answer."""
         self.unanswered_until_ms = now_ms + LATE_ORDER_MS
 
-    def pending(self, term: int, fence: int, now_ms: int) -> str:
+    def pending(
+        self,
+        term: int,
+        fence: history.EraNumber,
+        now_ms: int,
+    ) -> str:
         """Return the instance of an earlier order that may still act, or ''.
 
         Args:
--- a/jacinthhaven/sql/watched_keys.py
+++ b/jacinthhaven/sql/watched_keys.py
@@ -6,14 +6,19 @@
 
 import typing
 
-from jacinthhaven.records import store
+from jacinthhaven.records import history, store
 from jacinthhaven.sql import ports
 
 
 class Listener(typing.Protocol):
     """Receiver of the values of watched keys."""
 
-    def on_key(self, key: str, text: str | None, revision: int) -> None:
+    def on_key(
+        self,
+        key: str,
+        text: str | None,
+        revision: history.EraNumber,
+    ) -> None:
         """Handle the value of a watched key, or None after its removal."""
 
 
@@ -44,9 +49,9 @@
         self.configuration_key = configuration_key
         self.listener = listener
         self.journal = journal
-        self.revisions: dict[str, int] = {}
-        self.complete = 0
-        self.newest_record = 0
+        self.revisions: dict[str, history.EraNumber] = {}
+        self.complete = history.NONE
+        self.newest_record = history.NONE
         self.source = ''
 
     def apply_read(self, prefix: str, reply: store.ReadReply) -> None:
@@ -69,9 +74,18 @@
             self.remove(key, reply.revision)
 
     def apply_copy(self, entry: store.KeyValue) -> bool:
-        """Apply a key that another node has read; return whether it is new."""
+        """Report a key that another node has read.
+
+        The node may know a value that a restored store has lost, so that the
+        revision alone does not tell whether it is news. The store itself is
+        still to report the revision.
+
+        Returns:
+          Whether the revision is newer than the known one.
+        """
         self.source = 'node'
-        return self.accept(entry)
+        self.listener.on_key(entry.key, entry.value, entry.mod_revision)
+        return entry.mod_revision > self.revisions.get(entry.key, history.NONE)
 
     def remove_others(self, prefix: str) -> None:
         """Report the keys without a prefix, which is watched now, as removed."""
@@ -81,7 +95,7 @@
 
     def accept(self, entry: store.KeyValue) -> bool:
         """Report a key unless it is known; return whether it was reported."""
-        known = self.revisions.get(entry.key, 0)
+        known = self.revisions.get(entry.key, history.NONE)
         if entry.mod_revision <= known:
             self._log_ignored(entry, known)
             return False
@@ -91,22 +105,23 @@
         self.listener.on_key(entry.key, entry.value, entry.mod_revision)
         return True
 
-    def remove(self, key: str, revision: int) -> None:
+    def remove(self, key: str, revision: history.EraNumber) -> None:
         """Report a removal unless the key is unknown or was written later."""
         if 0 < self.revisions.get(key, 0) <= revision:
             self.revisions.pop(key)
             self.listener.on_key(key, None, revision)
 
-    def _log_ignored(self, entry: store.KeyValue, known: int) -> None:
-        self.journal.count('keys_ignored', self.source)
-        # Several nodes may send the same copy.
-        if self.source != 'node':
-            self.journal.write(
-                'key_ignored',
-                {
-                    'key': entry.key,
-                    'revision': entry.mod_revision,
-                    'known': known,
-                    'source': self.source,
-                },
-            )
+    def _log_ignored(
+        self,
+        entry: store.KeyValue,
+        known: history.EraNumber,
+    ) -> None:
+        self.journal.write(
+            'key_ignored',
+            {
+                'key': entry.key,
+                'revision': entry.mod_revision,
+                'known': known,
+                'source': self.source,
+            },
+        )
