Keep lease numbers whole, and handle a confirmed report once

Cause: the platform's lease numbers have 48 bits and more, and EraNumber kept 40, so each renewal named a lease that the store does not have, and each node took a new one every 2 s. The number has 64 bits now, and a separate encoded form (53 bits) for messages, records and fencing tokens.

A restore that another node has reported is handled once, not again when the store itself confirms it, if no older answer was accepted in between.

--- a/jacinthhaven/adapters/decision_log.py
+++ b/jacinthhaven/adapters/decision_log.py
@@ -16,6 +16,7 @@
 
 from jacinthhaven.adapters import poller
 from jacinthhaven.decide import messages
+from jacinthhaven.records import history
 
 STDOUT = 'stdout'
 _STDOUT_FD = 1
@@ -82,7 +83,7 @@
         super().__init__()
         self.node = node
         self.timestamps = UtcFormatter()
-        self.encoder = msgspec.json.Encoder(enc_hook=self.json_default)
+        self.encoder = msgspec.json.Encoder(enc_hook=self._encode_field)
 
     def encode(
         self,
@@ -113,6 +114,12 @@
             common['unencodable'] = ascii(fields)
             return self.encoder.encode(common)
 
+    def _encode_field(self, field: typing.Any) -> typing.Any:
+        """Return a field of a type that JSON does not have."""
+        if isinstance(field, history.EraNumber):
+            return field.text
+        return self.json_default(field)
+
     def format(self, record: logging.LogRecord) -> str:
         """Return a `logging` record as one line of event `message`."""
         fields = {
--- a/jacinthhaven/platform/duty.py
+++ b/jacinthhaven/platform/duty.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from jacinthhaven.adapters import http_client, http_messages, poller
+from jacinthhaven.records import history
 from jacinthhaven.sql import ports
 
 # The platform may still carry out a request that timed out.
@@ -30,7 +31,7 @@
         self,
         service: str,
         instance: str,
-        fence: int,
+        fence: history.EraNumber,
         on_result: ports.OnOrder,
     ) -> None:
         """Ask the platform to make an instance the primary of a service."""
@@ -39,7 +40,7 @@
         order.client.send(
             '/failover',
             msgspec.json.encode(document),
-            f'X-Duty-Holder: {self.holder}\r\nX-Fence-Token: {fence}\r\n',
+            f'X-Duty-Holder: {self.holder}\r\nX-Fence-Token: {fence.encoded}\r\n',
         )
 
 
--- a/jacinthhaven/platform/node_sockets.py
+++ b/jacinthhaven/platform/node_sockets.py
@@ -7,6 +7,7 @@
 
 from jacinthhaven.adapters import poller, streams
 from jacinthhaven.platform import peer_wire, sockets, words
+from jacinthhaven.records import history
 from jacinthhaven.sql import ports, records, statements
 
 
@@ -174,9 +175,9 @@
     on_copy(*copy)
 
 
-def _nothing() -> tuple[int, str]:
+def _nothing() -> tuple[history.EraNumber, str]:
     """Return that there is no configuration; default of an unset callback."""
-    return 0, ''
+    return history.NONE, ''
 
 
 class RelaySockets(ports.Relays):
--- a/jacinthhaven/platform/peer_wire.py
+++ b/jacinthhaven/platform/peer_wire.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from jacinthhaven.platform import words
+from jacinthhaven.records import history
 from jacinthhaven.sql import statements
 
 PING = 'PING'
@@ -43,13 +44,13 @@
         raise words.MalformedLineError(line) from error
 
 
-def encode_copy(revision: int, text: str) -> bytes:
+def encode_copy(revision: history.EraNumber, text: str) -> bytes:
     """Return the line with the configuration of a node."""
     # As a JSON string, the text contains no line break.
-    return b'%d %b\r\n' % (revision, msgspec.json.encode(text))
+    return b'%d %b\r\n' % (revision.encoded, msgspec.json.encode(text))
 
 
-def decode_copy(line: bytes) -> tuple[int, str]:
+def decode_copy(line: bytes) -> tuple[history.EraNumber, str]:
     """Return the revision and the text of a configuration.
 
     Raises:
@@ -57,7 +58,10 @@
     """
     revision, _, text = line.partition(b' ')
     try:
-        return int(revision), msgspec.json.decode(text, type=str)
+        return (
+            history.decode(int(revision)),
+            msgspec.json.decode(text, type=str),
+        )
     except ValueError as error:
         raise words.MalformedLineError('malformed configuration') from error
 
--- a/jacinthhaven/platform/plugin.py
+++ b/jacinthhaven/platform/plugin.py
@@ -6,7 +6,7 @@
 from jacinthhaven.adapters import poller
 from jacinthhaven.decide import messages
 from jacinthhaven.platform import documents, duty, kv
-from jacinthhaven.records import sql_settings, store
+from jacinthhaven.records import history, sql_settings, store
 from jacinthhaven.sql import ports, records, registry
 
 # Even a slow store responds within this time. After a lost response the caller
@@ -83,7 +83,7 @@
         self,
         service: str,
         instance: str,
-        fence: int,
+        fence: history.EraNumber,
         on_result: ports.OnOrder,
     ) -> None:
         """Ask the platform to make an instance the primary."""
--- a/jacinthhaven/records/history.py
+++ b/jacinthhaven/records/history.py
@@ -9,24 +9,22 @@
 
 # The era of a store that was never restored, also of one without eras.
 FIRST_ERA = 1
-# Bits of the number below the era. Both fit into the 53 bits that JSON readers
-# can rely on: 8,191 restores, and 2**40 changes in one era.
-_NUMBER_BITS = 40
+# Bits of the store's own numbers.
+_NUMBER_BITS = 64
 _NUMBER_MASK = (1 << _NUMBER_BITS) - 1
-_MAX = (1 << 53) - 1
+# Bits of the number in the encoded form, which has to fit into the 53 bits that
+# all readers of JSON support: 2**40 changes in an era, and 8,191 restores.
+_ENCODED_BITS = 40
+_ENCODED_MASK = (1 << _ENCODED_BITS) - 1
+_MAX_ENCODED = (1 << 53) - 1
 
 
 class EraNumber(int):  # noqa: WPS600
     """Number that a store has given out, ordered by its era first.
 
-    Revisions, lease numbers and fencing tokens are of this type. As an integer
-    it also goes to other nodes, into stored records and to the platform. In the first
-    era it equals the store's own number, which is all that builds without eras know;
-    0 stands for none.
-
-    Attributes:
-      era: Era of the store when it gave the number out.
-      number: The store's own number.
+    Revisions, lease numbers and fencing tokens are of this type; 0 stands for
+    none. It is an integer so that builds without eras, whose numbers are plain
+    integers, can be compared with it: they equal those of the first era.
     """
 
     __slots__ = ()
@@ -38,7 +36,7 @@
 
     @property
     def era(self) -> int:
-        """Return the era; the first one for 0."""
+        """Return the era of the store when it gave the number out."""
         return (self >> _NUMBER_BITS) + FIRST_ERA
 
     @property
@@ -46,12 +44,44 @@
         """Return the store's own number."""
         return self & _NUMBER_MASK
 
+    @property
+    def encoded(self) -> int:
+        """Return the form for other nodes, stored records and the platform.
+
+        It has the same order, and equals the store's own number in the first
+        era. Lease numbers may be too large for it.
+
+        Raises:
+          ValueError: If the number is too large.
+        """
+        if self.number > _ENCODED_MASK:
+            raise ValueError(f'{self.number} is above {_ENCODED_MASK}')
+        return (self.era - FIRST_ERA) << _ENCODED_BITS | self.number
+
+    @property
+    def text(self) -> str:
+        """Return the form for logs, with the era if it is not the first."""
+        prefix = '' if self.era == FIRST_ERA else f'{self.era}:'
+        return f'{prefix}{self.number}'
+
 
 NONE = EraNumber(0)
 
 
-def decode(kind: type, encoded: typing.Any) -> typing.Any:
-    """Return the number in a message or a record; a hook of `msgspec`.
+def decode(encoded: int) -> EraNumber:
+    """Return the number in its encoded form.
+
+    Raises:
+      ValueError: If it is not within the range of that form.
+    """
+    if not 0 <= encoded <= _MAX_ENCODED:
+        raise ValueError(f'{encoded} is not between 0 and {_MAX_ENCODED}')
+    era = (encoded >> _ENCODED_BITS) + FIRST_ERA
+    return EraNumber.at(era, encoded & _ENCODED_MASK)
+
+
+def decode_hook(kind: type, encoded: typing.Any) -> EraNumber:
+    """Decode a number in a message or a record; a hook of `msgspec`.
 
     Raises:
       ValueError: If it is not an integer of the expected range.
@@ -59,17 +89,15 @@
     usable = isinstance(encoded, int) and not isinstance(encoded, bool)
     if kind is not EraNumber or not usable:
         raise ValueError(f'expected an integer, got {type(encoded).__name__}')
-    if not 0 <= encoded <= _MAX:
-        raise ValueError(f'{encoded} is not between 0 and {_MAX}')
-    return EraNumber(encoded)
+    return decode(encoded)
 
 
-def encode(known: typing.Any) -> int:
-    """Return a number as it is sent and stored; a hook of `msgspec`.
+def encode_hook(known: typing.Any) -> int:
+    """Encode a number in a message or a record; a hook of `msgspec`.
 
     Raises:
       NotImplementedError: If it is of another type.
     """
     if not isinstance(known, EraNumber):
         raise NotImplementedError(f'cannot encode {type(known).__name__}')
-    return int(known)
+    return known.encoded
--- a/jacinthhaven/sql/peer_messages.py
+++ b/jacinthhaven/sql/peer_messages.py
@@ -212,8 +212,8 @@
 
 # What decoding bytes of another writer may raise; deep nesting is one cause.
 MALFORMED = (msgspec.DecodeError, RecursionError)
-_decoder = msgspec.msgpack.Decoder(Message, dec_hook=history.decode)
-_encoder = msgspec.msgpack.Encoder(enc_hook=history.encode)
+_decoder = msgspec.msgpack.Decoder(Message, dec_hook=history.decode_hook)
+_encoder = msgspec.msgpack.Encoder(enc_hook=history.encode_hook)
 
 
 def encode(message: Message) -> bytes:
--- a/jacinthhaven/sql/peering.py
+++ b/jacinthhaven/sql/peering.py
@@ -10,6 +10,7 @@
 import collections
 import typing
 
+from jacinthhaven.records import history
 from jacinthhaven.sql import (
     group,
     instances,
@@ -134,7 +135,7 @@
         self,
         service: str,
         term: int,
-        fence: int,
+        fence: history.EraNumber,
         now_ms: int,
     ) -> rights.Withdrawal:
         """Ask all nodes to stop using the primary of a term.
--- a/jacinthhaven/sql/platform_builders.py
+++ b/jacinthhaven/sql/platform_builders.py
@@ -140,7 +140,7 @@
         self,
         service: str,
         instance: str,
-        fence: int,
+        fence: history.EraNumber,
         on_result: ports.OnOrder,
     ) -> None:
         """Accept an order, and carry it out after `promote_ms`.
--- a/jacinthhaven/sql/ports.py
+++ b/jacinthhaven/sql/ports.py
@@ -3,12 +3,12 @@
 import abc
 import typing
 
-from jacinthhaven.records import store
+from jacinthhaven.records import history, store
 from jacinthhaven.sql import commands, records, statements
 
 Fields = dict[str, typing.Any]
 OnOrder = typing.Callable[['OrderResult'], None]
-OnCopy = typing.Callable[[int, str], None]
+OnCopy = typing.Callable[[history.EraNumber, str], None]
 # Gets the era of the store (0 if unknown), and a reply or a failure.
 OnStore = typing.Callable[[int, typing.Any], None]
 
@@ -206,7 +206,7 @@
         self,
         service: str,
         instance: str,
-        fence: int,
+        fence: history.EraNumber,
         on_result: OnOrder,
     ) -> None:
         """Order the platform to promote an instance to primary.
--- a/jacinthhaven/sql/rights.py
+++ b/jacinthhaven/sql/rights.py
@@ -16,6 +16,7 @@
 
 import typing
 
+from jacinthhaven.records import history
 from jacinthhaven.sql import leadership
 
 # Validity of a confirmation: four question intervals, so three questions or
@@ -98,8 +99,8 @@
         self.draining_term = 0
         self.stopped_term = 0
         self.draining_since_ms = 0
-        self.fence = 0
-        self.ended_fence = 0
+        self.fence = history.NONE
+        self.ended_fence = history.NONE
         self.stop_requester = ''
         self.expected_ms = 0
 
@@ -165,7 +166,13 @@
         if known is None or known.asked_ms < answer.asked_ms:
             self.confirmations[owner] = answer
 
-    def on_stop(self, sender: str, term: int, fence: int, now_ms: int) -> bool:
+    def on_stop(
+        self,
+        sender: str,
+        term: int,
+        fence: history.EraNumber,
+        now_ms: int,
+    ) -> bool:
         """Accept a request to stop using the primary of a term.
 
         Args:
@@ -187,7 +194,7 @@
             self.draining_since_ms = now_ms
         return True
 
-    def on_ended(self, fence: int) -> None:
+    def on_ended(self, fence: history.EraNumber) -> None:
         """Accept that the promotions up to a fencing token are over."""
         if fence <= self.ended_fence:
             return
@@ -268,7 +275,12 @@
         'newest_term',
     )
 
-    def __init__(self, right: Right, term: int, fence: int) -> None:
+    def __init__(
+        self,
+        right: Right,
+        term: int,
+        fence: history.EraNumber,
+    ) -> None:
         """Start with no node stopped."""
         self.right = right
         self.term = term
--- a/jacinthhaven/sql/scripts.py
+++ b/jacinthhaven/sql/scripts.py
@@ -7,7 +7,7 @@
 import dataclasses
 import typing
 
-from jacinthhaven.records import store
+from jacinthhaven.records import history, store
 from jacinthhaven.sql import commands
 
 
@@ -42,7 +42,7 @@
 
     service: str
     instance: str
-    fence: int
+    fence: history.EraNumber
     until_ms: int
 
 
--- a/jacinthhaven/sql/store_calls.py
+++ b/jacinthhaven/sql/store_calls.py
@@ -21,6 +21,7 @@
     Attributes:
       era: Newest era in an answer of the store; 0 while unknown.
       reported_era: Newest era that another node has reported.
+      renewed: Whether all answers since that report are of that era.
       restores: How often this node has learned of a restore.
       on_restored: Called when the node learns of a restore: all numbers and
         leases that it has from the store are void.
@@ -41,6 +42,7 @@
         self.journal = journal
         self.era = 0
         self.reported_era = 0
+        self.renewed = False
         self.restores = 0
         self.on_restored: typing.Callable[[], None] = _ignore
 
@@ -78,6 +80,7 @@
         if era <= max(self.era, self.reported_era):
             return
         self.reported_era = era
+        self.renewed = True
         if self.era:
             self._log_era(era, 'node')
             self._give_up()
@@ -93,14 +96,17 @@
             self._set_era(era)
         # Without an answer, the reply is a failure in any case.
         if era and (restores != self.restores or era < self.era):
-            reply = store.Restored()
+            on_reply(store.Restored())
+            return
+        if era:
+            self.renewed = self.renewed and era >= self.reported_era
         on_reply(reply)
 
     def _set_era(self, era: int) -> None:
         previous = self.era
         self._log_era(era, 'store')
         self.era = era
-        if previous:
+        if previous and not (self.renewed and era == self.reported_era):
             self._give_up()
 
     def _give_up(self) -> None:
--- a/jacinthhaven/sql/store_calls_test.py
+++ b/jacinthhaven/sql/store_calls_test.py
@@ -137,6 +137,26 @@
     assert harness.replies[-1] == store.Restored()
 
 
+def test_report_that_the_store_confirms_is_handled_once():
+    """Guards against reads that are repeated without need."""
+    harness = _Harness()
+    harness.answer(harness.send(), 1)
+    harness.calls.on_report(2)
+    harness.answer(harness.send(), 2)
+    assert harness.replies[-1].revision.era == 2
+    assert harness.restores == 1
+
+
+def test_answer_after_a_report_does_not_outlive_the_restore():
+    """Guards against an answer that was late, and that a report preceded."""
+    harness = _Harness()
+    harness.answer(harness.send(), 1)
+    harness.calls.on_report(2)
+    harness.answer(harness.send(), 1)
+    harness.answer(harness.send(), 2)
+    assert harness.restores == 2
+
+
 def test_wrong_report_has_no_lasting_effect():
     """Guards against a node that believes no answer of the store any more."""
     harness = _Harness()
@@ -188,8 +208,16 @@
     earlier = history.EraNumber.at(1, 10**9)
     assert history.EraNumber.at(2, 1) > earlier
     assert earlier == 10**9
-    assert history.EraNumber.at(3, 5).era == 3
-    assert history.EraNumber.at(3, 5).number == 5
+    later = history.EraNumber.at(3, 5)
+    assert (later.era, later.number, later.text) == (3, 5, '3:5')
+    assert history.decode(later.encoded) == later
+    assert later.encoded > history.EraNumber(2**40 - 1).encoded
+
+
+def test_large_lease_numbers_keep_their_value():
+    """Guards against leases that the store does not know."""
+    lease = history.EraNumber.at(2, 2**63 + 1)
+    assert (lease.era, lease.number) == (2, 2**63 + 1)
 
 
 def test_leader_record_keeps_its_format():
--- a/jacinthhaven/sql/store_records.py
+++ b/jacinthhaven/sql/store_records.py
@@ -44,8 +44,8 @@
 
 # What decoding text of another writer may raise; deep nesting is one cause.
 MALFORMED = (msgspec.DecodeError, RecursionError)
-_decoder = msgspec.json.Decoder(LeaderRecord, dec_hook=history.decode)
-_encoder = msgspec.json.Encoder(enc_hook=history.encode)
+_decoder = msgspec.json.Decoder(LeaderRecord, dec_hook=history.decode_hook)
+_encoder = msgspec.json.Encoder(enc_hook=history.encode_hook)
 
 
 def decode(text: str) -> LeaderRecord:
