Let an odd entry cost only itself

Slots of 10**400 raise OverflowError in the size of the window, before the other entries are applied. Ports and hosts that cannot be connected to raise errors, or ask a resolver, in each tick. A key with a line end adds lines to a connection to an instance.

Change: each field of an entry is checked where it is decoded; addresses by one function for registry, members and datagrams. What decoding may raise is one tuple for each reader, with RecursionError. The reason in the log is cut to 200 characters. An error of a listener no longer ends the reads of the registry. An address that a datagram cannot be sent to is an error of that datagram.

--- a/jacinthhaven/adapters/datagrams.py
+++ b/jacinthhaven/adapters/datagrams.py
@@ -51,7 +51,7 @@
             return
         try:
             self.sock.sendto(chunk, address)
-        except OSError as error:
+        except (OSError, OverflowError) as error:
             self.on_error(str(error))
 
     def close(self) -> None:
--- a/jacinthhaven/adapters/datagrams_test.py
+++ b/jacinthhaven/adapters/datagrams_test.py
@@ -43,6 +43,9 @@
         peer_messages.encode(_REQUEST)[:-1],
         os.urandom(200),
         b'\xc1' * 9000,
+        b'\x91' * 4000,
+        builders.pack(['q', 'n1', ['127.0.0.1', 99_999], 5, ['ledger']]),
+        builders.pack(['q', 'n1', ['no host', 7], 5, ['ledger']]),
     ],
 )
 def test_malformed_datagram_is_counted_and_skipped(chunk):
@@ -64,3 +67,12 @@
         setup.send(copy)
     setup.driver.run_until(lambda: len(setup.received) >= 64)
     assert len(setup.received) <= 100
+
+
+def test_address_that_cannot_be_sent_to_is_an_error_of_the_datagram():
+    """Guards against an address that ends the caller."""
+    setup = _Setup()
+    errors = []
+    setup.sender.on_error = errors.append
+    setup.sender.send(('127.0.0.1', 99_999), b'x')
+    assert len(errors) == 1
--- a/jacinthhaven/adapters/decision_log.py
+++ b/jacinthhaven/adapters/decision_log.py
@@ -114,12 +114,6 @@
             common['unencodable'] = ascii(fields)
             return self.encoder.encode(common)
 
-    def _encode_field(self, field: typing.Any) -> typing.Any:
-        """Return a field of a type that JSON does not have."""
-        if isinstance(field, history.EraNumber):
-            return field.text
-        return self.json_default(field)
-
     def format(self, record: logging.LogRecord) -> str:
         """Return a `logging` record as one line of event `message`."""
         fields = {
@@ -135,6 +129,12 @@
             int(record.created * _NS_PER_S),
         ).decode()
 
+    def _encode_field(self, field: typing.Any) -> typing.Any:
+        """Return a field of a type that JSON does not have."""
+        if isinstance(field, history.EraNumber):
+            return field.text
+        return self.json_default(field)
+
 
 class LineBuffer:
     """Buffer of log lines for a file descriptor.
--- a/jacinthhaven/platform/documents.py
+++ b/jacinthhaven/platform/documents.py
@@ -1,9 +1,11 @@
 """Decoding of the operator's configuration and of registry entries.
 
 The store holds both as JSON. Registry entries may come from other writers:
-an entry that cannot be decoded is reported and yields no instance.
+an entry that cannot be decoded is reported and yields no instance. Other
+writers may also put anything into a field, so each one is checked.
 """
 
+import re
 import types
 import typing
 
@@ -31,7 +33,18 @@
 )
 _STATES = types.MappingProxyType({'ready': False, 'draining': True})
 _ROLES = types.MappingProxyType({'replica': False, 'primary': True})
-MALFORMED = (msgspec.DecodeError, ValueError, KeyError)
+# What decoding may raise; deep nesting is the cause of the last one.
+MALFORMED = (msgspec.DecodeError, ValueError, KeyError, RecursionError)
+# Instances have a few slots; more than this is an error of the writer.
+_MAX_SLOTS = 10_000
+# Largest integer that all readers of JSON support.
+_MAX_INTEGER = 9_007_199_254_740_991
+_NAME = re.compile('[!-~]+')
+# The reason may quote a field of any size.
+_MAX_REASON = 200
+
+_Slots = typing.Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_INTEGER)]
 
 
 class _Route(msgspec.Struct, rename='camel'):
@@ -69,7 +82,11 @@
     zone: str
     state: str
     db_role: str
-    slots: int = 1
+    slots: _Slots = 1
+    # `born` is when the server started, in milliseconds since 1970, `sequence`
+    # counts its reports since then.
+    born: _Count = 0
+    sequence: _Count = 0
 
 
 _config_decoder = msgspec.json.Decoder(_Config)
@@ -121,18 +138,38 @@
       MALFORMED: If the entry cannot be decoded.
     """
     server = _server_decoder.decode(entry.value)
-    host, _, port = server.address.rpartition(':')
     return records.Instance(
-        entry.key.removeprefix(REGISTRY_PREFIX),
+        _decode_name(entry.key),
         server.service,
-        (host, int(port)),
+        _decode_address(server.address),
         server.zone,
         server.slots,
         _STATES[server.state],
         _ROLES[server.db_role],
+        (server.born, server.sequence),
     )
 
 
+def _decode_name(key: str) -> str:
+    # The name is sent in a line, so that a space or a line end would add to it.
+    name = key.removeprefix(REGISTRY_PREFIX)
+    if not _NAME.fullmatch(name):
+        raise ValueError(f'{name!r} is not a name of a server')
+    return name
+
+
+def _decode_address(text: str) -> records.Address:
+    host, _, port = text.rpartition(':')
+    if not (port.isascii() and port.isdecimal()):
+        raise ValueError(f'{port!r} is not a port')
+    return records.check_address((host, int(port)))
+
+
+def describe(error: Exception) -> str:
+    """Return why a document cannot be decoded, in a few words."""
+    return f'{type(error).__name__}: {error}'[:_MAX_REASON]
+
+
 def decode_instances(
     entries: typing.Iterable[store.KeyValue],
     on_unusable: typing.Callable[[str, str], None],
@@ -149,5 +186,5 @@
         try:
             found.append(decode_instance(entry))
         except MALFORMED as error:
-            on_unusable(entry.key, str(error))
+            on_unusable(entry.key, describe(error))
     return found
--- a/jacinthhaven/platform/kv_answers.py
+++ b/jacinthhaven/platform/kv_answers.py
@@ -68,7 +68,7 @@
     """
     try:
         return _DECODERS[kind].decode(body)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise http_store.MalformedAnswerError(str(error)) from error
 
 
--- a/jacinthhaven/platform/plugin.py
+++ b/jacinthhaven/platform/plugin.py
@@ -28,7 +28,7 @@
         try:
             return documents.decode_configuration(text)
         except documents.MALFORMED as error:
-            return repr(error)
+            return documents.describe(error)
 
     def instances(
         self,
--- a/jacinthhaven/platform/wire_test.py
+++ b/jacinthhaven/platform/wire_test.py
@@ -203,4 +203,5 @@
         3,
         leaving=True,
         claims_primary=False,
+        reported=(0, 4),
     )
--- a/jacinthhaven/sql/cluster_builders.py
+++ b/jacinthhaven/sql/cluster_builders.py
@@ -51,6 +51,7 @@
         *,
         fenced: bool = True,
         settle_ms: int = 3000,
+        documents: registry.Documents | None = None,
     ) -> None:
         """Start the nodes and run them for a while.
 
@@ -59,6 +60,7 @@
           fenced: Whether the platform checks fencing tokens.
           settle_ms: Time to run. If it is 0, the nodes are listed in the
             store as after an earlier run, and do not run yet.
+          documents: Formats of the documents in the store.
         """
         self.fenced = fenced
         self.network: dict[int, builders.FakeMessenger] = {}
@@ -69,7 +71,7 @@
             fenced=fenced,
         )
         self.model = store_model.StoreModel()
-        self.documents = OneConfiguration()
+        self.documents = documents or OneConfiguration()
         self.nodes = []
         self.rigs = []
         self.platforms = []
@@ -96,6 +98,11 @@
                     member.on_message(message, self.now_ms)
                 member.tick(self.now_ms)
 
+    def put(self, key: str, text: str) -> None:
+        """Write a key of the store."""
+        put = store.Put(key, text)
+        self.model.call(store.SwapRequest((), (put,)), self.now_ms)
+
     def restart(self, index: int) -> None:
         """Kill a node and start it again; it has forgotten everything."""
         self.network[index + 1].inbox.clear()
--- a/jacinthhaven/sql/coordination.py
+++ b/jacinthhaven/sql/coordination.py
@@ -371,6 +371,8 @@
         )
 
     def _on_registry(self, fresh: bool, reply: store.ReadReply | None) -> None:
+        # An error of the listener must not be the end of all reads.
+        self.registry.running = False
         complete = None
         if reply is not None:
             complete = self.listener.on_registry(reply.entries, fresh)
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -6,8 +6,6 @@
 
 import typing
 
-import msgspec
-
 from jacinthhaven.records import history, store
 from jacinthhaven.sql import (
     configuration_sync,
@@ -200,7 +198,7 @@
             name = entry.key.removeprefix(prefix)
             try:
                 peers[name] = ownership.decode(entry.value)
-            except msgspec.DecodeError as error:
+            except ownership.MALFORMED as error:
                 self.adapters.journal.write(
                     'member_unusable',
                     {'member': name, 'reason': str(error)},
--- a/jacinthhaven/sql/ownership.py
+++ b/jacinthhaven/sql/ownership.py
@@ -36,11 +36,15 @@
 
     address: records.Address
     zone: str
-    capacity: float
+    capacity: typing.Annotated[float, msgspec.Meta(gt=0)]
 
 
 Peers = typing.Mapping[str, Peer]
 
+# What decoding text of another writer may raise; deep nesting is the cause of the
+# last one.
+MALFORMED = (msgspec.DecodeError, ValueError, RecursionError)
+
 
 def encode(peer: Peer) -> str:
     """Return a member entry as JSON."""
@@ -51,9 +55,11 @@
     """Return the member entry in a JSON text.
 
     Raises:
-      msgspec.DecodeError: If the text is not a member entry.
+      MALFORMED: If the text is not a member entry.
     """
-    return msgspec.json.decode(text, type=Peer)
+    peer = msgspec.json.decode(text, type=Peer)
+    records.check_address(peer.address)
+    return peer
 
 
 def owners(service: str, peers: Peers) -> tuple[str, ...]:
--- a/jacinthhaven/sql/peer_messages.py
+++ b/jacinthhaven/sql/peer_messages.py
@@ -210,8 +210,9 @@
 RevisionMessage = RevisionRequest | RevisionReply
 Message = RightMessage | PermitMessage | RevisionMessage
 
-# What decoding bytes of another writer may raise; deep nesting is one cause.
-MALFORMED = (msgspec.DecodeError, RecursionError)
+# What decoding bytes of another writer may raise; deep nesting is the cause of the
+# last one.
+MALFORMED = (msgspec.DecodeError, ValueError, RecursionError)
 _decoder = msgspec.msgpack.Decoder(Message, dec_hook=history.decode_hook)
 _encoder = msgspec.msgpack.Encoder(enc_hook=history.encode_hook)
 
@@ -227,7 +228,10 @@
     Raises:
       MALFORMED: If the payload is not a message.
     """
-    return _decoder.decode(chunk)
+    message = _decoder.decode(chunk)
+    if isinstance(message, (ConfirmRequest, StopRequest, RevisionRequest)):
+        records.check_address(message.address)
+    return message
 
 
 def newest_era(message: Message) -> int:
--- a/jacinthhaven/sql/records.py
+++ b/jacinthhaven/sql/records.py
@@ -1,12 +1,28 @@
 """Routes, services, instances and log positions of the SQL proxy."""
 
 import enum
+import ipaddress
 import types
 import typing
 
 import msgspec
 
 Address = tuple[str, int]
+_MAX_PORT = 65_535
+
+
+def check_address(address: Address) -> Address:
+    """Return an address that another writer has given.
+
+    Raises:
+      ValueError: If it is not an IPv4 address and a port that can be connected
+        to.
+    """
+    host, port = address
+    ipaddress.IPv4Address(host)
+    if not 0 < port <= _MAX_PORT:
+        raise ValueError(f'port {port} is not between 1 and {_MAX_PORT}')
+    return address
 
 
 class ConsistencyLevel(enum.Enum):
@@ -132,6 +148,8 @@
       slots: Number of statements that it executes at the same time.
       leaving: Whether it is about to stop.
       claims_primary: Whether it considers itself the primary.
+      reported: When the server started, in milliseconds since 1970, and the number
+        of this report since then; a later report has a higher pair.
     """
 
     name: str
@@ -141,6 +159,7 @@
     slots: int
     leaving: bool
     claims_primary: bool
+    reported: tuple[int, int] = (0, 0)
 
 
 class InstanceStatus(msgspec.Struct, frozen=True):
