Keep the newest report of an instance

A read that may be stale, or a restored store, has older entries than the node knows: an instance that was leaving got work again, until the store had its notice again. Reports are ordered by the start of the server and by their number since then. The new test fails before (entry.leaving is false after the older report) and passes now.

--- a/jacinthhaven/platform/odd_entries_test.py
+++ b/jacinthhaven/platform/odd_entries_test.py
@@ -91,6 +91,25 @@
     assert all(len(fields['reason']) <= 300 for fields in logged)
 
 
+def test_older_report_does_not_bring_an_instance_back():
+    """Guards against work for an instance whose notice to leave was lost."""
+    cluster = _cluster()
+    known = cluster.election(0).service.pool.states['db-b']
+    reports = (
+        ('draining', 5, 7, True),
+        ('ready', 5, 6, True),
+        ('ready', 4, 99, True),
+        ('ready', 6, 1, False),
+    )
+    for state, born, sequence, leaving in reports:
+        text = document_builders.entry(
+            'db-b', state=state, born=born, sequence=sequence
+        )
+        cluster.put('servers/db-b', text)
+        cluster.run(3000)
+        assert known.entry.leaving == leaving
+
+
 def test_odd_name_of_an_instance_is_not_sent():
     """Guards against commands that a name smuggles into a connection."""
     for key in ('servers/a b', 'servers/a\r\nQUERY - DEMOTE 9', 'servers/'):
--- a/jacinthhaven/sql/registry.py
+++ b/jacinthhaven/sql/registry.py
@@ -72,11 +72,21 @@
                     {'key': key, 'reason': reason},
                 )
         self.unusable = unusable
-        listed = {entry.name: entry for entry in found}
+        listed = {entry.name: self._newest(entry) for entry in found}
         for name in sorted(listed.keys() | self.instances.keys()):
             self._log_change(self.instances.get(name), listed.get(name))
         self.instances = listed
-        return found
+        return list(listed.values())
+
+    def _newest(self, entry: records.Instance) -> records.Instance:
+        """Return the newest known report of an instance.
+
+        A read that may be stale and a restored store have older ones.
+        """
+        known = self.instances.get(entry.name)
+        if known is not None and known.reported > entry.reported:
+            return known
+        return entry
 
     def _log_change(
         self,
