Search restores, late answers, cuts and restarts at random

The store returns to copies, answers come late, ways and messages are cut, nodes are suspended and restarted. Broken promises: a version that must be in force is missing at a calm node or at one that is certain, a node goes back to an older version, two nodes hold the lock, fencing tokens do not rise. With the era ignored, or with locks that outlive their leases, the searches find violations.

--- a/jacinthhaven/sql/cluster_builders.py
+++ b/jacinthhaven/sql/cluster_builders.py
@@ -75,6 +75,7 @@
         self.nodes = []
         self.rigs = []
         self.platforms = []
+        self.frozen: set[int] = set()
         self.now_ms = 1000
         for index in range(size):
             self._add(index)
@@ -89,6 +90,8 @@
             self.now_ms += 10
             self.clock.advance(10)
             for index, member in enumerate(self.nodes):
+                if index in self.frozen:
+                    continue
                 self.platforms[index].run(self.now_ms)
                 rig = self.rigs[index]
                 rig.now_ms = self.now_ms
--- a/jacinthhaven/sql/configuration_sync_test.py
+++ b/jacinthhaven/sql/configuration_sync_test.py
@@ -1,28 +1,18 @@
 """Tests of the time until a configuration is in force on all nodes."""
 
-import random
-
 import pytest
 
 from jacinthhaven.records import store
-from jacinthhaven.sql import fleet_builders, revision_exchange, statements
+from jacinthhaven.sql import (
+    fleet_builders,
+    revision_exchange,
+    search_builders,
+    statements,
+)
 
 _SMALL = 8
 _LARGE = 15
 _SEARCH_SEEDS = range(12)
-_SEARCH_MS = 24_000
-_MAX_PAUSE_MS = 2500
-# Nodes whose way to the store and to each other works all the time.
-_CALM = 3
-
-
-def _late(fleet: fleet_builders.Fleet) -> list[int]:
-    """Return the nodes without the version that must be in force."""
-    return [
-        index
-        for index, version in enumerate(fleet.versions)
-        if version < fleet.required
-    ]
 
 
 @pytest.mark.parametrize('size', [_SMALL, _LARGE])
@@ -50,12 +40,12 @@
 def test_node_without_the_store_learns_from_others():
     """Guards against an old configuration on a node whose way is silent."""
     fleet = fleet_builders.Fleet(_LARGE)
-    for platform in fleet.platforms[_CALM:]:
+    for platform in fleet.platforms[search_builders.CALM_NODES :]:
         platform.silent = True
         platform.silence_connections()
     fleet.change()
     fleet.run(fleet_builders.APPLY_WITHIN_MS)
-    assert not _late(fleet)
+    assert not search_builders.late_nodes(fleet)
 
 
 def test_node_without_others_polls_the_store():
@@ -66,7 +56,7 @@
         platform.silence_connections()
     fleet.change()
     fleet.run(fleet_builders.APPLY_WITHIN_MS)
-    assert not _late(fleet)
+    assert not search_builders.late_nodes(fleet)
 
 
 def test_silent_watches_do_not_hide_records_of_owners():
@@ -162,101 +152,10 @@
     assert [answer.code for answer in answers] == [statements.Code.BUSY]
 
 
-class _Search:
-    """Random faults of the ways to the store and between nodes."""
-
-    def __init__(self, seed: int) -> None:
-        """Start a fleet."""
-        self.rng = random.Random(seed)
-        self.fleet = fleet_builders.Fleet(_LARGE)
-        self.faults = (
-            self.fleet.change,
-            self.fleet.change,
-            self.silence_connections,
-            self.silence_way,
-            self.refuse_store,
-            self.cut_messages,
-            self.lose_messages,
-            self.freeze,
-            self.heal,
-        )
-
-    def run(self) -> list[str]:
-        """Play faults and return what was violated."""
-        found: list[str] = []
-        until_ms = self.fleet.now_ms + _SEARCH_MS
-        while self.fleet.now_ms < until_ms and not found:
-            self.rng.choice(self.faults)()
-            end_ms = self.fleet.now_ms + self.rng.randint(20, _MAX_PAUSE_MS)
-            while self.fleet.now_ms < end_ms:
-                self.fleet.step()
-                found += self.violations()
-        return found
-
-    def violations(self) -> list[str]:
-        """Return the broken promises of all nodes at this moment."""
-        versions = self.fleet.versions
-        return [
-            f'node {index} has version {versions[index]}'
-            for index in _late(self.fleet)
-            if index < _CALM or self.is_certain(index)
-        ]
-
-    def is_certain(self, index: int) -> bool:
-        """Return whether a running node trusts its configuration."""
-        member = self.fleet.nodes[index]
-        return index not in self.fleet.frozen and member.sync.is_certain()
-
-    def others(self) -> list[int]:
-        """Return some of the nodes that are not calm."""
-        nodes = range(_CALM, len(self.fleet.nodes))
-        return self.rng.sample(nodes, self.rng.randint(1, len(nodes)))
-
-    def silence_connections(self) -> None:
-        """Let open connections to the store fall silent on any nodes."""
-        for platform in self.rng.sample(self.fleet.platforms, 9):
-            platform.silence_connections()
-
-    def silence_way(self) -> None:
-        """Let the way of some nodes to the store fall silent."""
-        for index in self.others():
-            self.fleet.platforms[index].silent = True
-            self.fleet.platforms[index].silence_connections()
-
-    def refuse_store(self) -> None:
-        """Let some nodes reach the store through calm ones only."""
-        ways = {('127.0.0.1', index + 1) for index in range(_CALM)}
-        for index in self.others():
-            self.fleet.platforms[index].reaching = ways
-            self.fleet.platforms[index].down = True
-
-    def cut_messages(self) -> None:
-        """Cut some nodes off from all others."""
-        for index in self.others():
-            self.fleet.cut_messages(index)
-
-    def lose_messages(self) -> None:
-        """Lose the messages that are under way."""
-        for messenger in self.fleet.network.values():
-            messenger.take()
-
-    def freeze(self) -> None:
-        """Let some nodes stand still."""
-        self.fleet.frozen.update(self.others()[:3])
-
-    def heal(self) -> None:
-        """End all faults."""
-        self.fleet.frozen.clear()
-        self.fleet.heal_messages()
-        for platform in self.fleet.platforms:
-            platform.silent = False
-            platform.down = False
-
-
 @pytest.mark.parametrize('seed', _SEARCH_SEEDS)
 def test_search_finds_no_late_configuration(seed):
     """Guards against orders of silence and changes that hide a version."""
-    assert not _Search(seed).run()
+    assert not search_builders.Search(seed).run()
 
 
 def test_search_finds_a_watch_that_is_trusted(monkeypatch):
@@ -264,7 +163,7 @@
     exchange = revision_exchange.RevisionExchange
     for name in ('poll_due', '_needs_answers'):
         monkeypatch.setattr(exchange, name, lambda *_args: False)
-    assert any(_Search(seed).run() for seed in _SEARCH_SEEDS)
+    assert any(search_builders.Search(seed).run() for seed in _SEARCH_SEEDS)
 
 
 def test_search_finds_proofs_that_are_too_young(monkeypatch):
@@ -277,4 +176,4 @@
     monkeypatch.setattr(
         revision_exchange.RevisionExchange, '_on_reply', forget_age
     )
-    assert any(_Search(seed).run() for seed in _SEARCH_SEEDS)
+    assert any(search_builders.Search(seed).run() for seed in _SEARCH_SEEDS)
--- a/jacinthhaven/sql/fleet_builders.py
+++ b/jacinthhaven/sql/fleet_builders.py
@@ -21,6 +21,7 @@
 _START_MS = 1000
 _SETTLE_MS = 3000
 _GRACE_MS = 6000
+_NEVER_MS = 10**9
 _ZONES = ('a', 'b', 'c')
 # Nodes of each availability zone that are large enough to own services.
 _LARGE_PER_ZONE = 2
@@ -57,7 +58,8 @@
       platforms: Access of each node to the store.
       network: Messengers by port; the port of a node is its index plus 1.
       frozen: Indexes of nodes that stand still.
-      changes: Time and version of each change.
+      changes: Time and version of each change; `_NEVER_MS` for a version that
+        the store has lost and not got again.
     """
 
     def __init__(self, size: int) -> None:
@@ -108,6 +110,7 @@
         version = len(self.changes) + 1
         self.put(CONFIGURATION_KEY, str(version))
         self.changes.append((self.now_ms, version))
+        self._acknowledge()
 
     def put(self, key: str, text: str) -> None:
         """Write a key of the store."""
@@ -117,10 +120,16 @@
     def restore(self, copy: key_space.KeySpace) -> None:
         """Bring the store back from a copy."""
         self.model.restore(copy)
+        kept = int(copy.keys[CONFIGURATION_KEY].value)
+        self.changes = [
+            (at_ms if version <= kept else _NEVER_MS, version)
+            for at_ms, version in self.changes
+        ]
 
     def write_again(self) -> None:
         """Write the newest version again, as the operator does."""
         self.put(CONFIGURATION_KEY, str(len(self.changes)))
+        self._acknowledge()
 
     def restart(self, index: int) -> None:
         """Kill a node and start it again; it has forgotten everything."""
@@ -165,6 +174,13 @@
                 port: self._source(port - 1) for port in self.network
             }
 
+    def _acknowledge(self) -> None:
+        """Note that the store has all versions, also those that it had lost."""
+        self.changes = [
+            (min(at_ms, self.now_ms), version)
+            for at_ms, version in self.changes
+        ]
+
     def _source(self, index: int) -> builders.Source:
         return lambda: self.nodes[index].sync.copy
 
--- a/jacinthhaven/sql/platform_builders.py
+++ b/jacinthhaven/sql/platform_builders.py
@@ -131,6 +131,12 @@
             self._fail_later(number, self.requests[number], on_watch)
         self.watches.clear()
 
+    def delay_answers(self, delay_ms: int) -> None:
+        """Let the answers of the store that are under way come later."""
+        for due in self.scheduled:
+            if due.number:
+                due.at_ms += delay_ms
+
     def end_watch(self, number: int) -> None:
         """Remove a watch."""
         self.scheduled = [due for due in self.scheduled if due.number != number]
--- a/jacinthhaven/sql/restore_test.py
+++ b/jacinthhaven/sql/restore_test.py
@@ -9,6 +9,8 @@
     fleet_builders,
     freshness,
     promotion_lock,
+    search_builders,
+    settled_era,
     statements,
     store_records,
 )
@@ -283,3 +285,41 @@
     cluster.run(1500)
     right = cluster.election(0).service.right
     assert right.knows_promotions
+
+
+@pytest.mark.parametrize('seed', range(12))
+def test_search_finds_no_old_configuration(seed):
+    """Guards against orders of restores and late answers that hide a version."""
+    assert not search_builders.RestoreSearch(seed).run()
+
+
+@pytest.mark.parametrize('seed', range(12))
+@pytest.mark.parametrize('fenced', [True, False])
+def test_search_finds_no_second_holder(seed, fenced):
+    """Guards against orders of restores and late answers that share a lock."""
+    assert not search_builders.LockSearch(seed, fenced=fenced).run()
+
+
+def test_search_finds_revisions_without_eras(monkeypatch):
+    """Guards against a search that cannot fail: the era is ignored."""
+    monkeypatch.setattr(
+        history.EraNumber,
+        'at',
+        classmethod(lambda kind, _era, text: kind(text)),
+    )
+    seeds = range(12)
+    assert any(search_builders.RestoreSearch(seed).run() for seed in seeds)
+
+
+def test_search_finds_locks_that_outlive_their_leases(monkeypatch):
+    """Guards against a search that cannot fail: a lost lock is kept."""
+    monkeypatch.setattr(
+        promotion_lock.PromotionLock, 'on_restored', lambda _lock: None
+    )
+    monkeypatch.setattr(
+        settled_era.SettledEra, 'is_settled', lambda _era, _now_ms: True
+    )
+    seeds = range(12)
+    assert any(
+        search_builders.LockSearch(seed, fenced=True).run() for seed in seeds
+    )
--- /dev/null
+++ b/jacinthhaven/sql/search_builders.py
@@ -0,0 +1,298 @@
+"""Random searches for faults that keep an old configuration or a lost lock."""
+
+import random
+import typing
+
+from jacinthhaven.sql import (
+    cluster_builders,
+    fleet_builders,
+)
+
+# Nodes whose way to the store and to each other works all the time.
+CALM_NODES = 3
+_NODES = 15
+_SEARCH_MS = 24_000
+_MIN_PAUSE_MS = 20
+_MAX_PAUSE_MS = 2500
+# Calls of the client of the store fail after 900 ms without an answer.
+_MAX_ANSWER_DELAY_MS = 800
+# The operator writes what the store has lost again within this time.
+_MAX_REWRITE_MS = 2000
+_MAX_RECORDS = 40
+_STEP_MS = 10
+
+
+def late_nodes(fleet: fleet_builders.Fleet) -> list[int]:
+    """Return the nodes without the version that must be in force."""
+    return [
+        index
+        for index, version in enumerate(fleet.versions)
+        if version < fleet.required
+    ]
+
+
+class Search:
+    """Random faults of the ways to the store and between nodes."""
+
+    def __init__(self, seed: int) -> None:
+        """Start a fleet."""
+        self.rng = random.Random(seed)
+        self.fleet = fleet_builders.Fleet(_NODES)
+        self.faults = (
+            self.fleet.change,
+            self.fleet.change,
+            self.silence_connections,
+            self.silence_way,
+            self.refuse_store,
+            self.cut_messages,
+            self.lose_messages,
+            self.freeze,
+            self.heal,
+        )
+
+    def run(self) -> list[str]:
+        """Play faults and return what was violated."""
+        found: list[str] = []
+        until_ms = self.fleet.now_ms + _SEARCH_MS
+        while self.fleet.now_ms < until_ms and not found:
+            self.rng.choice(self.faults)()
+            end_ms = self.fleet.now_ms + self.rng.randint(
+                _MIN_PAUSE_MS, _MAX_PAUSE_MS
+            )
+            while self.fleet.now_ms < end_ms:
+                self.fleet.step()
+                found += self.violations()
+        return found
+
+    def violations(self) -> list[str]:
+        """Return the broken promises of all nodes at this moment."""
+        versions = self.fleet.versions
+        return [
+            f'node {index} has version {versions[index]}'
+            for index in late_nodes(self.fleet)
+            if index < CALM_NODES or self.is_certain(index)
+        ]
+
+    def is_certain(self, index: int) -> bool:
+        """Return whether a running node trusts its configuration."""
+        member = self.fleet.nodes[index]
+        return index not in self.fleet.frozen and member.sync.is_certain()
+
+    def others(self) -> list[int]:
+        """Return some of the nodes that are not calm."""
+        nodes = range(CALM_NODES, len(self.fleet.nodes))
+        return self.rng.sample(nodes, self.rng.randint(1, len(nodes)))
+
+    def silence_connections(self) -> None:
+        """Let open connections to the store fall silent on any nodes."""
+        for platform in self.rng.sample(self.fleet.platforms, 9):
+            platform.silence_connections()
+
+    def silence_way(self) -> None:
+        """Let the way of some nodes to the store fall silent."""
+        for index in self.others():
+            self.fleet.platforms[index].silent = True
+            self.fleet.platforms[index].silence_connections()
+
+    def refuse_store(self) -> None:
+        """Let some nodes reach the store through calm ones only."""
+        ways = {('127.0.0.1', index + 1) for index in range(CALM_NODES)}
+        for index in self.others():
+            self.fleet.platforms[index].reaching = ways
+            self.fleet.platforms[index].down = True
+
+    def cut_messages(self) -> None:
+        """Cut some nodes off from all others."""
+        for index in self.others():
+            self.fleet.cut_messages(index)
+
+    def lose_messages(self) -> None:
+        """Lose the messages that are under way."""
+        for messenger in self.fleet.network.values():
+            messenger.take()
+
+    def freeze(self) -> None:
+        """Let some nodes stand still."""
+        self.fleet.frozen.update(self.others()[:3])
+
+    def heal(self) -> None:
+        """End all faults."""
+        self.fleet.frozen.clear()
+        self.fleet.heal_messages()
+        for platform in self.fleet.platforms:
+            platform.silent = False
+            platform.down = False
+
+
+class RestoreSearch(Search):
+    """The same faults, while the store is restored and answers are late.
+
+    Attributes:
+      copies: Copies of the store to which it may return.
+      rewrite_ms: When the operator writes a lost version again, or None.
+      seen: Newest version of each running node.
+    """
+
+    def __init__(self, seed: int) -> None:
+        """Start a fleet."""
+        super().__init__(seed)
+        self.copies = [self.fleet.model.space.copy()]
+        self.rewrite_ms: int | None = None
+        self.seen: dict[int, int] = {}
+        self.faults = (
+            *self.faults,
+            self.copy_store,
+            self.restore,
+            self.restore,
+            self.delay_answers,
+            self.restart,
+            self.write_records,
+        )
+
+    def violations(self) -> list[str]:
+        """Return the broken promises of all nodes at this moment."""
+        if self.rewrite_ms is not None and self.fleet.now_ms >= self.rewrite_ms:
+            self.rewrite_ms = None
+            self.fleet.write_again()
+        found = super().violations()
+        for index, version in enumerate(self.fleet.versions):
+            earlier = self.seen.get(index, version)
+            if version < earlier:
+                found.append(f'node {index} went from {earlier} to {version}')
+            self.seen[index] = version
+        return found
+
+    def copy_store(self) -> None:
+        """Make a copy of the store."""
+        self.copies.append(self.fleet.model.space.copy())
+
+    def restore(self) -> None:
+        """Bring the store back from a copy."""
+        copy = self.rng.choice(self.copies[-3:])
+        self.fleet.restore(copy)
+        # Later copies are of a history that does not exist any more.
+        kept = self.copies.index(copy) + 1
+        self.copies = self.copies[:kept]
+        delay_ms = self.rng.randint(0, _MAX_REWRITE_MS)
+        self.rewrite_ms = self.fleet.now_ms + delay_ms
+
+    def delay_answers(self) -> None:
+        """Let the answers that are under way come late."""
+        for platform in self.fleet.platforms:
+            platform.delay_answers(self.rng.randint(0, _MAX_ANSWER_DELAY_MS))
+
+    def restart(self) -> None:
+        """Kill some nodes and start them again."""
+        for index in self.others()[:3]:
+            self.fleet.restart(index)
+            self.seen.pop(index, None)
+
+    def write_records(self) -> None:
+        """Write keys of owners, so that revisions rise."""
+        for number in range(self.rng.randint(1, _MAX_RECORDS)):
+            self.fleet.put(f'ours/lead/{number}', '{}')
+
+
+class LockSearch:
+    """Random faults of owners that replace a primary, and of their store.
+
+    Attributes:
+      faults: Faults to draw from.
+      orders: Orders of all nodes in the order in which they were sent.
+    """
+
+    def __init__(self, seed: int, *, fenced: bool) -> None:
+        """Start a cluster."""
+        self.rng = random.Random(seed)
+        self.cluster = cluster_builders.Cluster(3, fenced=fenced)
+        self.copies = [self.cluster.model.space.copy()]
+        self.orders: list[tuple[str, str, int]] = []
+        self.faults: tuple[typing.Callable[[], None], ...] = (
+            self.silence_primary,
+            self.silence_primary,
+            self.copy_store,
+            self.restore,
+            self.restore,
+            self.delay_answers,
+            self.isolate,
+            self.refuse_store,
+            self.restart,
+            self.freeze,
+            self.heal,
+        )
+
+    def run(self) -> list[str]:
+        """Play faults and return what was violated."""
+        found: list[str] = []
+        until_ms = self.cluster.now_ms + _SEARCH_MS
+        while self.cluster.now_ms < until_ms and not found:
+            self.rng.choice(self.faults)()
+            end_ms = self.cluster.now_ms + self.rng.randint(
+                _MIN_PAUSE_MS, _MAX_PAUSE_MS
+            )
+            while self.cluster.now_ms < end_ms:
+                self.cluster.run(_STEP_MS)
+                found += self.violations()
+        return found
+
+    def violations(self) -> list[str]:
+        """Return the broken promises at this moment."""
+        now_ms = self.cluster.now_ms
+        holders = [
+            running.node
+            for running in self.cluster.elections()
+            if running.lock.until_ms > now_ms
+        ]
+        found = [f'{holders} hold the lock'] if len(holders) > 1 else []
+        sent = self.cluster.orders()
+        added = [order for order in sent if order not in self.orders]
+        fences = [order[2] for order in (*self.orders, *added)]
+        self.orders.extend(added)
+        if fences != sorted(set(fences)):
+            found.append(f'fences {fences}')
+        return found
+
+    def silence_primary(self) -> None:
+        """Let the primary answer no node."""
+        self.cluster.silence(self.cluster.group.primary, 3)
+
+    def copy_store(self) -> None:
+        """Make a copy of the store."""
+        self.copies.append(self.cluster.model.space.copy())
+
+    def restore(self) -> None:
+        """Bring the store back from a copy."""
+        copy = self.rng.choice(self.copies[-3:])
+        self.cluster.model.restore(copy)
+        kept = self.copies.index(copy) + 1
+        self.copies = self.copies[:kept]
+
+    def delay_answers(self) -> None:
+        """Let the answers that are under way come late."""
+        for platform in self.cluster.platforms:
+            platform.delay_answers(self.rng.randint(0, _MAX_ANSWER_DELAY_MS))
+
+    def isolate(self) -> None:
+        """Cut a node off from the others."""
+        self.cluster.isolate({self.rng.randrange(3)})
+
+    def refuse_store(self) -> None:
+        """Let the store refuse a node."""
+        self.rng.choice(self.cluster.platforms).down = True
+
+    def restart(self) -> None:
+        """Kill a node and start it again."""
+        self.cluster.restart(self.rng.randrange(3))
+
+    def freeze(self) -> None:
+        """Let a node stand still for a while."""
+        self.cluster.frozen = {self.rng.randrange(3)}
+
+    def heal(self) -> None:
+        """End all faults."""
+        self.cluster.frozen.clear()
+        self.cluster.isolate(set())
+        for platform in self.cluster.platforms:
+            platform.down = False
+        for rig in self.cluster.rigs:
+            rig.databases.silent.clear()
