Restore the store in the soak, and leave odd entries

The stand-in of the store can come back from a copy of up to 12 s ago; it cuts all connections, raises Store-Era, refuses watches of revisions that it does not have, and the operator writes again after 1 s. The registry writes an entry only if it changes. The soak draws restores and odd registry entries apart from the other faults, so that older seeds play the same steps. It checks further that no process goes back to an older version, and that there is no unexpected error.

play_restores loses 40 and then 10 versions.

--- a/jacinthhaven/adapters/http_messages.py
+++ b/jacinthhaven/adapters/http_messages.py
@@ -192,12 +192,24 @@
         headers[name.decode('latin-1').lower()] = value.decode('latin-1')
 
 
-def format_response(status: int, body: bytes, keep_alive: bool = True) -> bytes:
-    """Return the bytes of a response with a JSON body."""
+def format_response(
+    status: int,
+    body: bytes,
+    keep_alive: bool = True,
+    headers: str = '',
+) -> bytes:
+    """Return the bytes of a response with a JSON body.
+
+    Args:
+      status: Status code.
+      body: JSON document.
+      keep_alive: Whether the connection stays open.
+      headers: Further header lines, each ending in CR LF.
+    """
     close = '' if keep_alive else 'Connection: close\r\n'
     head = (
         f'HTTP/1.1 {status} {_REASONS.get(status, "")}\r\n'
-        f'Content-Type: application/json\r\n{close}'
+        f'Content-Type: application/json\r\n{headers}{close}'
         f'Content-Length: {len(body)}\r\n\r\n'
     )
     return head.encode('ascii') + body
--- a/jacinthhaven/adapters/http_server.py
+++ b/jacinthhaven/adapters/http_server.py
@@ -61,6 +61,7 @@
                 status,
                 body,
                 not self.closes,
+                connection.server.headers,
             )
             connection.send_ready()
 
@@ -201,7 +202,11 @@
 
 
 class Server:
-    """HTTP server: a listener and its connections."""
+    """HTTP server: a listener and its connections.
+
+    Attributes:
+      headers: Further header lines of all responses, each ending in CR LF.
+    """
 
     def __init__(
         self,
@@ -223,6 +228,7 @@
         self.connections: set[ServerConnection] = set()
         self.listener: streams.Listener | None = None
         self.draining = False
+        self.headers = ''
         self.on_disconnect: typing.Callable[[ServerConnection], None] = _ignore
         self.on_bad_message: typing.Callable[
             [http_messages.BadMessageError],
--- a/jacinthhaven/standins/kv_server.py
+++ b/jacinthhaven/standins/kv_server.py
@@ -9,7 +9,7 @@
 from jacinthhaven.adapters import http_messages, http_server, poller
 from jacinthhaven.kernel import failures
 from jacinthhaven.records import store
-from jacinthhaven.standins import control, store_model
+from jacinthhaven.standins import control, key_space, store_model
 
 _CHECK_MS = 10
 _EMPTY = b'{}'
@@ -81,6 +81,7 @@
         self.on_order: typing.Callable[[str, str], None] = _ignore
         self.server = http_server.Server(loop, self._on_request)
         self.server.new_parser = http_messages.HeaderParser
+        self._announce_era()
         self.watches: list[_Watch] = []
         self.handlers: dict[str, Handler] = {
             '/kv-range': self._on_range,
@@ -91,6 +92,18 @@
         }
         loop.call_later(_CHECK_MS, self._check_watches)
 
+    def restore(self, copy: key_space.KeySpace) -> None:
+        """Bring the store back from a copy, which cuts all connections."""
+        self.model.restore(copy)
+        self.watches.clear()
+        for connection in tuple(self.server.connections):
+            connection.close()
+        self._announce_era()
+
+    def _announce_era(self) -> None:
+        era = self.model.era
+        self.server.headers = f'Store-Era: {era}\r\n'
+
     def _now_ms(self) -> int:
         return self.poller.clock.now_ms()
 
@@ -134,7 +147,8 @@
         request = store.WatchRequest(_first(query, 'prefix'), after + 1)
         wait_ms = int(_first(query, 'waitMs'))
         watch = _Watch(exchange, now_ms + wait_ms)
-        if self.model.open_watch(watch, request) is None:
+        known = after <= self.model.space.revision
+        if known and self.model.open_watch(watch, request) is None:
             self.watches.append(watch)
         else:
             exchange.respond(http.HTTPStatus.GONE, _EMPTY)
--- a/jacinthhaven/standins/sql_platform.py
+++ b/jacinthhaven/standins/sql_platform.py
@@ -16,13 +16,23 @@
 
 from jacinthhaven.adapters import http_server, poller
 from jacinthhaven.records import store
-from jacinthhaven.standins import control, kv_server, sql_group, sql_server
+from jacinthhaven.standins import (
+    control,
+    key_space,
+    kv_server,
+    sql_group,
+    sql_server,
+)
 
 _HOST = '127.0.0.1'
 _PROMOTE_MS = 300
 _BEAT_MS = 300
 # Beats in touch after which a replaced primary learns of its successor.
 _DEMOTE_BEATS = 4
+# Copies of the store, one for each beat, to which it may return.
+_MAX_COPIES = 40
+# Time after which the operator has written again what the store has lost.
+_REWRITE_MS = 1000
 _SERVICE = 'ledger'
 _MEMBERS = ('i-a', 'i-b', 'i-c')
 _MAX_CONNECTIONS = 12
@@ -33,6 +43,9 @@
 )
 
 
+Copy = tuple[int, key_space.KeySpace]
+
+
 class Faults(control.Settings):
     """Settable faults; the defaults mean no fault.
 
@@ -42,6 +55,9 @@
       refuse: Whether the store refuses every call.
       silent_store: Whether the store answers nothing.
       version: Version of the configuration.
+      restores: Number of times that the store has come back from a copy.
+      copy_age_ms: Age of the copy at the next restore.
+      odd_entries: Values of registry entries that another writer has left.
       advertised: Ports that the registry names instead of the real ones.
     """
 
@@ -50,6 +66,9 @@
     refuse: bool = False
     silent_store: bool = False
     version: int = 1
+    restores: int = 0
+    copy_age_ms: int = 0
+    odd_entries: list[str] = msgspec.field(default_factory=list)
     advertised: dict[str, int] = msgspec.field(default_factory=dict)
 
 
@@ -71,6 +90,9 @@
         self.kv.on_order = self._on_order
         self.control = http_server.Server(loop, self._on_control)
         self.faults = Faults()
+        self.copies: collections.deque[Copy] = collections.deque(
+            maxlen=_MAX_COPIES
+        )
         self._configure()
         self._register()
 
@@ -78,6 +100,11 @@
         promote = functools.partial(self.group.promote, instance)
         self.poller.call_later(_PROMOTE_MS, promote)
 
+    def _read(self, key: str) -> str:
+        space = self.kv.model.space
+        entry = space.keys.get(key)
+        return entry.value if entry else ''
+
     def _write(self, key: str, text: str) -> None:
         request = store.SwapRequest((), (store.Put(key, text),))
         self.kv.model.call(request, self.poller.clock.now_ms())
@@ -105,8 +132,11 @@
         self._write('op/config', msgspec.json.encode(document).decode())
 
     def _register(self) -> None:
+        copy = self.kv.model.space.copy()
+        self.copies.append((self.poller.clock.now_ms(), copy))
         for key, text in self.instances.registry().items():
-            self._write(key, text)
+            if self._read(key) != text:
+                self._write(key, text)
         self._demote_in_touch()
         self.poller.call_later(_BEAT_MS, self._register)
 
@@ -121,16 +151,31 @@
             if self.in_touch[name] >= _DEMOTE_BEATS:
                 self.group.demote(name)
 
+    def _restore(self) -> None:
+        """Bring the store back; the operator writes again a little later."""
+        newest_ms = self.poller.clock.now_ms() - self.faults.copy_age_ms
+        copy = self.copies[0][1]
+        while self.copies and self.copies[0][0] <= newest_ms:
+            copy = self.copies.popleft()[1]
+        # The remaining copies are of a history that does not exist any more.
+        self.copies.clear()
+        self.kv.restore(copy)
+        self.poller.call_later(_REWRITE_MS, self._configure)
+
     def _on_control(self, exchange: http_server.Exchange) -> None:
         if exchange.message.method == 'POST':
-            version = self.faults.version
+            known = self.faults
             self.faults = self.faults.changed(exchange.message.body)
             self.instances.silent = set(self.faults.silent)
             self.instances.lose_answers = self.faults.lose_answers
             self.instances.advertised = self.faults.advertised
             self.kv.faults.refuse = self.faults.refuse
             self.kv.faults.silent = self.faults.silent_store
-            if self.faults.version != version:
+            if self.faults.restores != known.restores:
+                self._restore()
+            for number, text in enumerate(self.faults.odd_entries):
+                self._write(f'servers/odd-{number}', text)
+            if self.faults.version != known.version:
                 self._configure()
         exchange.respond_json(http.HTTPStatus.OK, self._state())
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,26 @@
     from soak import run
 
 _MEMBERS = ('i-a', 'i-b', 'i-c')
+_OLDEST_COPY_MS = 8000
+# The operator writes what the store has lost again within this time.
+_REWRITE_S = 1.2
+_ENTRY = (
+    '{{"service":"ledger","address":"{address}","zone":"a","state":"ready",'
+    '"dbRole":"replica","slots":{slots}}}'
+)
+_DEEP = 20_000
+_GIANT = '9' * 400  # noqa: WPS432
+_ODD_ENTRIES = (
+    '',
+    '[' * _DEEP,
+    _ENTRY.format(
+        address='127.0.0.1:7', slots=''.join(('[' * _DEEP, ']' * _DEEP))
+    ),
+    _ENTRY.format(address='127.0.0.1:99999', slots=3),
+    _ENTRY.format(address='nobody:7', slots=3),
+    _ENTRY.format(address='127.0.0.1:7', slots=_GIANT),
+    _ENTRY.format(address='127.0.0.1:7', slots=-4),
+)
 
 Fault = typing.Callable[['run.Soak'], None]
 
@@ -87,6 +107,24 @@
         soak.fleet.control(silent_store=False)
 
 
+def restore_store(soak: 'run.Soak') -> None:
+    """Bring the store back from an older copy, after it was away."""
+    with soak.disturbances.during():
+        soak.fleet.control(refuse=True)
+        time.sleep(soak.store_rng.uniform(0, 1))
+        soak.fleet.control(
+            refuse=False,
+            restores=soak.next_restore(),
+            copy_age_ms=soak.store_rng.randint(0, _OLDEST_COPY_MS),
+        )
+        time.sleep(_REWRITE_S)
+
+
+def write_odd_entries(soak: 'run.Soak') -> None:
+    """Let another writer leave odd entries among those of the instances."""
+    soak.fleet.control(odd_entries=list(_ODD_ENTRIES))
+
+
 def change_configuration(soak: 'run.Soak') -> None:
     """Put a newer configuration in force."""
     soak.operator.change()
@@ -104,3 +142,5 @@
     silence_store,
     change_configuration,
 )
+# Drawn apart from the others, so that older seeds still play the same.
+STORE_FAULTS: tuple[Fault, ...] = (restore_store, write_odd_entries)
--- a/soak/run.py
+++ b/soak/run.py
@@ -32,6 +32,10 @@
 _MAX_PAUSE_S = 1.2
 # Longer than a silent watch stays unnoticed by itself.
 _SILENCE_S = 6
+# Share of the steps that a fault of the store follows.
+_STORE_FAULT_SHARE = 0.4
+# Versions that the store loses in each restore of a run of these alone.
+_LOST_VERSIONS = (40, 10)
 
 
 class Soak:
@@ -56,6 +60,8 @@
           proxies: Number of proxies.
         """
         self.rng = random.Random(seed)
+        self.store_rng = random.Random(f'store {seed}')
+        self.harmed = harmed
         self.fleet = fleet.Fleet(folder, proxies, fenced=fenced)
         self.clients = [
             clients.Client(number, self.fleet.proxies)
@@ -64,6 +70,7 @@
         self.disturbances = versions.Disturbances()
         self.operator = versions.Operator(seed, self._apply)
         self.faults = timeline.Recorder()
+        self.restores = 0
         self.harms = harms.Harms(seed, self.fleet.paths)
         if harmed:
             self.harms.start()
@@ -75,12 +82,11 @@
             client.start()
         time.sleep(_SETTLE_S)
         for fault in self.rng.choices(faults.FAULTS, k=_STEPS):
-            inject = functools.partial(fault, self)
-            self.faults.record(fault.__name__, inject)
+            self._inject(fault)
             time.sleep(self.rng.uniform(0, _MAX_PAUSE_S))
-        self.operator.stop()
-        self.harms.stop()
-        self._heal()
+            if self.harmed and self.store_rng.random() < _STORE_FAULT_SHARE:
+                self._inject(self.store_rng.choice(faults.STORE_FAULTS))
+        self._end_faults()
         self.end_clients()
         return self.problems()
 
@@ -92,6 +98,11 @@
         """Return a proxy."""
         return self.rng.choice(self.fleet.proxies)
 
+    def next_restore(self) -> int:
+        """Count one more restore of the store."""
+        self.restores += 1
+        return self.restores
+
     def served(self) -> dict[str, int]:
         """Return the answers of all clients by code."""
         total: dict[str, int] = {}
@@ -130,7 +141,7 @@
             problems.append(f'fences {fences}')
         for client in self.clients:
             problems.extend(client_problems(client, committed, lost))
-        return problems + self._late_requests()
+        return problems + self._late_requests() + self._log_problems()
 
     def _apply(self, version: int) -> None:
         self.fleet.control(version=version)
@@ -148,6 +159,21 @@
             )
         return late
 
+    def _log_problems(self) -> list[str]:
+        """Return versions that went back, and unexpected errors."""
+        problems = []
+        for proxy in self.fleet.proxies:
+            problems.extend(versions.log_problems(proxy.log))
+        return problems
+
+    def _inject(self, fault: faults.Fault) -> None:
+        self.faults.record(fault.__name__, functools.partial(fault, self))
+
+    def _end_faults(self) -> None:
+        self.operator.stop()
+        self.harms.stop()
+        self._heal()
+
     def _heal(self) -> None:
         self.fleet.control(silent=[], refuse=False, silent_store=False)
         for path in self.fleet.paths:
@@ -242,6 +268,28 @@
         return soak.problems()
 
 
+def play_restores(folder: pathlib.Path) -> list[str]:
+    """Bring the store back from older copies that lack many versions.
+
+    Returns:
+      The broken promises.
+    """
+    soak = Soak(0, folder, harmed=False)
+    with contextlib.closing(soak):
+        for client in soak.clients:
+            client.start()
+        time.sleep(_SETTLE_S)
+        for lost in _LOST_VERSIONS:
+            soak.operator.change_often(lost)
+            faults.restore_store(soak)
+            soak.operator.change()
+            faults.write_odd_entries(soak)
+            # Requests count again once the restore is long enough ago.
+            time.sleep(versions.CONTACT_S + versions.APPLY_S + _SETTLE_S)
+        soak.end_clients()
+        return soak.problems()
+
+
 def main(
     seed: int,
     count: int = 1,
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -37,6 +37,28 @@
     assert not run.play_silence(tmp_path)
 
 
+def test_restored_store_does_not_keep_an_old_version(tmp_path):
+    """Guards against requests by a replaced version after a restore."""
+    assert not run.play_restores(tmp_path)
+
+
+def test_checks_find_a_version_that_went_back(tmp_path):
+    """Guards against a check that cannot fail, or that blames a restart."""
+    log = tmp_path / 'n0.log'
+    events = [
+        '{"event":"started"}',
+        '{"event":"configuration","version":3}',
+        '{"event":"started"}',
+        '{"event":"configuration","version":2}',
+    ]
+    log.write_text('\n'.join(events))
+    assert not versions.log_problems(log)
+    events.append('{"event":"configuration","version":1}')
+    events.append('{"event":"message","message":"unexpected error"}')
+    log.write_text('\n'.join(events))
+    assert len(versions.log_problems(log)) == 2
+
+
 def test_unfenced_seed(tmp_path):
     """Guards against work at two primaries where no fence is checked."""
     problems, summary = run.play(_UNFENCED_SEED, tmp_path, fenced=False)
--- a/soak/versions.py
+++ b/soak/versions.py
@@ -112,6 +112,12 @@
             self.apply(version)
             self.changes.append(Change(time.time(), version))
 
+    def change_often(self, count: int) -> None:
+        """Put several versions in force, one right after the other."""
+        until = self.changes[-1].version + count
+        while self.changes[-1].version < until:
+            self.change()
+
     def stop(self) -> None:
         """Stop changing the configuration."""
         self.stopped.set()
@@ -122,15 +128,34 @@
 def read_log(log: pathlib.Path) -> list[Handled]:
     """Return the requests in the log of a proxy."""
     found: dict[str, Handled] = {}
-    for line in log.read_text(errors='replace').splitlines():
-        with contextlib.suppress(json.JSONDecodeError):
-            entry = json.loads(line)
-            if entry.get('event') == 'answer':
-                handled = _decode(entry)
-                found.setdefault(handled.request, handled)
+    for entry in _entries(log):
+        if entry.get('event') == 'answer':
+            handled = _decode(entry)
+            found.setdefault(handled.request, handled)
     return list(found.values())
 
 
+def log_problems(log: pathlib.Path) -> list[str]:
+    """Return the versions that went back, and the unexpected errors.
+
+    Args:
+      log: Log of one proxy, which may have been started several times.
+    """
+    problems = []
+    newest = 0
+    for entry in _entries(log):
+        if entry.get('event') == 'started':
+            newest = 0
+        if entry.get('message') == 'unexpected error':
+            problems.append(f'{log.name}: {entry}')
+        if entry.get('event') != 'configuration':
+            continue
+        if entry['version'] <= newest:
+            problems.append(f'{log.name}: {entry} after {newest}')
+        newest = entry['version']
+    return problems
+
+
 def late_requests(
     handled: list[Handled],
     changes: list[Change],
@@ -157,6 +182,13 @@
     return late
 
 
+def _entries(log: pathlib.Path) -> typing.Iterator[dict[str, typing.Any]]:
+    """Yield the lines of a log; the last one of a killed process may be cut."""
+    for line in log.read_text(errors='replace').splitlines():
+        with contextlib.suppress(json.JSONDecodeError):
+            yield json.loads(line)
+
+
 def _decode(entry: dict[str, typing.Any]) -> Handled:
     logged = datetime.datetime.fromisoformat(entry['timestamp'])
     arrived_s = logged.timestamp() - entry['spent_ms'] / 1000
