Take the promotion lock only if it was free at the beginning

Cause: the condition of the write was read after the lease was granted. By then the watch had reported the other holder, and its revision became the condition, which then holds.

The revision is kept from the beginning. The new test fails before (the condition is revision 8 of the other node) and passes now.

--- a/jacinthhaven/sql/promotion_lock.py
+++ b/jacinthhaven/sql/promotion_lock.py
@@ -74,12 +74,14 @@
 
     def acquire(self, clock: scripts.Now) -> scripts.Script:
         """Acquire the lock; return the fencing token, or 0 on failure."""
+        # Another node may acquire the lock while the lease is granted.
+        free_revision = self.revision
         sent_ms = clock()
         lease = yield store.LeaseRequest(LOCK_TTL_MS)
         if not isinstance(lease, store.LeaseReply) or not lease.lease:
             return 0
         reply = yield store.SwapRequest(
-            (store.Compare(self.key, self.revision),),
+            (store.Compare(self.key, free_revision),),
             (store.Put(self.key, self.node, lease.lease),),
         )
         if not isinstance(reply, store.SwapReply) or not reply.succeeded:
--- a/jacinthhaven/sql/store_calls_test.py
+++ b/jacinthhaven/sql/store_calls_test.py
@@ -203,6 +203,20 @@
     assert _run(lock.extend(_now), harness.calls) == [False]
 
 
+def test_lock_is_not_taken_from_a_node_that_was_faster():
+    """Guards against two holders that began at the same moment."""
+    harness = _Harness()
+    lock = promotion_lock.PromotionLock('lock', 'n0')
+    returned = _run(lock.acquire(_now), harness.calls)
+    lock.on_holder('n1', history.EraNumber(8))
+    harness.answer(0, 1, store.LeaseReply(history.EraNumber(4), 3000))
+    assert harness.platform.calls[-1].compares == (
+        store.Compare('lock', history.NONE),
+    )
+    harness.answer(1, 1, store.SwapReply(False, history.NONE))
+    assert returned == [0]
+
+
 def test_fence_rises_with_the_era():
     """Guards against fencing tokens that are lower than earlier ones."""
     earlier = history.EraNumber.at(1, 10**9)
