Wait after a restore only where a second holder could do harm

Cause: nobody acquired a lock until the locks of the earlier era had ended by their holders' clocks.

Where the platform checks fencing tokens that is not needed: an order of the earlier era has a lower token. Elsewhere the wait moves to the withdrawal of the old primary: the order may go once all owners have stopped, or the wait is over. An owner that has agreed to a newer promotion sends no order of its own.

The search looks for orders under a lock of before a known restore, fences that are used twice or go back, and two holders in one era; it restores the store while a lock is held.

--- a/jacinthhaven/sql/cluster_builders.py
+++ b/jacinthhaven/sql/cluster_builders.py
@@ -76,6 +76,7 @@
         self.rigs = []
         self.platforms = []
         self.frozen: set[int] = set()
+        self.sent: list[tuple[history.EraNumber, int]] = []
         self.now_ms = 1000
         for index in range(size):
             self._add(index)
@@ -187,6 +188,8 @@
         rig.journal = builders.FakeJournal()
         rig.lines = []
         platform = platform_builders.FakePlatform(self.model, self.group)
+        platform.sent = self.sent
+        platform.fenced = self.fenced
         port = index + 1
         member = node.Node(
             node_context.Identity(
@@ -209,6 +212,8 @@
                 builders.seeded_random(),
             ),
         )
+        calls = member.coordination.access.calls
+        platform.known_era = lambda: calls.era
         rig.gateway = member.gateway
         member.on_key('op/config', '{}', history.EraNumber(1))
         fleet_builders.put_entry(self.nodes, index, member)
--- a/jacinthhaven/sql/election.py
+++ b/jacinthhaven/sql/election.py
@@ -77,7 +77,6 @@
       cause_ms: Since when a cause for a replacement exists, or None.
       retry_ms: Earliest time of the next attempt of this node.
       lag_failover_ms: Earliest time of a replacement because replicas lag.
-      era_settled: Whether no lock of before a restore can be in use.
       stored: Leader record in the store.
     """
 
@@ -111,7 +110,6 @@
         self.cause_ms: int | None = None
         self.retry_ms = 0
         self.lag_failover_ms = 0
-        self.era_settled = True
         self.stored = store_records.StoredLeader(keys.leader(service.name))
         self.now_ms = 0
 
@@ -208,7 +206,7 @@
         """Return whether this node may start an attempt now."""
         if self.runner is not None and self.runner.running:
             return False
-        if self.lock.held_by_other or not self.era_settled:
+        if self.lock.held_by_other:
             return False
         due_ms = self.cause_ms + self._stagger_delay_ms(members)
         return self.now_ms >= max(self.retry_ms, due_ms)
--- a/jacinthhaven/sql/elections.py
+++ b/jacinthhaven/sql/elections.py
@@ -125,7 +125,7 @@
         if synced:
             self.settled.record_if_due(earlier, now_ms)
         for name, service_election in self.by_service.items():
-            service_election.era_settled = settled
+            service_election.failover.era_settled = settled
             if synced and settled:
                 service_election.on_keys_known()
             if synced:
--- a/jacinthhaven/sql/failover.py
+++ b/jacinthhaven/sql/failover.py
@@ -61,6 +61,7 @@
       acknowledging: Number of replicas that must have received a commit
         before it is acknowledged.
       orders: Earlier orders that may still be carried out.
+      era_settled: Whether no lock of before a restore can be in use.
       now_ms: Current time.
     """
 
@@ -80,6 +81,7 @@
         self.journal = journal
         self.orders = store_records.PendingOrders()
         self.acknowledging = 0
+        self.era_settled = True
         self.now_ms = 0
 
     def replace(self, old: str, cause: Cause) -> scripts.Script:
@@ -93,7 +95,8 @@
             yield from self._abandon(old, term)
             return
         recorded = yield from self._record_successor(chosen, term + 1)
-        if not recorded:
+        if not recorded or self.service.right.fence > fence:
+            # Without the record or after a newer promotion has begun.
             return
         self.journal.write(
             'promote',
@@ -221,7 +224,9 @@
     def _stop_old_term(self, term: int) -> scripts.Script:
         """Make all nodes stop using a term; return whether they have.
 
-        The result is also false if a newer term has begun.
+        The result is also false if a newer term has begun. Before the era of
+        the store is settled, each owner has to stop: one that does not answer may
+        hold the lock of before the restore.
         """
         since_ms = self.now_ms
         complete = False
@@ -233,7 +238,9 @@
                 self.lock.fence,
                 self.now_ms,
             )
-            complete = withdrawal.is_complete(self.now_ms)
+            complete = withdrawal.is_complete(self.now_ms) and (
+                self.era_settled or withdrawal.all_stopped
+            )
             late = self.now_ms - since_ms >= _STOP_LIMIT_MS
             over = complete or late or withdrawal.newest_term > term
             if not over:
--- a/jacinthhaven/sql/platform_builders.py
+++ b/jacinthhaven/sql/platform_builders.py
@@ -47,6 +47,10 @@
 
     Attributes:
       orders: Accepted orders as (service, instance, fence).
+      sent: Fencing token of each order of all nodes that share this list, and
+        the era that the node knew.
+      known_era: Returns the era that the node knows.
+      fenced: Whether an order with an older fencing token is refused.
       down: Whether the store refuses this node.
       way: Node through which calls are sent, or None.
       reaching: Addresses of nodes that the store serves.
@@ -58,6 +62,8 @@
       watch_wait_ms: How long a poll of a watch waits for changes.
     """
 
+    watch_wait_ms = _WATCH_WAIT_MS
+
     def __init__(
         self,
         model: store_model.StoreModel,
@@ -67,6 +73,9 @@
         self.model = model
         self.group = group
         self.orders: list[tuple[str, str, int]] = []
+        self.sent: list[tuple[history.EraNumber, int]] = []
+        self.known_era: typing.Callable[[], int] = _first_era
+        self.fenced = True
         self.calls: list[store.Request] = []
         self.down = False
         self.way: records.Address | None = None
@@ -77,7 +86,6 @@
         self.now_ms = 0
         self.promote_ms = 300
         self.silent = False
-        self.watch_wait_ms = _WATCH_WAIT_MS
 
     @property
     def refused(self) -> bool:
@@ -153,7 +161,9 @@
 
         An order with an older fencing token is refused.
         """
-        if self.orders and fence < self.orders[-1][2]:
+        newest = max((known for known, _era in self.sent), default=fence)
+        self.sent.append((fence, self.known_era()))
+        if self.fenced and fence < newest:
             outcome = ports.OrderResult(False, True, 'old fence')
         else:
             self.orders.append((service, instance, fence))
@@ -240,6 +250,10 @@
             on_reply(0, lost)
 
 
+def _first_era() -> int:
+    return history.FIRST_ERA
+
+
 def _strip(request: store.Request) -> store.Request:
     """Return a request with the store's own numbers, without eras."""
     replace = msgspec.structs.replace
--- a/jacinthhaven/sql/rights.py
+++ b/jacinthhaven/sql/rights.py
@@ -321,6 +321,11 @@
         names = {*self.right.voters, *self.expiry_ms}
         return sorted(names - self.stopped_nodes)
 
+    @property
+    def all_stopped(self) -> bool:
+        """Return whether every owner has stopped."""
+        return self.stopped_nodes.issuperset(self.right.voters)
+
     def is_complete(self, now_ms: int) -> bool:
         """Return whether no node uses the term any more.
 
--- a/jacinthhaven/sql/search_builders.py
+++ b/jacinthhaven/sql/search_builders.py
@@ -198,7 +198,7 @@
 
     Attributes:
       faults: Faults to draw from.
-      orders: Orders of all nodes in the order in which they were sent.
+      awaits_holder: Whether the store is restored once a node holds the lock.
     """
 
     def __init__(self, seed: int, *, fenced: bool) -> None:
@@ -206,13 +206,14 @@
         self.rng = random.Random(seed)
         self.cluster = cluster_builders.Cluster(3, fenced=fenced)
         self.copies = [self.cluster.model.space.copy()]
-        self.orders: list[tuple[str, str, int]] = []
+        self.awaits_holder = False
         self.faults: tuple[typing.Callable[[], None], ...] = (
             self.silence_primary,
             self.silence_primary,
             self.copy_store,
             self.restore,
-            self.restore,
+            self.await_holder,
+            self.await_holder,
             self.delay_answers,
             self.isolate,
             self.refuse_store,
@@ -232,25 +233,41 @@
             )
             while self.cluster.now_ms < end_ms:
                 self.cluster.run(_STEP_MS)
+                if self.awaits_holder and self.holders():
+                    self.awaits_holder = False
+                    self.restore()
                 found += self.violations()
         return found
 
     def violations(self) -> list[str]:
-        """Return the broken promises at this moment."""
-        now_ms = self.cluster.now_ms
-        holders = [
+        """Return the broken promises at this moment.
+
+        Where fencing tokens are checked, an older one is refused and does no
+        harm.
+        """
+        fences = [fence for fence, _era in self.cluster.sent]
+        found = [
+            f'order under a lock of before era {era}: {fence.text}'
+            for fence, era in self.cluster.sent
+            if fence.era < era
+        ]
+        if len(fences) > len(set(fences)):
+            found.append(f'a fence was used twice: {fences}')
+        if not self.cluster.fenced and fences != sorted(fences):
+            found.append(f'fences went back: {fences}')
+        if len(self.holders()) > 1:
+            found.append(f'{self.holders()} hold the lock of one era')
+        return found
+
+    def holders(self) -> list[str]:
+        """Return the nodes that hold the lock in the present era."""
+        era = self.cluster.model.era
+        return [
             running.node
             for running in self.cluster.elections()
-            if running.lock.until_ms > now_ms
+            if running.lock.until_ms > self.cluster.now_ms
+            and running.lock.fence.era == era
         ]
-        found = [f'{holders} hold the lock'] if len(holders) > 1 else []
-        sent = self.cluster.orders()
-        added = [order for order in sent if order not in self.orders]
-        fences = [order[2] for order in (*self.orders, *added)]
-        self.orders.extend(added)
-        if fences != sorted(set(fences)):
-            found.append(f'fences {fences}')
-        return found
 
     def silence_primary(self) -> None:
         """Let the primary answer no node."""
@@ -267,6 +284,10 @@
         kept = self.copies.index(copy) + 1
         self.copies = self.copies[:kept]
 
+    def await_holder(self) -> None:
+        """Restore the store as soon as a node has acquired the lock."""
+        self.awaits_holder = True
+
     def delay_answers(self) -> None:
         """Let the answers that are under way come late."""
         for platform in self.cluster.platforms:
--- a/jacinthhaven/sql/settled_era.py
+++ b/jacinthhaven/sql/settled_era.py
@@ -1,10 +1,11 @@
 """Whether locks of the time before a restore of the store may still be in use.
 
 A restore loses the promotion locks, but their holders may not know that yet. They
-stop by their own clocks within the time to live of a lock. Until then nobody
-acquires a lock again, and a node that has just started confirms no term, since it
-cannot learn of a promotion that is under way. A record in the store tells nodes
-that start later that this time is over.
+stop by their own clocks within the time to live of a lock. Where the platform checks
+no fencing tokens, nobody orders a promotion until then unless all owners have
+agreed, and a node that has just started confirms no term, since it cannot learn of
+a promotion that is under way. A record in the store tells nodes that start later
+that this time is over.
 """
 
 import typing
