--- a/jacinthhaven/sql/coordination.py
+++ b/jacinthhaven/sql/coordination.py
@@ -10,12 +10,11 @@
 import functools
 import typing
 
-import msgspec
-
 from jacinthhaven.records import history, store
 from jacinthhaven.sql import (
     lease,
     node_context,
+    paged_reads,
     read_schedules,
     store_access,
     store_calls,
@@ -205,25 +204,11 @@
         """Read the members earlier, since no known owner could be reached."""
         self.members.expedite()
 
-    def read_all(
-        self,
-        request: store.ReadRequest,
-        on_reply: typing.Callable[[store.ReadReply | None], None],
-    ) -> None:
-        """Read all pages; the combined reply has the first page's revision.
-
-        The pages are not a consistent snapshot. A watch that starts at that
-        revision delivers the changes made between them.
-        """
-        self.access.call(
-            request,
-            functools.partial(self._on_page, request, None, on_reply),
-        )
-
     def _read_watched(self, now_ms: int) -> None:
         self.watch_number = 0
         self.watch_round += 1
-        self.read_all(
+        paged_reads.read_all(
+            self.access,
             store.ReadRequest(self.watched),
             functools.partial(
                 self._on_snapshot, self.watched, self.watch_round, now_ms
@@ -241,34 +226,6 @@
     def _on_store_change(self) -> None:
         self.registry.expedite(self.now_ms)
 
-    def _on_page(
-        self,
-        request: store.ReadRequest,
-        earlier: store.ReadReply | None,
-        on_reply: typing.Callable[[store.ReadReply | None], None],
-        reply: store.ReadReply | None,
-    ) -> None:
-        if reply is None:
-            on_reply(None)
-            return
-        if earlier is not None:
-            reply = store.ReadReply(
-                earlier.revision,
-                earlier.entries + reply.entries,
-                reply.more,
-            )
-        if not reply.more or not reply.entries:
-            on_reply(reply)
-            return
-        next_request = msgspec.structs.replace(
-            request,
-            after=reply.entries[-1].key,
-        )
-        self.access.call(
-            next_request,
-            functools.partial(self._on_page, next_request, reply, on_reply),
-        )
-
     def _on_snapshot(
         self,
         prefix: str,
@@ -365,7 +322,8 @@
 
     def _read_registry(self, now_ms: int) -> None:
         fresh = self.registry.start(now_ms, owns_service=self.owns_service)
-        self.read_all(
+        paged_reads.read_all(
+            self.access,
             store.ReadRequest(self.prefixes[1], may_be_stale=not fresh),
             functools.partial(self._on_registry, fresh),
         )
@@ -383,7 +341,7 @@
     def _read_members(self, now_ms: int) -> None:
         self.members.start(now_ms, owns_service=self.owns_service)
         request = store.ReadRequest(self.prefixes[2], may_be_stale=True)
-        self.read_all(request, self._on_members)
+        paged_reads.read_all(self.access, request, self._on_members)
 
     def _on_members(self, reply: store.ReadReply | None) -> None:
         self.members.finish(succeeded=reply is not None, now_ms=self.now_ms)
--- a/jacinthhaven/sql/search_builders.py
+++ b/jacinthhaven/sql/search_builders.py
@@ -1,5 +1,6 @@
 """Random searches for faults that keep an old configuration or a lost lock."""
 
+import abc
 import random
 import typing
 
@@ -31,12 +32,53 @@
     ]
 
 
-class Search:
+class FaultSearch(abc.ABC):
+    """Random faults, drawn from a seed, until a promise is broken.
+
+    Attributes:
+      rng: Source of all draws.
+      faults: Faults to draw from.
+    """
+
+    def __init__(self, seed: int) -> None:
+        """Prepare the draws."""
+        self.rng = random.Random(seed)
+        self.faults: tuple[typing.Callable[[], None], ...] = ()
+
+    @property
+    @abc.abstractmethod
+    def now_ms(self) -> int:
+        """Return the present time."""
+
+    @abc.abstractmethod
+    def step(self) -> None:
+        """Advance the time a little."""
+
+    @abc.abstractmethod
+    def violations(self) -> list[str]:
+        """Return the broken promises at this moment."""
+
+    def run(self) -> list[str]:
+        """Play faults and return what was violated."""
+        found: list[str] = []
+        until_ms = self.now_ms + _SEARCH_MS
+        while self.now_ms < until_ms and not found:
+            self.rng.choice(self.faults)()
+            end_ms = self.now_ms + self.rng.randint(
+                _MIN_PAUSE_MS, _MAX_PAUSE_MS
+            )
+            while self.now_ms < end_ms:
+                self.step()
+                found += self.violations()
+        return found
+
+
+class Search(FaultSearch):
     """Random faults of the ways to the store and between nodes."""
 
     def __init__(self, seed: int) -> None:
         """Start a fleet."""
-        self.rng = random.Random(seed)
+        super().__init__(seed)
         self.fleet = fleet_builders.Fleet(_NODES)
         self.faults = (
             self.fleet.change,
@@ -50,19 +92,14 @@
             self.heal,
         )
 
-    def run(self) -> list[str]:
-        """Play faults and return what was violated."""
-        found: list[str] = []
-        until_ms = self.fleet.now_ms + _SEARCH_MS
-        while self.fleet.now_ms < until_ms and not found:
-            self.rng.choice(self.faults)()
-            end_ms = self.fleet.now_ms + self.rng.randint(
-                _MIN_PAUSE_MS, _MAX_PAUSE_MS
-            )
-            while self.fleet.now_ms < end_ms:
-                self.fleet.step()
-                found += self.violations()
-        return found
+    @property
+    def now_ms(self) -> int:
+        """Return the present time."""
+        return self.fleet.now_ms
+
+    def step(self) -> None:
+        """Advance the time by one tick."""
+        self.fleet.step()
 
     def violations(self) -> list[str]:
         """Return the broken promises of all nodes at this moment."""
@@ -193,21 +230,20 @@
             self.fleet.put(f'ours/lead/{number}', '{}')
 
 
-class LockSearch:
+class LockSearch(FaultSearch):
     """Random faults of owners that replace a primary, and of their store.
 
     Attributes:
-      faults: Faults to draw from.
       awaits_holder: Whether the store is restored once a node holds the lock.
     """
 
     def __init__(self, seed: int, *, fenced: bool) -> None:
         """Start a cluster."""
-        self.rng = random.Random(seed)
+        super().__init__(seed)
         self.cluster = cluster_builders.Cluster(3, fenced=fenced)
         self.copies = [self.cluster.model.space.copy()]
         self.awaits_holder = False
-        self.faults: tuple[typing.Callable[[], None], ...] = (
+        self.faults = (
             self.silence_primary,
             self.silence_primary,
             self.copy_store,
@@ -222,22 +258,17 @@
             self.heal,
         )
 
-    def run(self) -> list[str]:
-        """Play faults and return what was violated."""
-        found: list[str] = []
-        until_ms = self.cluster.now_ms + _SEARCH_MS
-        while self.cluster.now_ms < until_ms and not found:
-            self.rng.choice(self.faults)()
-            end_ms = self.cluster.now_ms + self.rng.randint(
-                _MIN_PAUSE_MS, _MAX_PAUSE_MS
-            )
-            while self.cluster.now_ms < end_ms:
-                self.cluster.run(_STEP_MS)
-                if self.awaits_holder and self.holders():
-                    self.awaits_holder = False
-                    self.restore()
-                found += self.violations()
-        return found
+    @property
+    def now_ms(self) -> int:
+        """Return the present time."""
+        return self.cluster.now_ms
+
+    def step(self) -> None:
+        """Advance the time, and restore the store if that is due."""
+        self.cluster.run(_STEP_MS)
+        if self.awaits_holder and self.holders():
+            self.awaits_holder = False
+            self.restore()
 
     def violations(self) -> list[str]:
         """Return the broken promises at this moment.
--- a/soak/run.py
+++ b/soak/run.py
@@ -247,18 +247,25 @@
     return problems, f'{events}: {served}'
 
 
+@contextlib.contextmanager
+def _calm_soak(folder: pathlib.Path) -> typing.Iterator[Soak]:
+    """Start the processes and the clients, without harms; end them."""
+    soak = Soak(0, folder, harmed=False)
+    with contextlib.closing(soak):
+        for client in soak.clients:
+            client.start()
+        time.sleep(_SETTLE_S)
+        yield soak
+
+
 def play_silence(folder: pathlib.Path) -> list[str]:
     """Silence all open connections to the store while versions change.
 
     Returns:
       The broken promises.
     """
-    soak = Soak(0, folder, harmed=False)
-    with contextlib.closing(soak):
-        for client in soak.clients:
-            client.start()
+    with _calm_soak(folder) as soak:
         soak.operator.start()
-        time.sleep(_SETTLE_S)
         for path in soak.fleet.paths:
             if path.kind == 'store':
                 path.silence_open()
@@ -274,11 +281,7 @@
     Returns:
       The broken promises.
     """
-    soak = Soak(0, folder, harmed=False)
-    with contextlib.closing(soak):
-        for client in soak.clients:
-            client.start()
-        time.sleep(_SETTLE_S)
+    with _calm_soak(folder) as soak:
         for lost in _LOST_VERSIONS:
             soak.operator.change_often(lost)
             faults.restore_store(soak)
