Give the scripted operator endpoint time to answer

Cause: all commands of these tests had a timeout of 0.4 s. Where the endpoint takes longer, the command gives up, the endpoint writes to a closed connection ('Exception occurred during processing of request', BrokenPipeError), and the exit code is not 0. With a delay of 0.5 s in the endpoint the test fails with just this output.

The timeout is 5 s now, and shorter only in the two tests that wait for it. No check changes.

--- a/jacinthhaven/cli/main_test.py
+++ b/jacinthhaven/cli/main_test.py
@@ -91,12 +91,12 @@
 
 @pytest.fixture(name='run')
 def _run(endpoint, key_file):
-    def run(*arguments, port=endpoint.server_port):
+    def run(*arguments, port=endpoint.server_port, timeout_s=5):
         return _invoke(
             *arguments,
             f'--address=127.0.0.1:{port}',
             f'--key-file={key_file}',
-            '--timeout=0.4',
+            f'--timeout={timeout_s}',
         )
 
     return run
@@ -179,7 +179,7 @@
 def test_change_without_proof_is_unknown(run, endpoint, answer):
     """Guards against a definite exit code where nothing is proved."""
     endpoint.script = [answer]
-    switched = run('preset', 'switch', 'ordinary', '--expect=7')
+    switched = run('preset', 'switch', 'ordinary', '--expect=7', timeout_s=1)
     assert switched.exit_code == 4
     assert endpoint.requests[0][1]['change_id'] in switched.stderr
 
@@ -213,7 +213,7 @@
     """Guards against a command that waits for ever."""
     with socket.create_server(('127.0.0.1', 0)) as silent:
         port = silent.getsockname()[1]
-        assert run('status', port=port).exit_code == 3
+        assert run('status', port=port, timeout_s=0.4).exit_code == 3
 
 
 def test_wrong_key_is_refused(run, key_file):
