Drop an answer that has no era once the era is known

Numbers in such an answer cannot be ordered: they would count as those of the first era. Not seen; the store's page says that all answers have the era. The new test fails before (the reply is delivered).

--- a/jacinthhaven/sql/store_calls.py
+++ b/jacinthhaven/sql/store_calls.py
@@ -9,6 +9,7 @@
 import functools
 import typing
 
+from jacinthhaven.kernel import failures
 from jacinthhaven.records import history, store
 from jacinthhaven.sql import ports, records
 
@@ -95,7 +96,8 @@
         if era > self.era:
             self._set_era(era)
         # Without an answer, the reply is a failure in any case.
-        if era and (restores != self.restores or era < self.era):
+        answered = not isinstance(reply, failures.Failure)
+        if (era or answered) and (restores != self.restores or era < self.era):
             on_reply(store.Restored())
             return
         if era:
--- a/jacinthhaven/sql/store_calls_test.py
+++ b/jacinthhaven/sql/store_calls_test.py
@@ -99,6 +99,14 @@
     assert not harness.restores
 
 
+def test_answer_without_an_era_does_not_count_once_there_are_eras():
+    """Guards against numbers whose era is not known."""
+    harness = _Harness()
+    harness.answer(harness.send(), 2)
+    harness.answer(harness.send(), 0, store.ReadReply(history.EraNumber(9), ()))
+    assert harness.replies[-1] == store.Restored()
+
+
 def test_numbers_of_the_earlier_era_are_not_sent():
     """Guards against a condition that holds by a reused number."""
     harness = _Harness()
