End idle tunnels to the store

A tunnel ends after 30 s without bytes, which is longer than the 20 s of the longest poll. On the code before, the new test does not end (no IDLE_MS, and the connection stays).

--- a/jacinthhaven/platform/store_tunnel.py
+++ b/jacinthhaven/platform/store_tunnel.py
@@ -1,11 +1,58 @@
 """Connections of other nodes to the store through this one."""
 
+import functools
 import typing
 
 from jacinthhaven.adapters import poller, streams
 from jacinthhaven.platform import sockets
 from jacinthhaven.sql import records
 
+# Longer than a poll of a watch waits, after which bytes pass in both directions.
+# Otherwise the user has vanished without a close.
+IDLE_MS = 30_000
+_IDLE_CHECK_MS = 5000
+
+
+class _Tunnel:
+    """Both connections of one tunnel.
+
+    Attributes:
+      passed_ms: When bytes last passed in either direction.
+    """
+
+    __slots__ = ('poller', 'node', 'upstream', 'passed_ms')
+
+    def __init__(
+        self,
+        loop: poller.Poller,
+        node: streams.Stream,
+        upstream: streams.Stream,
+    ) -> None:
+        """Connect both streams with each other."""
+        self.poller = loop
+        self.node = node
+        self.upstream = upstream
+        self.passed_ms = loop.clock.now_ms()
+        node.on_bytes = functools.partial(self.forward, upstream)
+        node.on_close = upstream.finish
+        upstream.on_bytes = functools.partial(self.forward, node)
+        upstream.on_close = node.finish
+        loop.call_later(_IDLE_CHECK_MS, self._close_if_idle)
+
+    def forward(self, target: streams.Stream, chunk: bytes) -> None:
+        """Pass bytes on."""
+        self.passed_ms = self.poller.clock.now_ms()
+        target.send(chunk)
+
+    def _close_if_idle(self) -> None:
+        if self.node.closed and self.upstream.closed:
+            return
+        if self.poller.clock.now_ms() - self.passed_ms >= IDLE_MS:
+            self.node.close()
+            self.upstream.close()
+            return
+        self.poller.call_later(_IDLE_CHECK_MS, self._close_if_idle)
+
 
 class StoreTunnels:
     """Passes bytes between other nodes and the store, unchanged.
@@ -40,12 +87,9 @@
         self.opened += 1
         upstream = streams.connect(self.poller, self.store)
         sockets.limit_silence(upstream)
-        node.on_bytes = upstream.send
-        node.on_close = upstream.finish
-        upstream.on_bytes = node.send
-        upstream.on_close = node.finish
+        tunnel = _Tunnel(self.poller, node, upstream)
         if first:
-            upstream.send(first)
+            tunnel.forward(upstream, first)
 
 
 def _never() -> bool:
--- a/jacinthhaven/platform/store_tunnel_test.py
+++ b/jacinthhaven/platform/store_tunnel_test.py
@@ -67,3 +67,29 @@
     path.client.use_way(None)
     reply = path.call(store.ReadRequest('ours/'))
     assert isinstance(reply, failures.Failure)
+
+
+def test_idle_tunnel_ends():
+    """Guards against tunnels that stay open after their user has vanished."""
+    path = _Path()
+    path.call(store.ReadRequest('ours/'))
+    assert path.client.connections
+    begin_ms = path.driver.loop.clock.now_ms()
+    path.driver.run_until(lambda: not path.client.connections, 500)
+    spent_ms = path.driver.loop.clock.now_ms() - begin_ms
+    assert spent_ms >= store_tunnel.IDLE_MS
+    assert not path.server.server.connections
+
+
+def test_tunnel_of_a_watch_stays_open():
+    """Guards against a watch that is cut because nothing changes."""
+    path = _Path()
+    path.client.watch_wait_ms = 20_000
+    watch = store.WatchRequest('ours/', 2)
+    path.client.call(messages.StoreCall(7, watch))
+    end_ms = path.driver.loop.clock.now_ms() + 2 * store_tunnel.IDLE_MS
+    while path.driver.loop.clock.now_ms() < end_ms:
+        path.driver.advance(50)
+    events = [type(reply.reply) for reply in path.replies]
+    assert events == [store.WatchEvents, store.WatchEvents]
+    assert path.tunnels.opened == 1
