Leave room for revisions of 44 bits

A store whose revisions begin at a time in milliseconds has numbers above 2**40, which could not be encoded. The encoded form has 44 bits for the number now and still fits into 53: 511 restores.

--- a/jacinthhaven/records/history.py
+++ b/jacinthhaven/records/history.py
@@ -13,8 +13,8 @@
 _NUMBER_BITS = 64
 _NUMBER_MASK = (1 << _NUMBER_BITS) - 1
 # Bits of the number in the encoded form, which has to fit into the 53 bits that
-# all readers of JSON support: 2**40 changes in an era, and 8,191 restores.
-_ENCODED_BITS = 40
+# all readers of JSON support: 2**44 changes in an era, and 511 restores.
+_ENCODED_BITS = 44
 _ENCODED_MASK = (1 << _ENCODED_BITS) - 1
 _MAX_ENCODED = (1 << 53) - 1
 
--- a/jacinthhaven/sql/store_calls_test.py
+++ b/jacinthhaven/sql/store_calls_test.py
@@ -233,7 +233,7 @@
     later = history.EraNumber.at(3, 5)
     assert (later.era, later.number, later.text) == (3, 5, '3:5')
     assert history.decode(later.encoded) == later
-    assert later.encoded > history.EraNumber(2**40 - 1).encoded
+    assert later.encoded > history.EraNumber(2**44 - 1).encoded
 
 
 def test_large_lease_numbers_keep_their_value():
