--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -298,7 +298,8 @@
             status = self.carry_out(token, document)
             self.seen.append((*known, f'answered {status}'))
             return status, {}
-        self.seen.append((*known, f'not answered, late by {late} ms'))
+        done = f'carried out after {late} ms' if late >= 0 else 'lost'
+        self.seen.append((*known, f'not answered, {done}'))
         if late >= 0:
             asyncio.get_running_loop().call_later(
                 late / 1000, self.carry_out, token, document
