Let work count only under the lead under which it was sent

Cause: the right to use a primary is for the newest term that a node knows. Neither the check before a statement of an open transaction is sent, nor the one before a reply is passed on, asked whether the work belongs to that term. Ruled out: an incomplete withdrawal and confirmations that outlive it.

Change: leadership.Lead is an instance and its term. Statements, transactions and links carry the lead under which they were sent; Right.covers and may_continue compare it with the present one. The same rule now holds for single writes and current reads in flight, for statements whose setup is under way, and for proofs of positions. Idle transactions of an earlier lead are rolled back at once. The stand-in of the group gave a replaced primary the commits of its successor; it does not any more.

--- a/jacinthhaven/sql/cluster_builders.py
+++ b/jacinthhaven/sql/cluster_builders.py
@@ -7,12 +7,14 @@
     builders,
     election,
     fleet_builders,
+    leadership,
     node,
     node_context,
     ownership,
     platform_builders,
     records,
     registry,
+    relaying,
     store_records,
 )
 from jacinthhaven.standins import sql_group, store_model
@@ -145,6 +147,18 @@
         )
         rig.gateway.on_statement(number, statement, self.now_ms)
 
+    def leadership(self, index: int) -> leadership.Leadership:
+        """Return what a node knows about the primary."""
+        return self.election(index).service.leadership
+
+    def clients(self, index: int) -> builders.FakeClients:
+        """Return the client connections of a node."""
+        return self.rigs[index].clients
+
+    def relay(self, index: int) -> relaying.Relay:
+        """Return what gets the statements of the clients of a node."""
+        return self.nodes[index].relay
+
     @property
     def keys(self) -> store_records.Keys:
         """Return the names of the keys that owners write."""
--- a/jacinthhaven/sql/execution.py
+++ b/jacinthhaven/sql/execution.py
@@ -31,7 +31,9 @@
     ),
 )
 
-# Reason given to the client instead of a reply that was not passed on.
+# Reasons given to the client: a statement was not sent, or its reply was not
+# passed on.
+_REPLACED = 'the primary is being replaced'
 _MAYBE_REPLACED = 'the primary may have been replaced'
 
 OnDone = typing.Callable[[sessions.Session, int], None]
@@ -63,7 +65,7 @@
             work = link.work
             if not isinstance(work, sessions.Work) or work.done:
                 return False
-            return work.needs_primary or work.verifies_primary
+            return work.uses_primary
     return False
 
 
@@ -119,6 +121,7 @@
         if transaction is not None:
             choice.link.pinned = work.session
             transaction.link = choice.link
+            transaction.lead = group.leadership.lead
         work.verifies_primary = choice.verifies_primary
         self.start(group, work, choice.link, choice.after, now_ms)
 
@@ -134,6 +137,7 @@
         session = work.session
         transaction = session.transaction
         work.link = link
+        work.lead = group.leadership.lead
         begins = transaction is not None and not transaction.begun
         link.work = work
         setup = links.setup_steps(link, session, work.statement)
@@ -163,7 +167,7 @@
             return
         command = link.steps.popleft()
         link.in_flight = command
-        link.mark_sent(now_ms)
+        link.mark_sent(now_ms, group.leadership.lead)
         work = link.work
         if isinstance(command, commands.Run):
             work.sent = True
@@ -264,6 +268,37 @@
         self.release(group, link, now_ms)
         self.fail(work, statements.Code.ABORTED, reason, now_ms)
 
+    def end_replaced(
+        self, group: ServiceGroup, link: links.Link, now_ms: int
+    ) -> None:
+        """Roll back the idle transaction of a link to a replaced primary.
+
+        Its session is told with the answer to its next statement.
+        """
+        session = link.pinned
+        if link.in_flight is not None or not isinstance(
+            session, sessions.Session
+        ):
+            return
+        transaction = session.transaction
+        if transaction.read_only or not group.leadership.has_replaced(
+            transaction.lead
+        ):
+            return
+        self.journal.write(
+            'transaction_ended',
+            {
+                'service': group.name,
+                'session': session.number,
+                'instance': link.instance,
+                'term': transaction.lead.term,
+                'newest': group.leadership.term,
+            },
+        )
+        link.work = None
+        _fail_pinned_transaction(link)
+        self.release(group, link, now_ms)
+
     def expire(
         self, group: ServiceGroup, work: sessions.Work, now_ms: int
     ) -> None:
@@ -476,8 +511,23 @@
             links.record_setup(link, step)
         if work is None or work.done:
             self._discard_reply(group, link, reply, now_ms)
-        else:
+        elif _may_run(group, work, now_ms):
             self.send_next(group, link, now_ms)
+        else:
+            self._drop_unsent(group, link, now_ms)
+
+    def _drop_unsent(
+        self, group: ServiceGroup, link: links.Link, now_ms: int
+    ) -> None:
+        """Give a statement back whose primary was replaced during its setup."""
+        work = link.work
+        transaction = work.session.transaction
+        if transaction is not None:
+            self.abort(group, work, _REPLACED, now_ms)
+            return
+        link.work = None
+        group.pool.drop(link)
+        group.requeue(work, now_ms)
 
     def _setup_failed(
         self,
@@ -586,8 +636,13 @@
     group: ServiceGroup, work: sessions.Work, now_ms: int
 ) -> bool:
     """Return whether a successful reply may be passed on to the client."""
-    if work.needs_primary or work.verifies_primary:
-        return group.right.held(now_ms)
+    return not work.uses_primary or group.right.covers(work.lead, now_ms)
+
+
+def _may_run(group: ServiceGroup, work: sessions.Work, now_ms: int) -> bool:
+    """Return whether a statement may be sent after its setup."""
+    if work.uses_primary:
+        return group.right.may_continue(work.lead, now_ms)
     return True
 
 
--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -130,7 +130,9 @@
         """Execute a statement, queue it or refuse it."""
         transaction = work.session.transaction
         if transaction is not None and transaction.link is not None:
-            if work.needs_primary and not self.right.may_send(now_ms):
+            if work.needs_primary and not self.right.may_continue(
+                transaction.lead, now_ms
+            ):
                 self.executor.abort(self, work, 'primary is replaced', now_ms)
                 return
             self.executor.start(self, work, transaction.link, None, now_ms)
@@ -302,6 +304,8 @@
         for link in tuple(self.pool.by_number.values()):
             if isinstance(link.work, sessions.Work) and not link.work.done:
                 self._end_if_overdue(link, link.work, now_ms)
+            if link.pinned is not None:
+                self.executor.end_replaced(self, link, now_ms)
 
     def _end_if_overdue(
         self,
--- a/jacinthhaven/sql/leadership.py
+++ b/jacinthhaven/sql/leadership.py
@@ -1,5 +1,7 @@
 """The primary of a service as one node knows it."""
 
+import typing
+
 from jacinthhaven.sql import records
 
 # Interval between status requests to all instances while no leader is known.
@@ -10,6 +12,18 @@
 _STARTUP_DISCOVERY_MS = 300
 
 
+class Lead(typing.NamedTuple):
+    """Lead of one instance; a term has one leader.
+
+    Attributes:
+      instance: Name of the instance.
+      term: Term in which it is the primary.
+    """
+
+    instance: str
+    term: int
+
+
 class Leadership:
     """Last known leader and term of one service.
 
@@ -30,6 +44,15 @@
         self.promote_ms = _DEFAULT_PROMOTE_MS
         self.searched_ms: int | None = None
 
+    @property
+    def lead(self) -> Lead | None:
+        """Return the present lead, or None while no leader is known."""
+        return None if self.leader is None else Lead(self.leader, self.term)
+
+    def has_replaced(self, lead: Lead | None) -> bool:
+        """Return whether a later term than that of a lead has begun."""
+        return lead is not None and lead.term < self.term
+
     def expect_promotion(self, now_ms: int) -> None:
         """Let statements wait for a promotion that begins now."""
         self.expected_ms = now_ms + self.promote_ms
--- a/jacinthhaven/sql/links.py
+++ b/jacinthhaven/sql/links.py
@@ -10,7 +10,13 @@
 import hashlib
 import typing
 
-from jacinthhaven.sql import commands, records, sessions, statements
+from jacinthhaven.sql import (
+    commands,
+    leadership,
+    records,
+    sessions,
+    statements,
+)
 
 # Prepared statements on a link above which it is reset.
 _MAX_PREPARED = 64
@@ -35,6 +41,7 @@
         another node, if any.
       sent_ms: Time at which the command in flight, or the request to open
         the connection, was sent.
+      lead: Lead that was known when the command in flight was sent.
       overtaken_ms: When the instance first answered a statement that was sent
         after the command in flight, or None.
       reply_lost: Whether the reply to the command in flight is presumed lost.
@@ -53,6 +60,7 @@
         'work',
         'pinned',
         'sent_ms',
+        'lead',
         'overtaken_ms',
         'reply_lost',
         'idle_since_ms',
@@ -78,13 +86,17 @@
         self.work: typing.Any = None
         self.pinned: typing.Any = None
         self.sent_ms = now_ms
+        self.lead: leadership.Lead | None = None
         self.overtaken_ms: int | None = None
         self.reply_lost = False
         self.idle_since_ms = now_ms
 
-    def mark_sent(self, now_ms: int) -> None:
-        """Record that a command was sent."""
+    def mark_sent(
+        self, now_ms: int, lead: leadership.Lead | None = None
+    ) -> None:
+        """Record that a command was sent while a lead was known."""
         self.sent_ms = now_ms
+        self.lead = lead
         self.overtaken_ms = None
         self.reply_lost = False
 
--- a/jacinthhaven/sql/platform_builders.py
+++ b/jacinthhaven/sql/platform_builders.py
@@ -9,13 +9,15 @@
 from jacinthhaven.kernel import failures
 from jacinthhaven.records import history, store
 from jacinthhaven.sql import ports, records
-from jacinthhaven.standins import sql_group, store_model
+from jacinthhaven.standins import key_space, sql_group, store_model
 
 # Times of the client of the store.
 _WATCH_WAIT_MS = 4000
 _WATCH_MARGIN_MS = 700
 _CALL_TIMEOUT_MS = 900
 _ANSWER_MS = 4
+# Time that a promotion takes.
+_PROMOTE_MS = 300
 # Unique among all nodes, which may share one model.
 _NUMBERS = itertools.count(1)
 # Fields of replies that hold numbers of the store, and fields with entries.
@@ -42,6 +44,21 @@
     arguments: tuple[typing.Any, ...] = ()
 
 
+@dataclasses.dataclass(slots=True)
+class Troubles:
+    """Faults of a platform.
+
+    Attributes:
+      answer_ms: Time until an answer of the store.
+      earlier: Older state of the store that stale reads return, or None.
+      loses_orders: Whether orders get no answer and are not carried out.
+    """
+
+    answer_ms: int = _ANSWER_MS
+    earlier: key_space.KeySpace | None = None
+    loses_orders: bool = False
+
+
 class FakePlatform(ports.Platform):
     """Platform on a store model that carries out promotion orders.
 
@@ -57,8 +74,8 @@
       calls: Store calls so far.
       scheduled: Callbacks that are due later.
       watches: Callbacks of open watches by number.
-      promote_ms: Time that a promotion takes.
       silent: Whether no call is answered, so that it fails after a while.
+      troubles: Faults of the platform.
       watch_wait_ms: How long a poll of a watch waits for changes.
     """
 
@@ -84,8 +101,8 @@
         self.watches: dict[int, ports.OnStore] = {}
         self.requests: dict[int, store.WatchRequest] = {}
         self.now_ms = 0
-        self.promote_ms = 300
         self.silent = False
+        self.troubles = Troubles()
 
     @property
     def refused(self) -> bool:
@@ -108,6 +125,10 @@
 
     def execute(self, request: store.Request) -> typing.Any:
         """Run a call at the store and return its reply."""
+        earlier = self.troubles.earlier
+        if earlier is not None and isinstance(request, store.ReadRequest):
+            if request.may_be_stale:
+                return _stamp(self.model.era, earlier.read(request.prefix))
         reply = self.model.call(_strip(request), self.now_ms)
         return _stamp(self.model.era, reply)
 
@@ -119,7 +140,7 @@
     ) -> None:
         """Deliver a reply of the store a little later."""
         era = 0 if self.model.outage else self.model.era
-        self._schedule(_ANSWER_MS, number, on_reply, era, reply)
+        self._schedule(self.troubles.answer_ms, number, on_reply, era, reply)
 
     def use_way(self, node: records.Address | None) -> None:
         """Send the next calls through another node, or directly."""
@@ -157,10 +178,14 @@
         fence: history.EraNumber,
         on_result: ports.OnOrder,
     ) -> None:
-        """Accept an order, and carry it out after `promote_ms`.
+        """Accept an order, and carry it out after a while.
 
         An order with an older fencing token is refused.
         """
+        if self.troubles.loses_orders:
+            lost = ports.OrderResult(False, False, 'no answer')
+            self._schedule(_CALL_TIMEOUT_MS, 0, on_result, lost)
+            return
         newest = max((known for known, _era in self.sent), default=fence)
         self.sent.append((fence, self.known_era()))
         if self.fenced and fence < newest:
@@ -168,7 +193,7 @@
         else:
             self.orders.append((service, instance, fence))
             outcome = ports.OrderResult(True, False, 'done')
-            self._schedule(self.promote_ms, 0, self.group.promote, instance)
+            self._schedule(_PROMOTE_MS, 0, self.group.promote, instance)
         self._schedule(_ANSWER_MS, 0, on_result, outcome)
 
     def run(self, now_ms: int) -> None:
--- a/jacinthhaven/sql/reply_tracker.py
+++ b/jacinthhaven/sql/reply_tracker.py
@@ -70,7 +70,9 @@
             self._update_lag(state, required, reply, now_ms)
         if reply.code is statements.Code.READ_ONLY:
             self.clear_leader(link.instance, 0, 'refused a write')
-        elif reply.code is None and self.right.held(now_ms):
+        elif reply.code is None and self.right.covers(
+            _lead_of(link, reply), now_ms
+        ):
             if self._is_proof(link, command, reply):
                 self._add_proof(link, reply)
 
@@ -167,6 +169,15 @@
         )
 
 
+def _lead_of(
+    link: links.Link, reply: statements.Reply
+) -> leadership.Lead | None:
+    """Return the lead under which an instance made a reply."""
+    if reply.status is not None:
+        return leadership.Lead(link.instance, reply.status.term)
+    return link.lead
+
+
 def _update_window(
     state: instances.InstanceState,
     reply: statements.Reply,
--- a/jacinthhaven/sql/rights.py
+++ b/jacinthhaven/sql/rights.py
@@ -10,6 +10,10 @@
 without such a promise have expired. Any two majorities share an owner, so no
 node uses the old primary afterwards, whether it reaches the store or not.
 
+The right for a term says nothing about work that was sent in an earlier one. So
+each statement carries the lead under which it was sent, and counts only while
+that is the present lead.
+
 The validity of a confirmation is counted from the time of the question, on
 the clock of the node that asked; that clock also runs during suspension.
 """
@@ -115,8 +119,30 @@
         self.required = True
         self.expected_ms = now_ms + CONFIRMATION_VALID_MS
 
+    def covers(self, lead: leadership.Lead | None, now_ms: int) -> bool:
+        """Return whether results of a lead may be returned to clients.
+
+        Args:
+          lead: Lead under which the statement was sent.
+          now_ms: Current time.
+        """
+        if not self.required:
+            return True
+        return lead == self.leadership.lead and self.held(now_ms)
+
+    def may_continue(self, lead: leadership.Lead | None, now_ms: int) -> bool:
+        """Return whether more statements of a transaction may be sent.
+
+        Args:
+          lead: Lead under which the transaction was begun.
+          now_ms: Current time.
+        """
+        if self.leadership.has_replaced(lead):
+            return False
+        return self.covers(lead, now_ms) and self.may_send(now_ms)
+
     def held(self, now_ms: int) -> bool:
-        """Return whether results of the primary may be returned to clients."""
+        """Return whether a majority confirms the newest term."""
         if not self.required:
             return True
         if self.stopped_term >= self.leadership.term:
--- a/jacinthhaven/sql/sessions.py
+++ b/jacinthhaven/sql/sessions.py
@@ -3,7 +3,7 @@
 import collections
 import typing
 
-from jacinthhaven.sql import records, statements
+from jacinthhaven.sql import leadership, records, statements
 
 
 class Transaction:
@@ -13,6 +13,7 @@
       routing: Route that was in force when the transaction began.
       read_only: Whether the client declared the transaction read-only.
       link: Link that executes it, set when its first statement is placed.
+      lead: Lead under which its first statement was placed.
       begun: Whether the instance has begun the transaction.
       failed: Whether it failed, so that only COMMIT or ROLLBACK is accepted.
       failure_unreported: Whether it failed and the client was not told yet.
@@ -23,6 +24,7 @@
         'routing',
         'read_only',
         'link',
+        'lead',
         'begun',
         'failed',
         'failure_unreported',
@@ -39,6 +41,7 @@
         self.routing = routing
         self.read_only = read_only
         self.link: typing.Any = None
+        self.lead: leadership.Lead | None = None
         self.begun = False
         self.failed = False
         self.failure_unreported = False
@@ -127,13 +130,12 @@
       statement: Statement to execute.
       routing: Route that applies to the statement.
       needs_primary: Whether only the primary may execute it.
-      strict_read: Whether it is a read outside a transaction whose route
-        requires the newest data.
       repeatable: Whether it may run again after an unknown outcome.
       arrived_ms: Time of arrival.
       deadline_ms: Time by which it must be answered.
       service_ms: Execution time that was expected when it was queued.
       link: Link that executes it, if any.
+      lead: Lead under which it was last placed.
       started_ms: Time at which the statement, not its setup, was sent.
       sent: Whether the statement, not only its setup, was sent.
       verifies_primary: Whether it runs inside a read-write transaction of
@@ -148,12 +150,12 @@
         'statement',
         'routing',
         'needs_primary',
-        'strict_read',
         'repeatable',
         'arrived_ms',
         'deadline_ms',
         'service_ms',
         'link',
+        'lead',
         'started_ms',
         'sent',
         'verifies_primary',
@@ -180,11 +182,11 @@
         read_write = transaction is not None and not transaction.read_only
         self.needs_primary = writes or needs_newest or read_write
         self.repeatable = transaction is None and not writes
-        self.strict_read = needs_newest and self.repeatable
         self.arrived_ms = now_ms
         self.deadline_ms = now_ms + route.timeout_ms
         self.service_ms: float = 0
         self.link: typing.Any = None
+        self.lead: leadership.Lead | None = None
         self.started_ms = 0
         self.sent = False
         self.verifies_primary = False
@@ -197,6 +199,17 @@
         """Return the route that applies to the statement."""
         return self.routing.route
 
+    @property
+    def strict_read(self) -> bool:
+        """Return whether it is a single read that requires the newest data."""
+        newest = self.route.mode is records.ConsistencyLevel.PRIMARY
+        return newest and self.repeatable
+
+    @property
+    def uses_primary(self) -> bool:
+        """Return whether its result depends on the lead of its instance."""
+        return self.needs_primary or self.verifies_primary
+
     @property
     def commits(self) -> bool:
         """Return whether a successful reply means that changes are durable."""
--- a/jacinthhaven/standins/sql_group.py
+++ b/jacinthhaven/standins/sql_group.py
@@ -62,6 +62,12 @@
         """Return whether this instance acts as the primary."""
         return self.name == self.group.primary or self.replaced_term > 0
 
+    @property
+    def receives(self) -> bool:
+        """Return whether it receives the commits of the primary."""
+        apart = self.deaf or self.paused or self.down
+        return not (apart or self.replaced_term)
+
     @property
     def received(self) -> records.Position:
         """Return the position of the last received entry."""
@@ -151,9 +157,7 @@
         position = records.Position(self.term, leader.received.number + 1)
         entry = Entry(position, writes, requests, now_ms)
         for instance in self.instances.values():
-            if instance.leads or not (
-                instance.deaf or instance.paused or instance.down
-            ):
+            if instance is leader or instance.receives:
                 instance.log.append(entry)
         for request in requests:
             self.committed[request] = self.committed.get(request, 0) + 1
--- /dev/null
+++ b/scenarios/sql_variants.py
@@ -0,0 +1,46 @@
+"""Deliberately broken variants of the SQL proxy, which a search must find."""
+
+import contextlib
+import types
+import typing
+from unittest import mock
+
+from jacinthhaven.sql import execution, leadership, rights
+
+
+def _covers_newest_term(
+    right: rights.Right, _lead: leadership.Lead | None, now_ms: int
+) -> bool:
+    """Let the right for the newest term cover work of earlier terms."""
+    return right.held(now_ms)
+
+
+def _may_continue_in_newest_term(
+    right: rights.Right, _lead: leadership.Lead | None, now_ms: int
+) -> bool:
+    """Let a transaction go on under the right for the newest term."""
+    return right.may_send(now_ms)
+
+
+def _do_nothing(*_args: typing.Any) -> None:
+    """Replace a method that has an effect."""
+
+
+@contextlib.contextmanager
+def ignore_lead() -> typing.Iterator[None]:
+    """Ask for the right of the newest term only, not for that of the work."""
+    with (
+        mock.patch.object(rights.Right, 'covers', _covers_newest_term),
+        mock.patch.object(
+            rights.Right, 'may_continue', _may_continue_in_newest_term
+        ),
+        mock.patch.object(execution.Executor, 'end_replaced', _do_nothing),
+    ):
+        yield
+
+
+Variant = typing.Callable[[], typing.ContextManager[None]]
+
+VARIANTS: typing.Mapping[str, Variant] = types.MappingProxyType(
+    {'ignore_lead': ignore_lead}
+)
