Answer each statement that a stopping process has taken

Cause: a transaction has no link before its second statement, since BEGIN is answered locally; the stop rolled back only transactions with a link. New statements were never refused, and the exit answered nothing. The log shows a WRITE placed 5.297 s after the signal and 'stopped' 27 ms later. Ruled out: lost answers of the instance, the deadline.

Change: planned_stop has the course of the stop, taken out of node. Transactions in any state end at half of the grace period, then BEGIN is refused, in the last second before the exit all new work, and the exit answers what is left by what is certain. The same for relayed sessions, loans, sessions that wait for READY and statements that came in one packet. The statements that need no instance moved to local_statements unchanged.

--- a/jacinthhaven/platform/sockets.py
+++ b/jacinthhaven/platform/sockets.py
@@ -33,13 +33,15 @@
 class ClientConnection:
     """Connection of a client or of another node."""
 
-    __slots__ = ('stream', 'reader', 'number', 'started')
+    __slots__ = ('stream', 'reader', 'number', 'started', 'undelivered')
 
     def __init__(self, stream: streams.Stream, number: int) -> None:
         self.stream = stream
         self.reader = words.LineReader()
         self.number = number
         self.started = False
+        # Lines of the last chunk that were not passed on yet.
+        self.undelivered = 0
 
 
 class ClientSockets(ports.Clients):
@@ -123,6 +125,8 @@
         connection = self.connections.get(number)
         if connection is None:
             return False
+        if connection.undelivered or connection.reader.rest:
+            return True
         try:
             waiting = connection.stream.sock.recv(1, socket.MSG_PEEK)
         except OSError:
@@ -149,14 +153,19 @@
 
     def _on_bytes(self, connection: ClientConnection, chunk: bytes) -> None:
         try:
-            for line in connection.reader.feed(chunk):
-                self._on_line(connection, line)
+            self._on_lines(connection, connection.reader.feed(chunk))
         except words.MalformedLineError:
             self.on_malformed()
             if not connection.stream.closed:
                 self.refuse(connection.number, statements.Code.MALFORMED)
                 self.on_closed(connection.number)
 
+    def _on_lines(self, connection: ClientConnection, lines: list[str]) -> None:
+        connection.undelivered = len(lines)
+        for line in lines:
+            connection.undelivered -= 1
+            self._on_line(connection, line)
+
     def _on_line(self, connection: ClientConnection, line: str) -> None:
         if connection.number not in self.connections:
             return
--- a/jacinthhaven/sql/configuration_sync.py
+++ b/jacinthhaven/sql/configuration_sync.py
@@ -75,15 +75,20 @@
         age_ms = self.exchange.freshness.age_ms(self.now_ms)
         return -1 if age_ms is None else age_ms
 
-    def on_received(self, edition: freshness.Edition, text: str) -> None:
+    def on_received(
+        self, version: int | None, revision: history.EraNumber, text: str
+    ) -> None:
         """Record a configuration that was received, usable or not.
 
         Args:
-          edition: Its version, or `freshness.NO_VERSION` if it cannot be used;
-            and its revision.
+          version: Its version, or None if it cannot be used.
+          revision: Its revision in the store.
           text: Its document.
         """
         known = self.exchange.freshness
+        edition = freshness.Edition(
+            freshness.NO_VERSION if version is None else version, revision
+        )
         if edition.version >= known.edition.version:
             self.text = text
         known.on_received(edition)
--- a/jacinthhaven/sql/execution.py
+++ b/jacinthhaven/sql/execution.py
@@ -18,6 +18,9 @@
     statements,
 )
 
+# Answer to a statement outside a transaction that was not sent.
+_NOT_SENT = statements.Code.BUSY
+
 # Time for which a replica that lagged gets no reads.
 _LAG_BACKOFF_MS = 200
 
@@ -311,6 +314,17 @@
             group.pool.drop(link)
         self.fail(work, code, 'deadline', now_ms)
 
+    def give_up(
+        self, group: ServiceGroup, work: sessions.Work, now_ms: int
+    ) -> None:
+        """Answer a statement on a link at once, since the process exits."""
+        code = outcomes.after_loss(work)
+        if code is None:
+            code = statements.Code.ABORTED if work.sent else _NOT_SENT
+        _fail_pinned_transaction(work.link)
+        group.pool.drop(work.link)
+        self.fail(work, code, 'stopping', now_ms)
+
     def retry_elsewhere(
         self, group: ServiceGroup, work: sessions.Work, now_ms: int
     ) -> None:
@@ -555,7 +569,7 @@
             return
         transaction = work.session.transaction
         if transaction is not None and transaction.begun:
-            _fail_transaction(transaction)
+            transaction.fail()
             self.fail(work, statements.Code.ABORTED, reply.detail, now_ms)
             return
         if transaction is not None:
@@ -650,16 +664,11 @@
     """Mark the transaction of a link as failed and detach it from the link."""
     session = link.pinned
     if isinstance(session, sessions.Session) and session.transaction:
-        _fail_transaction(session.transaction)
+        session.transaction.fail()
         # Without a pending statement, the answer to the next one reports it.
         session.transaction.failure_unreported = link.work is None
 
 
-def _fail_transaction(transaction: sessions.Transaction) -> None:
-    transaction.link = None
-    transaction.failed = True
-
-
 def _last_instance(work: sessions.Work) -> str:
     """Return the last instance that got a statement, or ''."""
     return '' if work.link is None else work.link.instance
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -4,12 +4,12 @@
 and the session state is replayed on a link when a statement needs one.
 """
 
-import types
 import typing
 
 from jacinthhaven.sql import (
     execution,
     group,
+    local_statements,
     ports,
     records,
     route_check,
@@ -25,11 +25,6 @@
 # statement in transit.
 INACTIVITY_MS = 400
 
-Handler = typing.Callable[
-    [sessions.Session, statements.Statement, int],
-    None,
-]
-
 
 class Gateway:
     """Client sessions and service groups of one process.
@@ -47,6 +42,7 @@
       draining: Whether inactive sessions are closed.
       close_after_answer: Whether a session is closed once its statement is
         answered, because the process is about to exit.
+      refused_verbs: Statements that are refused for the same reason.
     """
 
     def __init__(
@@ -58,7 +54,6 @@
     ) -> None:
         """Create a gateway without sessions or configuration."""
         self.zone = zone
-        self.databases = databases
         self.clients = clients
         self.journal = journal
         self.executor = execution.Executor(databases, clients, journal)
@@ -73,6 +68,7 @@
         self.route_check = route_check.RouteCheck()
         self.draining = False
         self.close_after_answer = False
+        self.refused_verbs: frozenset[statements.Verb] = frozenset()
         self.now_ms = 0
 
     @property
@@ -105,7 +101,7 @@
                 self.groups[name] = group.Group(
                     name,
                     self.zone,
-                    self.databases,
+                    self.executor.databases,
                     self.executor,
                     now_ms,
                 )
@@ -207,6 +203,8 @@
         session.active_ms = now_ms
         if session.work is None and not session.waiting:
             self._handle(session, statement, now_ms)
+            if session.work is None:
+                self._close_if_answered(session, now_ms)
         elif len(session.waiting) < _MAX_PIPELINED:
             session.waiting.append(statement)
         else:
@@ -228,7 +226,7 @@
             work.done = True
             service_group = self.groups[work.route.service]
             service_group.cancel(work)
-        self._end_transaction(session, now_ms)
+        self.end_transaction(session, now_ms)
 
     def tick(self, now_ms: int) -> None:
         """Run the timers of all services, transactions and sessions."""
@@ -257,9 +255,37 @@
             transaction = session.transaction
             if transaction is None or session.work is not None:
                 continue
-            if transaction.link is not None:
+            if not transaction.failed:
                 self._expire_transaction(session, now_ms)
 
+    def adopt_aborted(self, number: int, database: str, now_ms: int) -> None:
+        """Take over a session whose transaction another node has rolled back.
+
+        Args:
+          number: Number of the client connection.
+          database: Database of the session, which has a route.
+          now_ms: Current time.
+        """
+        session = sessions.Session(number, database, now_ms)
+        routing = sessions.find_routing(session, self.configuration)
+        session.transaction = sessions.Transaction(routing, False, now_ms)
+        session.transaction.fail_unreported()
+        self.sessions[number] = session
+
+    def end_sessions(self, now_ms: int) -> None:
+        """Answer all statements and close all sessions."""
+        for number, _database in self.pending_starts:
+            self.clients.refuse(number, statements.Code.BUSY)
+        self.pending_starts = []
+        for session in tuple(self.sessions.values()):
+            work = session.work
+            if work is not None:
+                self.groups[work.route.service].give_up(work, now_ms)
+            # The answer may have closed the session.
+            if session.number in self.sessions:
+                self.clients.close(session.number)
+                self.on_closed(session.number, now_ms)
+
     def close_if_inactive(self, session: sessions.Session, now_ms: int) -> bool:
         """Close a session if it is inactive; return whether it was closed."""
         if not session.idle or not _is_inactive(session, self.clients, now_ms):
@@ -268,81 +294,7 @@
         self.on_closed(session.number, now_ms)
         return True
 
-    def _expire_idle(self, now_ms: int) -> None:
-        """Roll back transactions that exceed the idle timeout."""
-        limit_ms = self.configuration.transaction_idle_ms
-        if not limit_ms:
-            return
-        for session in tuple(self.sessions.values()):
-            transaction = session.transaction
-            if transaction is None or session.work is not None:
-                continue
-            if now_ms - transaction.active_ms >= limit_ms:
-                self._expire_transaction(session, now_ms)
-
-    def _on_done(self, session: sessions.Session, now_ms: int) -> None:
-        session.active_ms = now_ms
-        transaction = session.transaction
-        if transaction is not None:
-            transaction.active_ms = now_ms
-        while session.waiting and session.work is None:
-            self._handle(session, session.waiting.popleft(), now_ms)
-        if (
-            self.close_after_answer
-            and session.idle
-            and session.number in self.sessions
-        ):
-            if not self.clients.has_more(session.number):
-                self.clients.close(session.number)
-                self.on_closed(session.number, now_ms)
-
-    def _handle(
-        self,
-        session: sessions.Session,
-        statement: statements.Statement,
-        now_ms: int,
-    ) -> None:
-        transaction = session.transaction
-        verb = statement.verb
-        if transaction is not None:
-            transaction.active_ms = now_ms
-            ends_transaction = verb in _TRANSACTION_ENDS
-            if transaction.failure_unreported and not ends_transaction:
-                transaction.failure_unreported = False
-                self._answer_error(
-                    session, statements.Code.ABORTED, 'transaction lost'
-                )
-                return
-            if transaction.failed:
-                self._handle_failed(session, ends_transaction, now_ms)
-                return
-        handler = _LOCAL_HANDLERS.get(verb)
-        if handler is not None:
-            handler(self, session, statement, now_ms)
-            return
-        self._execute(session, statement, now_ms)
-
-    def _handle_failed(
-        self,
-        session: sessions.Session,
-        ends_transaction: bool,
-        now_ms: int,
-    ) -> None:
-        if ends_transaction:
-            lost = session.transaction.failure_unreported
-            self._end_transaction(session, now_ms)
-            if lost:
-                self._answer_error(
-                    session, statements.Code.ABORTED, 'transaction lost'
-                )
-            else:
-                self._answer_success(session)
-        else:
-            self._answer_error(
-                session, statements.Code.MALFORMED, 'failed transaction'
-            )
-
-    def _execute(
+    def execute(
         self,
         session: sessions.Session,
         statement: statements.Statement,
@@ -350,13 +302,13 @@
     ) -> None:
         if statement.verb is statements.Verb.EXECUTE:
             if statement.name not in session.prepared:
-                self._answer_error(
+                self.answer_error(
                     session,
                     statements.Code.UNKNOWN_STATEMENT,
                     statement.name,
                 )
                 return
-        routing = _find_routing(session, self.configuration)
+        routing = sessions.find_routing(session, self.configuration)
         if routing is None or routing.route.service not in self.groups:
             self.journal.write(
                 'no_route',
@@ -367,110 +319,17 @@
                 },
             )
             code = self.route_check.refusal_code(session.database)
-            self._answer_error(session, code, '')
+            self.answer_error(session, code, '')
             return
         work = sessions.Work(session, statement, routing, now_ms)
         session.work = work
         self.groups[routing.route.service].submit(work, now_ms)
 
-    def _begin(
-        self,
-        session: sessions.Session,
-        statement: statements.Statement,
-        now_ms: int,
-    ) -> None:
-        if session.transaction is not None:
-            self._answer_error(
-                session, statements.Code.MALFORMED, 'nested transaction'
-            )
-            return
-        routing = _find_routing(session, self.configuration)
-        if routing is None:
-            code = self.route_check.refusal_code(session.database)
-            self._answer_error(session, code, '')
-            return
-        read_only = (
-            statement.verb is statements.Verb.BEGIN_READ
-            and routing.route.mode is not records.ConsistencyLevel.PRIMARY
-        )
-        session.transaction = sessions.Transaction(routing, read_only, now_ms)
-        self._answer_success(session)
-
-    def _rollback(
-        self,
-        session: sessions.Session,
-        statement: statements.Statement,
-        now_ms: int,
-    ) -> None:
-        self._end_transaction(session, now_ms)
-        self._answer_success(session)
-
-    def _commit(
-        self,
-        session: sessions.Session,
-        statement: statements.Statement,
-        now_ms: int,
-    ) -> None:
-        if session.transaction is None:
-            self._answer_error(
-                session, statements.Code.MALFORMED, 'no transaction'
-            )
-        else:
-            self._execute(session, statement, now_ms)
-
-    def _set(
-        self,
-        session: sessions.Session,
-        statement: statements.Statement,
-        now_ms: int,
-    ) -> None:
-        session.settings[statement.name] = statement.argument
-        self._answer_success(session)
-
-    def _prepare(
-        self,
-        session: sessions.Session,
-        statement: statements.Statement,
-        now_ms: int,
-    ) -> None:
-        kind, _, shape = statement.argument.partition(' ')
-        session.prepared[statement.name] = statements.Prepared(
-            kind == statements.Verb.WRITE.value,
-            shape,
-        )
-        self._answer_success(session)
-
-    def _deallocate(
-        self,
-        session: sessions.Session,
-        statement: statements.Statement,
-        now_ms: int,
-    ) -> None:
-        if session.prepared.pop(statement.name, None) is None:
-            self._answer_error(
-                session,
-                statements.Code.UNKNOWN_STATEMENT,
-                statement.name,
-            )
-        else:
-            self._answer_success(session)
-
-    def _invalid(
-        self,
-        session: sessions.Session,
-        statement: statements.Statement,
-        now_ms: int,
-    ) -> None:
-        self.journal.count('clients_invalid', 'statement')
-        self._answer_error(
-            session, statements.Code.MALFORMED, 'unknown statement'
-        )
-
-    def _answer_success(self, session: sessions.Session) -> None:
+    def answer_success(self, session: sessions.Session) -> None:
         answer = statements.Answer(state=session.state)
         self.clients.answer(session.number, answer)
 
-    def _answer_error(
+    def answer_error(
         self,
         session: sessions.Session,
         code: statements.Code,
@@ -486,7 +345,7 @@
         )
         self.clients.answer(session.number, answer)
 
-    def _end_transaction(
+    def end_transaction(
         self,
         session: sessions.Session,
         now_ms: int,
@@ -499,23 +358,119 @@
         self.executor.release(service_group, transaction.link, now_ms)
         service_group.dispatch(now_ms)
 
-    def _expire_transaction(
+    def _expire_idle(self, now_ms: int) -> None:
+        """Roll back transactions that exceed the idle timeout."""
+        limit_ms = self.configuration.transaction_idle_ms
+        if not limit_ms:
+            return
+        for session in tuple(self.sessions.values()):
+            if session.work is None and _is_idle_for(
+                session.transaction, limit_ms, now_ms
+            ):
+                self._expire_transaction(session, now_ms)
+
+    def _on_done(self, session: sessions.Session, now_ms: int) -> None:
+        session.active_ms = now_ms
+        transaction = session.transaction
+        if transaction is not None:
+            transaction.active_ms = now_ms
+        while session.waiting and session.work is None:
+            self._handle(session, session.waiting.popleft(), now_ms)
+        self._close_if_answered(session, now_ms)
+
+    def _close_if_answered(
+        self, session: sessions.Session, now_ms: int
+    ) -> None:
+        """Close a session without open work if the process is about to exit."""
+        if not self.close_after_answer or not session.idle:
+            return
+        if session.number not in self.sessions:
+            return
+        if not self.clients.has_more(session.number):
+            self.clients.close(session.number)
+            self.on_closed(session.number, now_ms)
+
+    def _handle(
         self,
         session: sessions.Session,
+        statement: statements.Statement,
         now_ms: int,
     ) -> None:
         transaction = session.transaction
-        if transaction.link is None:
+        verb = statement.verb
+        if transaction is not None:
+            transaction.active_ms = now_ms
+            ends_transaction = verb in _TRANSACTION_ENDS
+            if transaction.failure_unreported and not ends_transaction:
+                transaction.failure_unreported = False
+                self.answer_error(
+                    session, statements.Code.ABORTED, 'transaction lost'
+                )
+                return
+            if transaction.failed:
+                self._handle_failed(session, ends_transaction, now_ms)
+                return
+        if verb in self.refused_verbs:
+            self._refuse(session)
+            return
+        handler = local_statements.HANDLERS.get(verb)
+        if handler is not None:
+            handler(self, session, statement, now_ms)
             return
+        self.execute(session, statement, now_ms)
+
+    def _refuse(self, session: sessions.Session) -> None:
+        """Refuse a statement, since the process is about to exit."""
+        transaction = session.transaction
+        code = statements.Code.BUSY
+        if transaction is not None:
+            code = statements.Code.ABORTED
+        self.answer_error(session, code, 'stopping')
+
+    def _handle_failed(
+        self,
+        session: sessions.Session,
+        ends_transaction: bool,
+        now_ms: int,
+    ) -> None:
+        if ends_transaction:
+            lost = session.transaction.failure_unreported
+            self.end_transaction(session, now_ms)
+            if lost:
+                self.answer_error(
+                    session, statements.Code.ABORTED, 'transaction lost'
+                )
+            else:
+                self.answer_success(session)
+        else:
+            self.answer_error(
+                session, statements.Code.MALFORMED, 'failed transaction'
+            )
+
+    def _expire_transaction(
+        self,
+        session: sessions.Session,
+        now_ms: int,
+    ) -> None:
+        """Roll back a transaction; the next answer tells the client."""
+        transaction = session.transaction
         self.journal.write(
             'transaction_idle',
             {'session': session.number, 'database': session.database},
         )
-        service_group = self.groups[transaction.route.service]
-        self.executor.release(service_group, transaction.link, now_ms)
-        transaction.link = None
-        transaction.failed = True
-        transaction.failure_unreported = True
+        if transaction.link is not None:
+            service_group = self.groups[transaction.route.service]
+            self.executor.release(service_group, transaction.link, now_ms)
+        transaction.fail_unreported()
+
+
+def _is_idle_for(
+    transaction: sessions.Transaction | None, limit_ms: int, now_ms: int
+) -> bool:
+    """Return whether a transaction holds a link and has been idle."""
+    if transaction is None or transaction.link is None:
+        return False
+    return now_ms - transaction.active_ms >= limit_ms
 
 
 def _is_inactive(
@@ -529,18 +484,6 @@
     return not clients.has_more(session.number)
 
 
-def _find_routing(
-    session: sessions.Session, configuration: records.Configuration
-) -> records.Routing | None:
-    """Return the route of the open transaction, or of the database."""
-    if session.transaction is not None:
-        return session.transaction.routing
-    route = configuration.routes.get(session.database)
-    if route is None:
-        return None
-    return records.Routing(route, configuration.version)
-
-
 def _end_if_unused(service_group: group.Group) -> bool:
     """Close the links of a removed service that has no statements left.
 
@@ -561,17 +504,3 @@
 _TRANSACTION_ENDS = frozenset(
     (statements.Verb.COMMIT, statements.Verb.ROLLBACK)
 )
-_LOCAL_HANDLERS: typing.Mapping[statements.Verb, typing.Callable] = (
-    types.MappingProxyType(
-        {
-            statements.Verb.BEGIN: Gateway._begin,
-            statements.Verb.BEGIN_READ: Gateway._begin,
-            statements.Verb.ROLLBACK: Gateway._rollback,
-            statements.Verb.COMMIT: Gateway._commit,
-            statements.Verb.SET: Gateway._set,
-            statements.Verb.PREPARE: Gateway._prepare,
-            statements.Verb.DEALLOCATE: Gateway._deallocate,
-            statements.Verb.INVALID: Gateway._invalid,
-        },
-    )
-)
--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -158,6 +158,14 @@
         """Remove a queued statement whose client has disconnected."""
         self.backlog.remove(work)
 
+    def give_up(self, work: sessions.Work, now_ms: int) -> None:
+        """Answer a statement at once, since the process exits."""
+        self.cancel(work)
+        if work.link is None:
+            self.executor.refuse(work, 'stopping', now_ms)
+        else:
+            self.executor.give_up(self, work, now_ms)
+
     def dispatch(self, now_ms: int) -> None:
         """Assign free links to control commands and queued statements."""
         self._send_control_commands(now_ms)
--- a/jacinthhaven/sql/lending.py
+++ b/jacinthhaven/sql/lending.py
@@ -32,6 +32,11 @@
         self.open_replies = 0
         self.state = statements.State.IDLE
 
+    @property
+    def unused(self) -> bool:
+        """Return whether no statement and no transaction is open on it."""
+        return not self.open_replies and self.state is statements.State.IDLE
+
 
 class Lender:
     """Lends links of the services of one node.
@@ -96,7 +101,7 @@
             return
         loan.open_replies += 1
         loan.link.mark_sent(now_ms)
-        self.gateway.databases.send_line(loan.link.number, line)
+        self.gateway.executor.databases.send_line(loan.link.number, line)
 
     def on_reply_line(
         self,
@@ -128,15 +133,15 @@
         loan = self.loans.pop(number, None)
         if loan is None:
             return
-        self.by_link.pop(loan.link.number, None)
-        known = self.gateway.groups[loan.service]
-        idle = not loan.open_replies and loan.state is statements.State.IDLE
-        if not idle or loan.link.number not in known.pool.by_number:
-            known.pool.drop(loan.link)
-            return
-        loan.link.pinned = None
-        loan.link.steps.append(commands.Reset())
-        self.gateway.executor.send_next(known, loan.link, now_ms)
+        self._take_back(loan, now_ms)
+
+    def end_unused(self, now_ms: int) -> None:
+        """End the loans on which nothing runs, since the process will exit."""
+        for loan in tuple(self.loans.values()):
+            if loan.unused:
+                self.loans.pop(loan.number)
+                self.borrowers.end(loan.number)
+                self._take_back(loan, now_ms)
 
     def on_lost(self, link_number: int) -> None:
         """End the loan of a link that was lost."""
@@ -145,6 +150,17 @@
             self.loans.pop(loan.number, None)
             self.borrowers.end(loan.number)
 
+    def _take_back(self, loan: Loan, now_ms: int) -> None:
+        """Use a link again, or close it if something runs on it."""
+        self.by_link.pop(loan.link.number, None)
+        known = self.gateway.groups[loan.service]
+        if not loan.unused or loan.link.number not in known.pool.by_number:
+            known.pool.drop(loan.link)
+            return
+        loan.link.pinned = None
+        loan.link.steps.append(commands.Reset())
+        self.gateway.executor.send_next(known, loan.link, now_ms)
+
 
 def _find_lendable_link(known: pool.Pool, instance: str) -> links.Link | None:
     """Return a free link of this node without session values, if any."""
--- a/jacinthhaven/sql/lending_test.py
+++ b/jacinthhaven/sql/lending_test.py
@@ -89,3 +89,16 @@
     answer = rig.ask(number, 'WRITE k 1', 'w1')
     assert answer.code is None
     assert rig.databases.lenders
+
+
+def test_planned_stop_ends_unused_loans_only():
+    """Guards against statements that a borrower sends to an exiting node."""
+    rig = builders.Rig()
+    lender, loan = _lend(rig)
+    lender.on_line(_BORROWER, 'QUERY x READ k', rig.now_ms)
+    lender.end_unused(rig.now_ms)
+    assert lender.loans
+    lender.on_reply_line(loan.link.number, 'READY I -', statements.State.IDLE)
+    lender.end_unused(rig.now_ms)
+    assert lender.borrowers.sent[_BORROWER][-1] == 'ended'
+    assert not lender.loans
--- /dev/null
+++ b/jacinthhaven/sql/local_statements.py
@@ -0,0 +1,163 @@
+"""Statements that are answered without an instance.
+
+SET, PREPARE and BEGIN change only the session. Its state is replayed on a link when
+a statement needs one.
+"""
+
+import types
+import typing
+
+from jacinthhaven.sql import records, sessions, statements
+
+
+class LocalGateway(typing.Protocol):
+    """The part of a gateway that these statements use."""
+
+    configuration: records.Configuration
+    route_check: typing.Any
+    journal: typing.Any
+
+    def execute(
+        self,
+        session: sessions.Session,
+        statement: statements.Statement,
+        now_ms: int,
+    ) -> None:
+        """Let an instance execute a statement."""
+
+    def answer_success(self, session: sessions.Session) -> None:
+        """Answer a statement that was not sent to an instance."""
+
+    def answer_error(
+        self, session: sessions.Session, code: statements.Code, detail: str
+    ) -> None:
+        """Refuse a statement that was not sent to an instance."""
+
+    def end_transaction(self, session: sessions.Session, now_ms: int) -> None:
+        """Roll back the open transaction, if any."""
+
+
+Handler = typing.Callable[
+    [LocalGateway, sessions.Session, statements.Statement, int], None
+]
+
+
+def begin(
+    gateway: LocalGateway,
+    session: sessions.Session,
+    statement: statements.Statement,
+    now_ms: int,
+) -> None:
+    """Begin a transaction; no instance is involved yet."""
+    if session.transaction is not None:
+        gateway.answer_error(
+            session, statements.Code.MALFORMED, 'nested transaction'
+        )
+        return
+    routing = sessions.find_routing(session, gateway.configuration)
+    if routing is None:
+        code = gateway.route_check.refusal_code(session.database)
+        gateway.answer_error(session, code, '')
+        return
+    read_only = (
+        statement.verb is statements.Verb.BEGIN_READ
+        and routing.route.mode is not records.ConsistencyLevel.PRIMARY
+    )
+    session.transaction = sessions.Transaction(routing, read_only, now_ms)
+    gateway.answer_success(session)
+
+
+def rollback(
+    gateway: LocalGateway,
+    session: sessions.Session,
+    statement: statements.Statement,
+    now_ms: int,
+) -> None:
+    """Roll back the open transaction, if any."""
+    gateway.end_transaction(session, now_ms)
+    gateway.answer_success(session)
+
+
+def commit(
+    gateway: LocalGateway,
+    session: sessions.Session,
+    statement: statements.Statement,
+    now_ms: int,
+) -> None:
+    """Let an instance commit the open transaction."""
+    if session.transaction is None:
+        gateway.answer_error(
+            session, statements.Code.MALFORMED, 'no transaction'
+        )
+    else:
+        gateway.execute(session, statement, now_ms)
+
+
+def set_value(
+    gateway: LocalGateway,
+    session: sessions.Session,
+    statement: statements.Statement,
+    now_ms: int,
+) -> None:
+    """Store a session setting."""
+    session.settings[statement.name] = statement.argument
+    gateway.answer_success(session)
+
+
+def prepare(
+    gateway: LocalGateway,
+    session: sessions.Session,
+    statement: statements.Statement,
+    now_ms: int,
+) -> None:
+    """Store a prepared statement."""
+    kind, _, shape = statement.argument.partition(' ')
+    session.prepared[statement.name] = statements.Prepared(
+        kind == statements.Verb.WRITE.value,
+        shape,
+    )
+    gateway.answer_success(session)
+
+
+def deallocate(
+    gateway: LocalGateway,
+    session: sessions.Session,
+    statement: statements.Statement,
+    now_ms: int,
+) -> None:
+    """Forget a prepared statement."""
+    if session.prepared.pop(statement.name, None) is None:
+        gateway.answer_error(
+            session,
+            statements.Code.UNKNOWN_STATEMENT,
+            statement.name,
+        )
+    else:
+        gateway.answer_success(session)
+
+
+def refuse_invalid(
+    gateway: LocalGateway,
+    session: sessions.Session,
+    statement: statements.Statement,
+    now_ms: int,
+) -> None:
+    """Refuse a statement that is not known."""
+    gateway.journal.count('clients_invalid', 'statement')
+    gateway.answer_error(
+        session, statements.Code.MALFORMED, 'unknown statement'
+    )
+
+
+HANDLERS: typing.Mapping[statements.Verb, Handler] = types.MappingProxyType(
+    {
+        statements.Verb.BEGIN: begin,
+        statements.Verb.BEGIN_READ: begin,
+        statements.Verb.ROLLBACK: rollback,
+        statements.Verb.COMMIT: commit,
+        statements.Verb.SET: set_value,
+        statements.Verb.PREPARE: prepare,
+        statements.Verb.DEALLOCATE: deallocate,
+        statements.Verb.INVALID: refuse_invalid,
+    },
+)
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -11,7 +11,6 @@
     configuration_sync,
     coordination,
     elections,
-    freshness,
     gateway,
     lending,
     load_sharing,
@@ -19,19 +18,12 @@
     ownership,
     peer_messages,
     peering,
+    planned_stop,
     registry,
     relaying,
     store_calls,
 )
 
-# How long a stopping node accepts new sessions: the load balancer needs two
-# failed health checks before it stops sending them.
-ACCEPT_AFTER_STOP_MS = 2200
-# Fraction of the grace period after which open transactions are rolled back.
-_TRANSACTION_GRACE_SHARE = 0.5
-# Time reserved at the end of the grace period for the shutdown itself.
-_GRACE_RESERVE_MS = 700
-
 # Delay before the connection shares grow because there are fewer owners. It
 # exceeds the lease TTL, so that nodes that cannot reach the store for a while
 # keep their shares.
@@ -54,8 +46,7 @@
       peers: Listed nodes by name.
       members: Their sorted names.
       elections: Elections of the services.
-      stopping_ms: When the planned stop began, or None.
-      stopped: Whether the process may exit.
+      planned_stop: Planned stop of the process.
       shrink_ms: When a smaller number of owners may change the shares.
     """
 
@@ -115,8 +106,13 @@
             self.gateway.groups, adapters, calls, self.peering
         )
         self.registry = registry.Registry(documents, adapters.journal)
-        self.stopping_ms: int | None = None
-        self.stopped = False
+        self.planned_stop = planned_stop.PlannedStop(
+            identity.grace_ms,
+            self.gateway,
+            self.relay,
+            self.lender,
+            adapters.clients,
+        )
         self.shrink_ms = 0
         self.now_ms = 0
 
@@ -130,7 +126,13 @@
         """Return whether the load balancer should send new sessions."""
         if self.peering.isolated:
             return False
-        return self.relay.routing_ready and self.stopping_ms is None
+        stopping = self.planned_stop.began_ms is not None
+        return self.relay.routing_ready and not stopping
+
+    @property
+    def stopped(self) -> bool:
+        """Return whether the process may exit."""
+        return self.planned_stop.over
 
     def tick(self, now_ms: int) -> None:
         """Run all timers that are due."""
@@ -142,19 +144,13 @@
         self._tick_peering(now_ms)
         if now_ms >= self.shrink_ms:
             self._update_link_shares()
-        if self.stopping_ms is not None and not self.stopped:
-            self._continue_stop(now_ms)
+        self.planned_stop.tick(now_ms)
 
     def stop(self, now_ms: int) -> None:
         """Begin the planned stop, unless it has begun already."""
-        if self.stopping_ms is None:
-            self.stopping_ms = now_ms
-            self.adapters.journal.write(
-                'stopping',
-                {'sessions': len(self.gateway.sessions)},
-            )
-            self.gateway.drain(now_ms)
-            self.relay.close_inactive(now_ms)
+        count = len(self.gateway.sessions)
+        if self.planned_stop.begin(now_ms):
+            self.adapters.journal.write('stopping', {'sessions': count})
 
     def on_message(self, message: peer_messages.Message, now_ms: int) -> None:
         """Handle a message from another node."""
@@ -275,15 +271,13 @@
     def _on_configuration(self, text: str, revision: history.EraNumber) -> None:
         loaded = self.adapters.documents.configuration(text)
         if isinstance(loaded, str):
-            unusable = freshness.Edition(freshness.NO_VERSION, revision)
-            self.sync.on_received(unusable, text)
+            self.sync.on_received(None, revision, text)
             self.adapters.journal.write(
                 'configuration_unusable',
                 {'revision': revision, 'reason': loaded},
             )
             return
-        edition = freshness.Edition(loaded.version, revision)
-        self.sync.on_received(edition, text)
+        self.sync.on_received(loaded.version, revision, text)
         reads = self.coordination
         self.adapters.journal.write(
             'configuration_received',
@@ -348,17 +342,3 @@
         addresses = {name: peer.address for name, peer in self.peers.items()}
         addresses[self.identity.name] = self.identity.peer.address
         self.load_sharing.update_owners(addresses)
-
-    def _continue_stop(self, now_ms: int) -> None:
-        elapsed_ms = now_ms - self.stopping_ms
-        if elapsed_ms >= ACCEPT_AFTER_STOP_MS:
-            self.adapters.clients.stop_accepting()
-        grace_ms = self.identity.grace_ms
-        if elapsed_ms >= grace_ms * _TRANSACTION_GRACE_SHARE:
-            self.gateway.close_after_answer = True
-            self.gateway.abort_transactions(now_ms)
-        expired = elapsed_ms >= grace_ms - _GRACE_RESERVE_MS
-        busy = self.gateway.sessions or self.relay.sessions or self.lender.loans
-        idle = elapsed_ms >= ACCEPT_AFTER_STOP_MS and not busy
-        if expired or idle:
-            self.stopped = True
--- a/jacinthhaven/sql/relaying.py
+++ b/jacinthhaven/sql/relaying.py
@@ -59,6 +59,7 @@
       accepted: Whether the owner has accepted the session.
       state: Transaction state after the last answer.
       unanswered: Statements without an answer, oldest first.
+      refused: Number of statements that are refused after those.
       active_ms: When the owner was last tried or pinged, when it last sent a
         line, or when a statement was sent while none was unanswered.
       pinged: Whether a ping to the owner is unanswered.
@@ -73,6 +74,7 @@
         'accepted',
         'state',
         'unanswered',
+        'refused',
         'active_ms',
         'pinged',
     )
@@ -87,6 +89,7 @@
         self.accepted = False
         self.state = statements.State.IDLE
         self.unanswered: list[statements.Statement] = []
+        self.refused = 0
         self.active_ms = 0
         self.pinged = False
 
@@ -184,6 +187,9 @@
             )
             self.local.clients.answer(number, answer)
             return
+        if session.refused or statement.verb in self.local.refused_verbs:
+            self._refuse(session)
+            return
         if not session.unanswered:
             session.active_ms = now_ms
         session.unanswered.append(statement)
@@ -221,6 +227,9 @@
             session.state = state
         self.local.clients.send_line(session.number, line)
         answered = state is not None and session.idle
+        if session.refused and not session.unanswered:
+            self._answer_refused(session)
+            return
         if self.local.close_after_answer and answered:
             if not self.local.clients.has_more(session.number):
                 self._close(session)
@@ -262,6 +271,58 @@
             if session.accepted and self._is_inactive(session, now_ms):
                 self._close(session)
 
+    def abort_transactions(self, now_ms: int) -> None:
+        """Roll back the transactions that have no running statement.
+
+        The owner does so when its connection closes. This node answers the
+        next statement itself.
+        """
+        for session in tuple(self.sessions.values()):
+            open_transaction = session.state is not statements.State.IDLE
+            if open_transaction and not session.unanswered:
+                self.sessions.pop(session.number)
+                self._drop(session)
+                self.local.adopt_aborted(
+                    session.number, session.database, now_ms
+                )
+
+    def end_sessions(self) -> None:
+        """Answer all statements and close all sessions."""
+        for start in self.pending_starts:
+            self.local.clients.refuse(start.number, statements.Code.BUSY)
+        self.pending_starts = []
+        for session in tuple(self.sessions.values()):
+            if session.accepted:
+                self._on_owner_lost(session)
+            else:
+                self.sessions.pop(session.number, None)
+                self._drop(session)
+                self.local.clients.refuse(session.number, statements.Code.BUSY)
+
+    def _refuse(self, session: RelayedSession) -> None:
+        """Refuse a statement, since the process is about to exit.
+
+        The session is closed with the answer if nothing else runs on it, and
+        with the next answer of the owner otherwise.
+        """
+        session.refused += 1
+        if not session.unanswered:
+            self._answer_refused(session)
+
+    def _answer_refused(self, session: RelayedSession) -> None:
+        """Answer the refused statements after those that the owner answers."""
+        code = statements.Code.BUSY
+        if session.state is not statements.State.IDLE:
+            code = statements.Code.ABORTED
+        answer = statements.Answer(
+            code=code, detail='stopping', state=session.state
+        )
+        while session.refused:
+            session.refused -= 1
+            self.local.clients.answer(session.number, answer)
+        if not self.local.clients.has_more(session.number):
+            self._close(session)
+
     def _start(self, start: PendingStart, now_ms: int) -> None:
         number, database, arrived_ms = start
         if not self.routing_ready:
@@ -407,7 +468,8 @@
                 },
             )
             answer = statements.Answer(code=code, detail='owner lost')
-            self.local.clients.answer(session.number, answer)
+            for _ in session.unanswered:
+                self.local.clients.answer(session.number, answer)
         self._close(session)
 
     def _close(self, session: RelayedSession) -> None:
--- a/jacinthhaven/sql/relaying_test.py
+++ b/jacinthhaven/sql/relaying_test.py
@@ -329,3 +329,43 @@
     setup.reply('READY I 1.1')
     assert clients.closed == [_CLIENT]
     assert clients.lines[_CLIENT][-1] == 'READY I 1.1'
+
+
+def test_relayed_transaction_ends_at_half_of_the_grace():
+    """Guards against a relayed transaction that outlives the relaying node."""
+    setup = _Setup()
+    setup.start()
+    setup.send('BEGIN')
+    setup.reply('READY T -')
+    setup.relay.abort_transactions(_NOW_MS)
+    assert setup.relays.closed == {1}
+    setup.relay.on_statement(
+        _CLIENT, client_wire.decode_query('QUERY c COMMIT'), _NOW_MS
+    )
+    assert setup.answers[-1].code is statements.Code.ABORTED
+
+
+def test_exit_answers_all_relayed_statements():
+    """Guards against pipelined statements of which only the first is answered."""
+    setup = _Setup()
+    setup.start()
+    for text in ('READ k', 'WRITE k 1', 'READ k'):
+        setup.send(text)
+    setup.relay.end_sessions()
+    codes = [answer.code for answer in setup.answers]
+    assert codes == [statements.Code.OUTCOME_UNKNOWN for _ in range(3)]
+    assert setup.rig.clients.closed == [_CLIENT]
+
+
+def test_refusal_keeps_the_order_of_relayed_answers():
+    """Guards against an answer that is taken for that of another statement."""
+    setup = _Setup()
+    setup.start()
+    setup.send('READ k')
+    setup.rig.gateway.refused_verbs = frozenset(statements.Verb)
+    setup.send('WRITE k 1')
+    assert not setup.answers
+    setup.reply('READY I -')
+    codes = [answer.code for answer in setup.answers]
+    assert codes == [statements.Code.BUSY]
+    assert setup.rig.clients.closed == [_CLIENT]
--- a/jacinthhaven/sql/sessions.py
+++ b/jacinthhaven/sql/sessions.py
@@ -52,6 +52,16 @@
         """Return the route that was in force when the transaction began."""
         return self.routing.route
 
+    def fail(self) -> None:
+        """Mark it as failed and detach it from its link."""
+        self.link = None
+        self.failed = True
+
+    def fail_unreported(self) -> None:
+        """Mark it as failed; the answer to the next statement reports it."""
+        self.fail()
+        self.failure_unreported = True
+
 
 class Session:
     """One client connection.
@@ -218,3 +228,15 @@
             or self.session.transaction is None
             and not self.repeatable
         )
+
+
+def find_routing(
+    session: Session, configuration: records.Configuration
+) -> records.Routing | None:
+    """Return the route of the open transaction, or of the database."""
+    if session.transaction is not None:
+        return session.transaction.routing
+    route = configuration.routes.get(session.database)
+    if route is None:
+        return None
+    return records.Routing(route, configuration.version)
--- a/scenarios/sql_variants.py
+++ b/scenarios/sql_variants.py
@@ -5,7 +5,14 @@
 import typing
 from unittest import mock
 
-from jacinthhaven.sql import execution, leadership, rights
+from jacinthhaven.sql import (
+    execution,
+    gateway,
+    leadership,
+    planned_stop,
+    relaying,
+    rights,
+)
 
 
 def _covers_newest_term(
@@ -39,6 +46,19 @@
         yield
 
 
+@contextlib.contextmanager
+def exit_without_answers() -> typing.Iterator[None]:
+    """Take every statement until the exit, and drop what is not answered."""
+    none = frozenset()
+    with (
+        mock.patch.object(planned_stop, '_BEGINS', none),
+        mock.patch.object(planned_stop, '_NEW_WORK', none),
+        mock.patch.object(gateway.Gateway, 'end_sessions', _do_nothing),
+        mock.patch.object(relaying.Relay, 'end_sessions', _do_nothing),
+    ):
+        yield
+
+
 Variant = typing.Callable[[], typing.ContextManager[None]]
 
 VARIANTS: typing.Mapping[str, Variant] = types.MappingProxyType(
