Release primaries in the soak, and check its logs for late and cut work

Cause: the soak had no release, no pause within a transaction and no check of what a process leaves unanswered at its exit, so that none of the three cases could show.

Change: the stand-in of the instances shows notices to leave; a thread releases the primary again and again; two of eight clients pause 1.2 s within transactions; the log of each proxy is checked for work that is placed later than 7 s after a notice and for statements without an answer at the exit.

The tests of the checks pass.

--- a/jacinthhaven/standins/sql_platform.py
+++ b/jacinthhaven/standins/sql_platform.py
@@ -51,6 +51,7 @@
 
     Attributes:
       silent: Instances that do not answer.
+      leaving: Instances that have given notice to leave.
       lose_answers: Number of next answers to writes that are lost.
       refuse: Whether the store refuses every call.
       silent_store: Whether the store answers nothing.
@@ -62,6 +63,7 @@
     """
 
     silent: list[str] = msgspec.field(default_factory=list)
+    leaving: list[str] = msgspec.field(default_factory=list)
     lose_answers: int = 0
     refuse: bool = False
     silent_store: bool = False
@@ -167,6 +169,7 @@
             known = self.faults
             self.faults = self.faults.changed(exchange.message.body)
             self.instances.silent = set(self.faults.silent)
+            self.instances.leaving = set(self.faults.leaving)
             self.instances.lose_answers = self.faults.lose_answers
             self.instances.advertised = self.faults.advertised
             self.kv.faults.refuse = self.faults.refuse
--- a/jacinthhaven/standins/sql_server.py
+++ b/jacinthhaven/standins/sql_server.py
@@ -20,6 +20,7 @@
       ports: TCP port of each instance.
       advertised: Ports that the registry names instead, by instance.
       silent: Instances that take statements and do not answer.
+      leaving: Instances that have given notice to leave.
       lose_answers: Number of next answers to writes that are lost.
       open: Connections by instance.
     """
@@ -31,6 +32,7 @@
         self.ports: dict[str, int] = {}
         self.advertised: dict[str, int] = {}
         self.silent: set[str] = set()
+        self.leaving: set[str] = set()
         self.lose_answers = 0
         self.open: dict[str, int] = dict.fromkeys(group.instances, 0)
         self.most_open = 0
@@ -60,7 +62,7 @@
             'address': f'127.0.0.1:{port}',
             'zone': 'a',
             'slots': 3,
-            'state': 'ready',
+            'state': 'draining' if name in self.leaving else 'ready',
             'dbRole': 'primary' if leads else 'replica',
             'sequence': 1,
         }
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -15,6 +15,10 @@
 
 _TIMEOUT_S = 4
 _PAUSE_S = 0.005
+# Each fourth client pauses within its transactions, so that primaries are replaced
+# and proxies stop meanwhile.
+_SLOW_CLIENTS = 4
+_TRANSACTION_PAUSE_S = 1.2
 # What the stand-in returns for an item without a value.
 _NOTHING = 'none'
 PROMISES = frozenset(
@@ -176,6 +180,8 @@
                 self._judge(request, step, Answer('ABORTED', (), ''))
                 session.ask(request, 'ROLLBACK')
                 return
+            if self.number % _SLOW_CLIENTS == 0:
+                self.stopped.wait(_TRANSACTION_PAUSE_S)
         self._judge(request, step, self._ask(session, request, 'COMMIT'))
 
     def _ask(self, session: Session, request: str, text: str) -> Answer:
--- /dev/null
+++ b/soak/releases_test.py
@@ -0,0 +1,61 @@
+"""Tests of what the soak finds in the log of a proxy."""
+
+import json
+
+import pytest
+
+from soak import releases
+
+_TIME = '2026-01-01T00:00:{:02}+00:00'
+_BEGAN_S = 1767225600.0
+_SPANS = [releases.Release('i-a', _BEGAN_S, _BEGAN_S + 8)]
+
+
+@pytest.fixture
+def write_log(tmp_path):
+    """Return a function that writes a log of events and their seconds."""
+
+    def write(*events):
+        """Write a log and return its file."""
+        log = tmp_path / 'n1.log'
+        lines = [
+            json.dumps(
+                {
+                    'timestamp': _TIME.format(second),
+                    'event': event,
+                    'request': 'r1',
+                    'instance': 'i-a',
+                }
+            )
+            for second, event in events
+        ]
+        log.write_text('\n'.join(lines))
+        return log
+
+    return write
+
+
+def test_statement_without_an_answer_at_the_exit_is_found(write_log):
+    """Guards against a stop that cuts statements unnoticed."""
+    log = write_log((0, 'started'), (1, 'place'), (2, 'stopped'))
+    assert len(releases.log_problems(log, _SPANS)) == 1
+
+
+def test_killed_process_owes_no_answer(write_log):
+    """Guards against alarms about processes that were killed."""
+    log = write_log((0, 'started'), (1, 'place'), (3, 'started'))
+    assert not releases.log_problems(log, _SPANS)
+
+
+@pytest.mark.parametrize('second', [6, 7, 8])
+def test_work_in_time_is_allowed(write_log, second):
+    """Guards against alarms about work that may be sent."""
+    log = write_log((second, 'place'), (second, 'answer'))
+    assert not releases.log_problems(log, _SPANS)
+
+
+def test_late_work_is_found(write_log):
+    """Guards against work at a leaving primary that goes unnoticed."""
+    spans = [releases.Release('i-a', _BEGAN_S - 1, _BEGAN_S + 8)]
+    log = write_log((7, 'place'), (7, 'answer'))
+    assert len(releases.log_problems(log, spans)) == 1
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,6 +21,7 @@
     fleet,
     harms,
     loopback,
+    releases,
     timeline,
     versions,
 )
@@ -72,9 +73,11 @@
         self.faults = timeline.Recorder()
         self.restores = 0
         self.harms = harms.Harms(seed, self.fleet.paths)
+        self.releases = releases.Releases(seed, self.fleet.control)
         if harmed:
             self.harms.start()
             self.operator.start()
+            self.releases.start()
 
     def run(self) -> list[str]:
         """Play the faults and return the broken promises."""
@@ -164,6 +167,9 @@
         problems = []
         for proxy in self.fleet.proxies:
             problems.extend(versions.log_problems(proxy.log))
+            problems.extend(
+                releases.log_problems(proxy.log, self.releases.spans)
+            )
         return problems
 
     def _inject(self, fault: faults.Fault) -> None:
@@ -171,6 +177,7 @@
 
     def _end_faults(self) -> None:
         self.operator.stop()
+        self.releases.stop()
         self.harms.stop()
         self._heal()
 
--- a/soak/versions.py
+++ b/soak/versions.py
@@ -128,7 +128,7 @@
 def read_log(log: pathlib.Path) -> list[Handled]:
     """Return the requests in the log of a proxy."""
     found: dict[str, Handled] = {}
-    for entry in _entries(log):
+    for entry in entries(log):
         if entry.get('event') == 'answer':
             handled = _decode(entry)
             found.setdefault(handled.request, handled)
@@ -143,7 +143,7 @@
     """
     problems = []
     newest = 0
-    for entry in _entries(log):
+    for entry in entries(log):
         if entry.get('event') == 'started':
             newest = 0
         if entry.get('message') == 'unexpected error':
@@ -182,7 +182,7 @@
     return late
 
 
-def _entries(log: pathlib.Path) -> typing.Iterator[dict[str, typing.Any]]:
+def entries(log: pathlib.Path) -> typing.Iterator[dict[str, typing.Any]]:
     """Yield the lines of a log; the last one of a killed process may be cut."""
     for line in log.read_text(errors='replace').splitlines():
         with contextlib.suppress(json.JSONDecodeError):
