Finish promotions whose holder is lost, and let a term have one leader

Nodes that start confirm no term while a record moves, although that term has long begun, so no majority confirms it. A node that is apart hears of the newer term in the replies to its own stop requests, but did not take it over: it withdrew term 1 every 700 ms and gave up. And a promotion that was given up recorded the old instance beside the newest term, a pair that nobody had seen; records went before what instances said, so beliefs changed to and fro.

Change: a moving record of a term that has begun hinders no node; stop replies teach the newer term; the record of a promotion that was given up names the lead that is known, or none; leadership.Source orders what contradicts (an instance itself before a record), and a contradiction is logged. The search ends each run with 8 s of calm after which each node must serve a write, and kills half of the nodes in a promotion. availability shows since when and why a primary cannot be used, in the log and on the metrics page.

--- a/jacinthhaven/process/sql_proxy.py
+++ b/jacinthhaven/process/sql_proxy.py
@@ -378,6 +378,12 @@
             len(group.backlog.waiting) for group in gateway.groups.values()
         )
         self.page.gauge('waiting', waiting)
+        now_ms = self.clock.now_ms()
+        missing = [
+            group.availability.missing_for(now_ms)
+            for group in gateway.groups.values()
+        ]
+        self.page.gauge('primary_missing_ms', max(missing, default=0))
 
     def _revoke_lease(self) -> None:
         # If the store does not respond, the lease expires by itself.
--- a/jacinthhaven/sql/election.py
+++ b/jacinthhaven/sql/election.py
@@ -18,6 +18,7 @@
 from jacinthhaven.sql import (
     failover,
     group,
+    leadership,
     peering,
     ports,
     promotion_lock,
@@ -163,10 +164,14 @@
         """Accept that all keys of the store are known.
 
         The node may then confirm terms, unless a promotion is under way
-        already; such a promotion shows in its lock or in the leader record.
-        From then on the node learns of every promotion.
+        already; such a promotion shows in its lock or in the leader record. A
+        record of a term that has begun is one whose holder was lost before it
+        could finish it. From then on the node learns of every promotion.
         """
-        if not (self.lock.held_by_other or self.failover.orders.moving):
+        term = self.service.leadership.term
+        if not (
+            self.lock.held_by_other or self.failover.orders.moves_beyond(term)
+        ):
             self.service.right.knows_promotions = True
 
     def tick(
@@ -234,11 +239,10 @@
     def _apply_leader_record(self, record: store_records.LeaderRecord) -> None:
         self.lag_failover_ms = self.now_ms + _LAG_FAILOVER_PAUSE_MS
         self.failover.orders.on_record(record, self.now_ms)
-        leadership = self.service.leadership
         right = self.service.right
         if record.moving:
-            if record.term >= leadership.term:
-                leadership.expect_promotion(self.now_ms)
+            if record.term >= self.service.leadership.term:
+                self.service.leadership.expect_promotion(self.now_ms)
             if right.on_stop('', record.term - 1, record.fence, self.now_ms):
                 right.stopped_term = right.draining_term
         else:
@@ -246,7 +250,10 @@
             self._set_leader(record)
 
     def _set_leader(self, record: store_records.LeaderRecord) -> None:
-        self.service.tracker.set_leader(record.instance, record.term, 'store')
+        if record.instance:
+            self.service.tracker.set_leader(
+                record.instance, record.term, leadership.Source.RECORD
+            )
 
     def _stagger_delay_ms(self, members: tuple[str, ...]) -> int:
         """Return how long this node waits for other nodes to act."""
--- a/jacinthhaven/sql/election_test.py
+++ b/jacinthhaven/sql/election_test.py
@@ -7,6 +7,7 @@
     builders,
     cluster_builders,
     failover,
+    leadership,
     ports,
     promotion_lock,
     records,
@@ -122,7 +123,7 @@
         election.suspects[member.identity.name] = 'db-a'
     election.report.suspect = 'db-a'
     election.report.writing = True
-    election.service.tracker.set_leader('db-b', 2, 'test')
+    election.service.tracker.set_leader('db-b', 2, leadership.Source.STATUS)
     election.tick(cluster.nodes[0].members, 1, cluster.now_ms + 5000)
     assert election.runner is None
 
--- a/jacinthhaven/sql/failover.py
+++ b/jacinthhaven/sql/failover.py
@@ -13,6 +13,7 @@
 from jacinthhaven.sql import (
     commands,
     group,
+    leadership,
     peering,
     ports,
     promotion_lock,
@@ -92,7 +93,7 @@
         term = self.service.leadership.term
         chosen = yield from self._choose(old, cause, term)
         if not chosen:
-            yield from self._abandon(old, term)
+            yield from self._abandon(term)
             return
         recorded = yield from self._record_successor(chosen, term + 1)
         if not recorded or self.service.right.fence > fence:
@@ -135,7 +136,7 @@
         )
         if order.refused:
             self.service.leadership.expected_ms = None
-            yield from self._abandon(old, term)
+            yield from self._abandon(term)
             return
         if self.service.right.required:
             if order.accepted:
@@ -168,10 +169,12 @@
                 return True
         return False
 
-    def _abandon(self, old: str, term: int) -> scripts.Script:
-        """Let all nodes use the old primary again.
+    def _abandon(self, term: int) -> scripts.Script:
+        """Let all nodes use the primary again.
 
-        That is not done while an order may still be carried out.
+        That is not done while an order may still be carried out. The record names
+        the lead that this node knows, or none: a term that has begun meanwhile need
+        not be that of the old primary.
         """
         fence = self.lock.fence
         if not self.service.right.required or self.orders.pending(
@@ -184,7 +187,8 @@
             'promotion_given_up',
             {'service': self.service.name, 'fence': fence, 'term': term},
         )
-        yield self._leader_record(old, term, moving=False)
+        lead = self.service.leadership.lead or leadership.Lead('', 0)
+        yield self._leader_record(lead.instance, lead.term, moving=False)
 
     def _choose(self, old: str, cause: Cause, term: int) -> scripts.Script:
         """Return the successor, or '' if there is none or none is needed."""
@@ -347,7 +351,9 @@
         """
         for name, status in statuses.items():
             if status.is_primary and status.term >= term:
-                self.service.tracker.set_leader(name, status.term, 'election')
+                self.service.tracker.set_leader(
+                    name, status.term, leadership.Source.ELECTION
+                )
                 return True
         return False
 
@@ -390,10 +396,12 @@
             replies = yield scripts.Broadcast((chosen,), commands.AskStatus())
             status = replies[chosen]
             if status is not None and status.is_primary:
-                leadership = self.service.leadership
-                leadership.promote_ms = self.now_ms - started_ms
+                known = self.service.leadership
+                known.promote_ms = self.now_ms - started_ms
                 self.orders.unanswered_until_ms = 0
-                self.service.tracker.set_leader(chosen, status.term, 'election')
+                self.service.tracker.set_leader(
+                    chosen, status.term, leadership.Source.ELECTION
+                )
                 yield self._leader_record(chosen, status.term, moving=False)
                 if self.acknowledging:
                     yield from self._resume(chosen)
--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -8,6 +8,7 @@
 
 from jacinthhaven.scheduling import backlog, placement, scheduler
 from jacinthhaven.sql import (
+    availability,
     commands,
     execution,
     instances,
@@ -37,6 +38,7 @@
       owners: Nodes that own the service, sorted by name.
       primary_check: Check that the primary is alive.
       right: Right of this node to use the primary.
+      availability: Time for which the primary cannot be used.
       limits_ms: Shortest target of the routes of each priority.
       scheduler: Queue of the statements.
     """
@@ -74,6 +76,7 @@
         self.primary_check = primary_check.PrimaryCheck(
             self.pool.states, self.tracker.leadership, self.ask
         )
+        self.availability = availability.Availability(name, executor.journal)
         self.owned = True
         self.removed = False
         self.owners: tuple[str, ...] = ()
@@ -178,6 +181,12 @@
         self._maintain_links(now_ms)
         if self.active:
             self.primary_check.tick(now_ms)
+            self.availability.update(
+                availability.find_obstacle(
+                    self.leader_state, self.right, now_ms
+                ),
+                now_ms,
+            )
         self.dispatch(now_ms)
         self.scheduler.refuse_expired(now_ms)
 
--- a/jacinthhaven/sql/leadership.py
+++ b/jacinthhaven/sql/leadership.py
@@ -1,5 +1,6 @@
 """The primary of a service as one node knows it."""
 
+import enum
 import typing
 
 from jacinthhaven.sql import records
@@ -24,6 +25,18 @@
     term: int
 
 
+class Source(enum.Enum):
+    """Where a node learned which instance leads.
+
+    An instance says so itself, in the reply to a status request. A record in
+    the store was written by another node, and may be late.
+    """
+
+    STATUS = 'status'
+    ELECTION = 'election'
+    RECORD = 'store'
+
+
 class Leadership:
     """Last known leader and term of one service.
 
@@ -34,6 +47,8 @@
         a promotion is under way or this process starts; otherwise None.
       promote_ms: Duration of the last promotion.
       searched_ms: When the instances were last asked for their status.
+      named: Instance that was last believed to lead this term, or ''.
+      certain: Whether that instance itself has said whether it does.
     """
 
     def __init__(self, now_ms: int) -> None:
@@ -43,6 +58,8 @@
         self.expected_ms: int | None = now_ms + _STARTUP_DISCOVERY_MS
         self.promote_ms = _DEFAULT_PROMOTE_MS
         self.searched_ms: int | None = None
+        self.named = ''
+        self.certain = False
 
     @property
     def lead(self) -> Lead | None:
@@ -57,16 +74,24 @@
         """Let statements wait for a promotion that begins now."""
         self.expected_ms = now_ms + self.promote_ms
 
-    def observe(self, instance: str, term: int) -> bool:
+    def contradicts(self, instance: str, term: int) -> bool:
+        """Return whether another instance is known to lead a term."""
+        return term == self.term and self.named not in {'', instance}
+
+    def observe(self, instance: str, term: int, source: Source) -> bool:
         """Record the leader of a term; return whether anything changed.
 
-        Reports about an older term are ignored.
+        Reports about an older term are ignored, and so is a record about a term
+        of which an instance itself has told.
         """
-        if term < self.term:
+        recorded = source is Source.RECORD
+        if term < self.term or recorded and term == self.term and self.certain:
             return False
         changed = term > self.term or self.leader != instance
         self.term = term
         self.leader = instance
+        self.named = instance
+        self.certain = not recorded
         if changed:
             self.expected_ms = None
         return changed
@@ -77,9 +102,13 @@
         Returns:
           Whether it was the known leader.
         """
-        self.term = max(self.term, term)
+        if term > self.term:
+            self.term = term
+            self.named = ''
+            self.certain = False
         if self.leader != instance:
             return False
+        self.certain = bool(self.named)
         self.leader = None
         self.searched_ms = None
         return True
--- a/jacinthhaven/sql/peering.py
+++ b/jacinthhaven/sql/peering.py
@@ -224,12 +224,7 @@
                 rights.Confirmation(message.at_ms, held.term, held.stopped),
             )
             service_group.right.on_ended(held.resumed)
-            if held.term > service_group.leadership.term:
-                service_group.tracker.clear_leader(
-                    service_group.leadership.leader or '',
-                    held.term,
-                    'node',
-                )
+            _learn_term(service_group, held.term)
 
     def _on_stop_request(
         self, message: peer_messages.StopRequest, now_ms: int
@@ -251,6 +246,9 @@
     def _on_stop_reply(
         self, message: peer_messages.StopReply, now_ms: int
     ) -> None:
+        service_group = self.groups.get(message.service)
+        if service_group is not None:
+            _learn_term(service_group, message.term)
         withdrawal = self.withdrawals.get(message.service)
         if withdrawal is not None and withdrawal.fence == message.fence:
             withdrawal.on_stopped(
@@ -383,6 +381,14 @@
             self.messenger.send(address, message)
 
 
+def _learn_term(service_group: group.Group, term: int) -> None:
+    """Accept that a term has begun that another node knows."""
+    if term > service_group.leadership.term:
+        service_group.tracker.clear_leader(
+            service_group.leadership.leader or '', term, 'node'
+        )
+
+
 def _awaits_primary(service_group: group.Group, now_ms: int) -> bool:
     """Return whether client statements still await replies of the primary."""
     state = service_group.leader_state
--- a/jacinthhaven/sql/reads_test.py
+++ b/jacinthhaven/sql/reads_test.py
@@ -1,6 +1,13 @@
 """Tests of reads: placement, age of the data and proofs by the primary."""
 
-from jacinthhaven.sql import builders, commands, proofs, records, statements
+from jacinthhaven.sql import (
+    builders,
+    commands,
+    leadership,
+    proofs,
+    records,
+    statements,
+)
 
 
 def position(number: int, term: int = 1) -> records.Position:
@@ -154,7 +161,7 @@
     rig.run(600)
     rig.databases.silent.add('db-a')
     rig.group.promote('db-b')
-    rig.service.tracker.set_leader('db-b', 2, 'store')
+    rig.service.tracker.set_leader('db-b', 2, leadership.Source.RECORD)
     before_ms = rig.now_ms
     answer = rig.ask(rig.connect(builders.OWN), 'READ k', 'r')
     assert answer.rows == ('a',)
--- a/jacinthhaven/sql/replaced_lead_test.py
+++ b/jacinthhaven/sql/replaced_lead_test.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from jacinthhaven.sql import builders, cluster_builders, proofs, statements
+from jacinthhaven.sql import (
+    builders,
+    cluster_builders,
+    leadership,
+    proofs,
+    statements,
+)
 
 
 @pytest.fixture
@@ -20,7 +26,7 @@
 def _replace(rig: builders.Rig) -> None:
     """Let db-b lead; db-a goes on, since nobody demotes it."""
     rig.group.promote('db-b')
-    rig.service.tracker.set_leader('db-b', 2, 'test')
+    rig.service.tracker.set_leader('db-b', 2, leadership.Source.STATUS)
 
 
 def _answer(rig: builders.Rig, number: int) -> statements.Answer:
@@ -95,8 +101,8 @@
     rig.databases.work_ms = 50
     rig.send(rig.connect(builders.STRICT), 'WRITE k 1', 'w1')
     _replace(rig)
-    rig.service.tracker.set_leader('db-c', 3, 'test')
-    rig.service.tracker.set_leader('db-a', 4, 'test')
+    rig.service.tracker.set_leader('db-c', 3, leadership.Source.STATUS)
+    rig.service.tracker.set_leader('db-a', 4, leadership.Source.STATUS)
     rig.run(60)
     assert _newest_proof(rig) is None or _newest_proof(rig).term < 4
 
--- a/jacinthhaven/sql/reply_tracker.py
+++ b/jacinthhaven/sql/reply_tracker.py
@@ -76,18 +76,21 @@
             if self._is_proof(link, command, reply):
                 self._add_proof(link, reply)
 
-    def set_leader(self, instance: str, term: int, source: str) -> None:
+    def set_leader(
+        self, instance: str, term: int, source: leadership.Source
+    ) -> None:
         """Accept that an instance leads a term."""
-        if self.leadership.observe(instance, term):
-            self.journal.write(
-                'leader_changed',
-                {
-                    'service': self.name,
-                    'instance': instance,
-                    'term': term,
-                    'source': source,
-                },
-            )
+        fields = {
+            'service': self.name,
+            'instance': instance,
+            'term': term,
+            'source': source.value,
+        }
+        if self.leadership.contradicts(instance, term):
+            known = {'known': self.leadership.named}
+            self.journal.write('leader_contradicted', fields | known)
+        if self.leadership.observe(instance, term, source):
+            self.journal.write('leader_changed', fields)
 
     def clear_leader(self, instance: str, term: int, source: str) -> None:
         """Accept that an instance does not lead."""
@@ -108,7 +111,9 @@
         status: records.InstanceStatus,
     ) -> None:
         if status.is_primary:
-            self.set_leader(link.instance, status.term, 'status')
+            self.set_leader(
+                link.instance, status.term, leadership.Source.STATUS
+            )
         else:
             self.clear_leader(link.instance, status.term, 'status')
 
--- a/jacinthhaven/sql/rights_model_test.py
+++ b/jacinthhaven/sql/rights_model_test.py
@@ -229,7 +229,7 @@
 
     def _start(self, name: str) -> rights.Right:
         leads = leadership.Leadership(self.now_ms)
-        leads.observe('db-a', 1)
+        leads.observe('db-a', 1, leadership.Source.STATUS)
         node = self.right(leads)
         node.require(name, self.now_ms)
         node.voters = _NODES
--- a/jacinthhaven/sql/store_records.py
+++ b/jacinthhaven/sql/store_records.py
@@ -18,8 +18,9 @@
     """Stored record of the leader of a service, or of its successor.
 
     Attributes:
-      instance: Instance that leads, or that is to be promoted.
-      term: Its term.
+      instance: Instance that leads, or that is to be promoted; '' if a promotion
+        was given up while no leader was known.
+      term: Its term; 0 without an instance.
       moving: Whether the promotion order may not have been carried out yet.
       fence: Fencing token of the promotion.
       accepted: Whether the platform has accepted the order, which then is
@@ -172,10 +173,10 @@
         self.record_ms = 0
         self.unanswered_until_ms = 0
 
-    @property
-    def moving(self) -> bool:
-        """Return whether the last order may not be carried out yet."""
-        return self.record is not None and self.record.moving
+    def moves_beyond(self, term: int) -> bool:
+        """Return whether an order of a later term may not be carried out yet."""
+        record = self.record
+        return record is not None and record.moving and record.term > term
 
     def on_record(self, record: LeaderRecord, now_ms: int) -> None:
         """Accept a leader record; a repeated one keeps its first time."""
--- a/scenarios/sql_clients.py
+++ b/scenarios/sql_clients.py
@@ -93,6 +93,12 @@
         elif now_ms >= self.resume_ms:
             self._advance(None, now_ms)
 
+    def leave(self, now_ms: int) -> None:
+        """Close the session, which rolls back an open transaction."""
+        if self.index is not None:
+            self.cluster.relay(self.index).on_closed(self.number, now_ms)
+            self.index = None
+
     def on_restart(self, index: int) -> None:
         """Lose the session if it is on a node that has restarted."""
         if self.index == index:
--- a/scenarios/sql_faults.py
+++ b/scenarios/sql_faults.py
@@ -29,6 +29,12 @@
 _SETTLE_MS = 3000
 _SLOW_ANSWER_MS = 240
 _MAX_READ_AGE_MS = 1500
+# Time after the last fault in which all nodes must serve writes again, and the time
+# for one write.
+RECOVERY_MS = 8000
+_WRITE_LIMIT_MS = 1000
+# Chance in each step that a node loses power while it holds the promotion lock.
+_LOSS_SHARE = 0.05
 _MAX_ANSWER_DELAY_MS = 800
 _REGISTRY = 'servers/'
 
@@ -59,6 +65,7 @@
       released_ms: When the store accepted that an instance is leaving.
       suspended_ms: When each node was last suspended.
       earlier: State of the store that old reads return.
+      awaits_order: Whether half of the nodes lose power in the next promotion.
       broken: Broken promises that are not reported yet.
     """
 
@@ -72,6 +79,7 @@
         self.released_ms: dict[str, int] = {}
         self.suspended_ms: dict[int, int] = {}
         self.old_reads = False
+        self.awaits_order = False
         self.earlier_ms = 0
         self.broken: list[str] = []
         self.seen_lines = [0 for _ in range(_NODES)]
@@ -93,6 +101,7 @@
             self.stop,
             self.stop,
             self.restart,
+            self.restart_half,
             self.suspend,
             self.cut_primary,
             self.heal,
@@ -103,10 +112,26 @@
         """Return the present time."""
         return self.cluster.now_ms
 
+    def run(self) -> list[str]:
+        """Play faults and return what was violated.
+
+        Afterwards, all nodes must serve again within a limit.
+        """
+        found = super().run()
+        if found:
+            return found
+        self.heal()
+        until_ms = self.now_ms + RECOVERY_MS
+        while self.now_ms < until_ms:
+            self.step()
+            found += self.violations()
+        return found + self._unserved()
+
     def step(self) -> None:
         """Advance the time, the clients and the instances that leave."""
         self._run_cluster(_STEP_MS)
         self._end_stops()
+        self._restart_half_if_due()
         for client in self.clients:
             if client.index not in self.cluster.frozen:
                 client.tick(self.now_ms)
@@ -184,6 +209,38 @@
         for rig in self.cluster.rigs:
             rig.databases.silent.clear()
 
+    def restart_half(self) -> None:
+        """Let half of the nodes lose power while a promotion is under way."""
+        self.awaits_order = True
+
+    def _restart_half_if_due(self) -> None:
+        """Kill the node that has sent an order, and another one."""
+        senders = [
+            index
+            for index, election in enumerate(self.cluster.elections())
+            if election.lock.until_ms > self.now_ms
+        ]
+        if self.awaits_order and senders and self.rng.random() < _LOSS_SHARE:
+            self.awaits_order = False
+            self._start_again(senders[0])
+            self._start_again((senders[0] + 1) % _NODES)
+
+    def _unserved(self) -> list[str]:
+        """Return the nodes on which a write has no success."""
+        for client in self.clients:
+            client.leave(self.now_ms)
+        self._run_cluster(_WRITE_LIMIT_MS)
+        numbers = [next(self.ledger.numbers) for _ in range(_NODES)]
+        for index, number in enumerate(numbers):
+            self.cluster.write(index, number)
+        self._run_cluster(_WRITE_LIMIT_MS)
+        done = self.cluster.successes()
+        return [
+            f'n{unserved} has no usable primary'
+            for unserved, request in enumerate(numbers)
+            if f'w{request}' not in done
+        ]
+
     def _run_cluster(self, for_ms: int) -> None:
         """Advance the nodes, with old reads of the store if there are any."""
         for index in self.cluster.frozen:
--- a/soak/releases.py
+++ b/soak/releases.py
@@ -64,7 +64,9 @@
             self.join()
 
 
-def log_problems(log: pathlib.Path, spans: list[Release]) -> list[str]:
+def log_problems(
+    log: pathlib.Path, spans: typing.Sequence[Release]
+) -> list[str]:
     """Return late work and unanswered statements in the log of a proxy.
 
     Args:
@@ -90,7 +92,7 @@
     return problems
 
 
-def _late_work(entry: Entry, spans: list[Release]) -> list[str]:
+def _late_work(entry: Entry, spans: typing.Sequence[Release]) -> list[str]:
     """Return whether a placement came too long after a notice."""
     logged = datetime.datetime.fromisoformat(entry['timestamp'])
     placed_s = logged.timestamp()
--- a/soak/releases_test.py
+++ b/soak/releases_test.py
@@ -8,7 +8,7 @@
 
 _TIME = '2026-01-01T00:00:{:02}+00:00'
 _BEGAN_S = 1767225600.0
-_SPANS = [releases.Release('i-a', _BEGAN_S, _BEGAN_S + 8)]
+_SPANS = (releases.Release('i-a', _BEGAN_S, _BEGAN_S + 8),)
 
 
 @pytest.fixture
