--- a/jacinthhaven/sql/execution.py
+++ b/jacinthhaven/sql/execution.py
@@ -284,9 +284,9 @@
         ):
             return
         transaction = session.transaction
-        if transaction.read_only or not group.leadership.has_replaced(
-            transaction.lead
-        ):
+        if transaction is None or transaction.read_only:
+            return
+        if not group.leadership.has_replaced(transaction.lead):
             return
         self.journal.write(
             'transaction_ended',
--- a/jacinthhaven/sql/interrupted_promotion_test.py
+++ b/jacinthhaven/sql/interrupted_promotion_test.py
@@ -99,3 +99,17 @@
     record = store_records.decode(request.changes[0].value)
     assert (record.instance, record.term) != ('db-a', 2)
     assert not record.moving
+
+
+def test_record_of_a_lost_holder_hinders_no_starting_node():
+    """Guards against nodes that wait for a record which nobody finishes."""
+    cluster = cluster_builders.Cluster(4, fenced=False)
+    record = store_records.LeaderRecord('db-b', 2, moving=True, accepted=True)
+    cluster.put(
+        cluster.keys.leader(builders.SERVICE), store_records.encode(record)
+    )
+    cluster.group.promote('db-b')
+    for index in range(4):
+        cluster.restart(index)
+    cluster.run(_LIMIT_MS)
+    assert _serving(cluster) == 4
--- a/scenarios/sql_faults.py
+++ b/scenarios/sql_faults.py
@@ -65,7 +65,7 @@
       released_ms: When the store accepted that an instance is leaving.
       suspended_ms: When each node was last suspended.
       earlier: State of the store that old reads return.
-      awaits_order: Whether half of the nodes lose power in the next promotion.
+      awaits_order: Whether nodes lose power in the next promotion.
       broken: Broken promises that are not reported yet.
     """
 
@@ -101,7 +101,7 @@
             self.stop,
             self.stop,
             self.restart,
-            self.restart_half,
+            self.lose_power,
             self.suspend,
             self.cut_primary,
             self.heal,
@@ -131,7 +131,7 @@
         """Advance the time, the clients and the instances that leave."""
         self._run_cluster(_STEP_MS)
         self._end_stops()
-        self._restart_half_if_due()
+        self._lose_power_if_due()
         for client in self.clients:
             if client.index not in self.cluster.frozen:
                 client.tick(self.now_ms)
@@ -209,12 +209,12 @@
         for rig in self.cluster.rigs:
             rig.databases.silent.clear()
 
-    def restart_half(self) -> None:
-        """Let half of the nodes lose power while a promotion is under way."""
+    def lose_power(self) -> None:
+        """Let half of the nodes, or all, lose power in the next promotion."""
         self.awaits_order = True
 
-    def _restart_half_if_due(self) -> None:
-        """Kill the node that has sent an order, and another one."""
+    def _lose_power_if_due(self) -> None:
+        """Kill the node that holds the promotion lock, and others."""
         senders = [
             index
             for index, election in enumerate(self.cluster.elections())
@@ -222,8 +222,8 @@
         ]
         if self.awaits_order and senders and self.rng.random() < _LOSS_SHARE:
             self.awaits_order = False
-            self._start_again(senders[0])
-            self._start_again((senders[0] + 1) % _NODES)
+            for offset in range(self.rng.choice((_NODES // 2, _NODES))):
+                self._start_again((senders[0] + offset) % _NODES)
 
     def _unserved(self) -> list[str]:
         """Return the nodes on which a write has no success."""
--- a/scenarios/sql_variants.py
+++ b/scenarios/sql_variants.py
@@ -13,6 +13,7 @@
     planned_stop,
     relaying,
     rights,
+    store_records,
 )
 
 # Below the time that operators allow, but counted from the wrong moment.
@@ -37,9 +38,30 @@
     departure: departures.Departure, now_ms: int
 ) -> int:
     """Count the time of new work from when this node saw the notice."""
+    if departure.leaving_ms is None:
+        return 0
     return max(departure.leaving_ms + _FIRST_SIGHT_GRACE_MS - now_ms, 0)
 
 
+def _moves(orders: store_records.PendingOrders, _term: int) -> bool:
+    """Let a moving record hinder nodes also when its term has begun."""
+    return orders.record is not None and orders.record.moving
+
+
+def _abort_on_links(known: gateway.Gateway, now_ms: int) -> None:
+    """Roll back the transactions that have a link, and no others."""
+    for session in tuple(known.sessions.values()):
+        transaction = session.transaction
+        if transaction is not None and transaction.link is not None:
+            if session.work is None:
+                known.executor.release(
+                    known.groups[transaction.route.service],
+                    transaction.link,
+                    now_ms,
+                )
+                transaction.fail_unreported()
+
+
 def _do_nothing(*_args: typing.Any) -> None:
     """Replace a method that has an effect."""
 
@@ -65,6 +87,9 @@
         mock.patch.object(planned_stop, '_BEGINS', none),
         mock.patch.object(planned_stop, '_NEW_WORK', none),
         mock.patch.object(gateway.Gateway, 'end_sessions', _do_nothing),
+        mock.patch.object(
+            gateway.Gateway, 'abort_transactions', _abort_on_links
+        ),
         mock.patch.object(relaying.Relay, 'end_sessions', _do_nothing),
     ):
         yield
@@ -79,8 +104,20 @@
         yield
 
 
+@contextlib.contextmanager
+def wait_for_lost_holder() -> typing.Iterator[None]:
+    """Confirm no term until the holder of a promotion has finished its record."""
+    with mock.patch.object(store_records.PendingOrders, 'moves_beyond', _moves):
+        yield
+
+
 Variant = typing.Callable[[], typing.ContextManager[None]]
 
 VARIANTS: typing.Mapping[str, Variant] = types.MappingProxyType(
-    {'ignore_lead': ignore_lead}
+    {
+        'ignore_lead': ignore_lead,
+        'exit_without_answers': exit_without_answers,
+        'count_from_first_sight': count_from_first_sight,
+        'wait_for_lost_holder': wait_for_lost_holder,
+    },
 )
