Move the state of relayed sessions out of relaying

RelayedSession, PendingStart, their timeouts and the code of a lost owner move to relayed_sessions; nothing else changes. Tests of relaying and planned stops pass.

--- /dev/null
+++ b/jacinthhaven/sql/relayed_sessions.py
@@ -0,0 +1,103 @@
+"""State of a client session that an owner executes for another node."""
+
+import typing
+
+from jacinthhaven.sql import statements
+
+# Time without a line from the owner after which its process is pinged.
+_PING_AFTER_MS = 300
+# Time without a reply to the ping after which the owner counts as failed.
+_PONG_TIMEOUT_MS = 300
+# Timeout for an owner to accept a session before the next one is tried.
+_ACCEPT_TIMEOUT_MS = 150
+
+_READS = frozenset((statements.Verb.READ, statements.Verb.BEGIN_READ))
+_NO_SIDE_EFFECTS = frozenset(
+    (
+        statements.Verb.BEGIN,
+        statements.Verb.ROLLBACK,
+        statements.Verb.SET,
+        statements.Verb.PREPARE,
+        statements.Verb.DEALLOCATE,
+        statements.Verb.INVALID,
+    ),
+)
+
+
+class RelayedSession:
+    """Client session that an owner executes.
+
+    Attributes:
+      number: Number of the client connection.
+      database: Database that the client asked for.
+      candidates: Owners that have not been tried yet.
+      owner: Owner that executes the session or is being tried.
+      relay: Number of the connection to the owner.
+      accepted: Whether the owner has accepted the session.
+      state: Transaction state after the last answer.
+      unanswered: Statements without an answer, oldest first.
+      refused: Number of statements that are refused after those.
+      active_ms: When the owner was last tried or pinged, when it last sent a
+        line, or when a statement was sent while none was unanswered.
+      pinged: Whether a ping to the owner is unanswered.
+    """
+
+    __slots__ = (
+        'number',
+        'database',
+        'candidates',
+        'owner',
+        'relay',
+        'accepted',
+        'state',
+        'unanswered',
+        'refused',
+        'active_ms',
+        'pinged',
+    )
+
+    def __init__(self, number: int, database: str, owners: list[str]) -> None:
+        """Create a session that no owner has been asked to execute."""
+        self.number = number
+        self.database = database
+        self.candidates = owners
+        self.owner = ''
+        self.relay = 0
+        self.accepted = False
+        self.state = statements.State.IDLE
+        self.unanswered: list[statements.Statement] = []
+        self.refused = 0
+        self.active_ms = 0
+        self.pinged = False
+
+    @property
+    def idle(self) -> bool:
+        """Return whether closing the session loses no work."""
+        return self.state is statements.State.IDLE and not self.unanswered
+
+
+class PendingStart(typing.NamedTuple):
+    """Session that waits until it can be decided which node executes it."""
+
+    number: int
+    database: str
+    arrived_ms: int
+
+
+def timeout_ms(session: RelayedSession) -> int:
+    """Return the time without a line after which the owner is checked."""
+    if not session.accepted:
+        return _ACCEPT_TIMEOUT_MS
+    return _PONG_TIMEOUT_MS if session.pinged else _PING_AFTER_MS
+
+
+def loss_code(session: RelayedSession) -> statements.Code:
+    """Return the error code of the unanswered statements of a lost owner."""
+    verbs = {statement.verb for statement in session.unanswered}
+    if session.state is statements.State.OPEN:
+        if statements.Verb.COMMIT in verbs:
+            return statements.Code.OUTCOME_UNKNOWN
+        return statements.Code.ABORTED
+    if verbs <= _READS | _NO_SIDE_EFFECTS:
+        return statements.Code.ABORTED
+    return statements.Code.OUTCOME_UNKNOWN
--- a/jacinthhaven/sql/relaying.py
+++ b/jacinthhaven/sql/relaying.py
@@ -9,18 +9,18 @@
 import random
 import typing
 
-from jacinthhaven.sql import gateway, ownership, ports, statements
+from jacinthhaven.sql import (
+    gateway,
+    ownership,
+    ports,
+    relayed_sessions,
+    statements,
+)
 
-# Time without a line from the owner after which its process is pinged.
-_PING_AFTER_MS = 300
-# Time without a reply to the ping after which the owner counts as failed.
-_PONG_TIMEOUT_MS = 300
 # How long new sessions skip an owner that did not answer: after the first
 # failure, and at most. The time doubles with each further failure.
 _BACKOFF_MS = 1000
 _MAX_BACKOFF_MS = 8000
-# Timeout for an owner to accept a session before the next one is tried.
-_ACCEPT_TIMEOUT_MS = 150
 # Owners that a session tries before this node executes it.
 _MAX_TRIES = 3
 # Time after the first configuration in which an empty member list delays new
@@ -34,78 +34,6 @@
 # Shortest interval between two sessions that are returned to the owners.
 _RETURN_INTERVAL_MS = 20
 
-_READS = frozenset((statements.Verb.READ, statements.Verb.BEGIN_READ))
-_NO_SIDE_EFFECTS = frozenset(
-    (
-        statements.Verb.BEGIN,
-        statements.Verb.ROLLBACK,
-        statements.Verb.SET,
-        statements.Verb.PREPARE,
-        statements.Verb.DEALLOCATE,
-        statements.Verb.INVALID,
-    ),
-)
-
-
-class RelayedSession:
-    """Client session that an owner executes.
-
-    Attributes:
-      number: Number of the client connection.
-      database: Database that the client asked for.
-      candidates: Owners that have not been tried yet.
-      owner: Owner that executes the session or is being tried.
-      relay: Number of the connection to the owner.
-      accepted: Whether the owner has accepted the session.
-      state: Transaction state after the last answer.
-      unanswered: Statements without an answer, oldest first.
-      refused: Number of statements that are refused after those.
-      active_ms: When the owner was last tried or pinged, when it last sent a
-        line, or when a statement was sent while none was unanswered.
-      pinged: Whether a ping to the owner is unanswered.
-    """
-
-    __slots__ = (
-        'number',
-        'database',
-        'candidates',
-        'owner',
-        'relay',
-        'accepted',
-        'state',
-        'unanswered',
-        'refused',
-        'active_ms',
-        'pinged',
-    )
-
-    def __init__(self, number: int, database: str, owners: list[str]) -> None:
-        """Create a session that no owner has been asked to execute."""
-        self.number = number
-        self.database = database
-        self.candidates = owners
-        self.owner = ''
-        self.relay = 0
-        self.accepted = False
-        self.state = statements.State.IDLE
-        self.unanswered: list[statements.Statement] = []
-        self.refused = 0
-        self.active_ms = 0
-        self.pinged = False
-
-    @property
-    def idle(self) -> bool:
-        """Return whether closing the session loses no work."""
-        return self.state is statements.State.IDLE and not self.unanswered
-
-
-class PendingStart(typing.NamedTuple):
-    """Session that waits until it can be decided which node executes it."""
-
-    number: int
-    database: str
-    arrived_ms: int
-
 
 class Relay:
     """Relayed sessions of one node.
@@ -139,13 +67,13 @@
         self.relays = relays
         self.journal = local.journal
         self.peers: dict[str, ownership.Peer] = {}
-        self.sessions: dict[int, RelayedSession] = {}
-        self.by_relay: dict[int, RelayedSession] = {}
+        self.sessions: dict[int, relayed_sessions.RelayedSession] = {}
+        self.by_relay: dict[int, relayed_sessions.RelayedSession] = {}
         self.backoff_until_ms: dict[str, int] = {}
         self.failures: dict[str, int] = {}
         self.owners_by_service: dict[str, ownership.Owners] = {}
         self.offset = rng.randrange(_OFFSET_RANGE)
-        self.pending_starts: list[PendingStart] = []
+        self.pending_starts: list[relayed_sessions.PendingStart] = []
         self.configured_ms: int | None = None
         self.next_return_ms = 0
         self.on_unreachable: typing.Callable[[], None] = _ignore
@@ -167,7 +95,9 @@
 
     def on_start(self, number: int, database: str, now_ms: int) -> None:
         """Relay a new session to an owner, or open it on this node."""
-        self._start(PendingStart(number, database, now_ms), now_ms)
+        self._start(
+            relayed_sessions.PendingStart(number, database, now_ms), now_ms
+        )
 
     def on_statement(
         self,
@@ -262,7 +192,9 @@
         if self.local.draining:
             self.close_inactive(now_ms)
         for session in tuple(self.sessions.values()):
-            if now_ms - session.active_ms >= _timeout_ms(session):
+            if now_ms - session.active_ms >= relayed_sessions.timeout_ms(
+                session
+            ):
                 self._check_owner(session, now_ms)
 
     def close_inactive(self, now_ms: int) -> None:
@@ -299,7 +231,7 @@
                 self._drop(session)
                 self.local.clients.refuse(session.number, statements.Code.BUSY)
 
-    def _refuse(self, session: RelayedSession) -> None:
+    def _refuse(self, session: relayed_sessions.RelayedSession) -> None:
         """Refuse a statement, since the process is about to exit.
 
         The session is closed with the answer if nothing else runs on it, and
@@ -309,7 +241,7 @@
         if not session.unanswered:
             self._answer_refused(session)
 
-    def _answer_refused(self, session: RelayedSession) -> None:
+    def _answer_refused(self, session: relayed_sessions.RelayedSession) -> None:
         """Answer the refused statements after those that the owner answers."""
         code = statements.Code.BUSY
         if session.state is not statements.State.IDLE:
@@ -323,7 +255,7 @@
         if not self.local.clients.has_more(session.number):
             self._close(session)
 
-    def _start(self, start: PendingStart, now_ms: int) -> None:
+    def _start(self, start: relayed_sessions.PendingStart, now_ms: int) -> None:
         number, database, arrived_ms = start
         if not self.routing_ready:
             self.pending_starts.append(start)
@@ -337,7 +269,9 @@
         if not owners or self.node in owners:
             self.local.on_start(number, database)
             return
-        session = RelayedSession(number, database, owners[:_MAX_TRIES])
+        session = relayed_sessions.RelayedSession(
+            number, database, owners[:_MAX_TRIES]
+        )
         self.sessions[number] = session
         self._try_next(session, now_ms)
 
@@ -388,7 +322,9 @@
             if self.backoff_until_ms.get(name, 0) <= now_ms
         ]
 
-    def _try_next(self, session: RelayedSession, now_ms: int) -> None:
+    def _try_next(
+        self, session: relayed_sessions.RelayedSession, now_ms: int
+    ) -> None:
         listed = [name for name in session.candidates if name in self.peers]
         if not listed:
             self.sessions.pop(session.number, None)
@@ -406,7 +342,9 @@
         )
         self.by_relay[session.relay] = session
 
-    def _check_owner(self, session: RelayedSession, now_ms: int) -> None:
+    def _check_owner(
+        self, session: relayed_sessions.RelayedSession, now_ms: int
+    ) -> None:
         if session.pinged or not session.accepted:
             self._on_owner_silent(session, now_ms)
         elif session.unanswered:
@@ -414,7 +352,9 @@
             session.active_ms = now_ms
             self.relays.ping(session.relay)
 
-    def _is_inactive(self, session: RelayedSession, now_ms: int) -> bool:
+    def _is_inactive(
+        self, session: relayed_sessions.RelayedSession, now_ms: int
+    ) -> bool:
         if (
             not session.idle
             or now_ms - session.active_ms < gateway.INACTIVITY_MS
@@ -424,7 +364,7 @@
 
     def _on_session_reply(
         self,
-        session: RelayedSession,
+        session: relayed_sessions.RelayedSession,
         state: statements.State | None,
         now_ms: int,
     ) -> None:
@@ -438,7 +378,9 @@
         self.journal.count('relays', 'accepted')
         self.local.clients.accept(session.number)
 
-    def _on_owner_silent(self, session: RelayedSession, now_ms: int) -> None:
+    def _on_owner_silent(
+        self, session: relayed_sessions.RelayedSession, now_ms: int
+    ) -> None:
         self.journal.write(
             'owner_silent',
             {'owner': session.owner, 'database': session.database},
@@ -455,10 +397,10 @@
         pause_ms = min(_BACKOFF_MS * 2**failures, _MAX_BACKOFF_MS)
         self.backoff_until_ms[owner] = now_ms + pause_ms
 
-    def _on_owner_lost(self, session: RelayedSession) -> None:
+    def _on_owner_lost(self, session: relayed_sessions.RelayedSession) -> None:
         """Answer unanswered statements with an error and close the session."""
         if session.unanswered:
-            code = _loss_code(session)
+            code = relayed_sessions.loss_code(session)
             self.journal.write(
                 'owner_lost',
                 {
@@ -472,33 +414,15 @@
                 self.local.clients.answer(session.number, answer)
         self._close(session)
 
-    def _close(self, session: RelayedSession) -> None:
+    def _close(self, session: relayed_sessions.RelayedSession) -> None:
         self.sessions.pop(session.number, None)
         self._drop(session)
         self.local.clients.close(session.number)
 
-    def _drop(self, session: RelayedSession) -> None:
+    def _drop(self, session: relayed_sessions.RelayedSession) -> None:
         self.by_relay.pop(session.relay, None)
         self.relays.close(session.relay)
 
 
 def _ignore() -> None:
     """Do nothing; the default callback."""
-
-
-def _timeout_ms(session: RelayedSession) -> int:
-    """Return the time without a line after which the owner is checked."""
-    if not session.accepted:
-        return _ACCEPT_TIMEOUT_MS
-    return _PONG_TIMEOUT_MS if session.pinged else _PING_AFTER_MS
-
-
-def _loss_code(session: RelayedSession) -> statements.Code:
-    verbs = {statement.verb for statement in session.unanswered}
-    if session.state is statements.State.OPEN:
-        if statements.Verb.COMMIT in verbs:
-            return statements.Code.OUTCOME_UNKNOWN
-        return statements.Code.ABORTED
-    if verbs <= _READS | _NO_SIDE_EFFECTS:
-        return statements.Code.ABORTED
-    return statements.Code.OUTCOME_UNKNOWN
