Ask the owners of a service about a departure, not the whole fleet

Cause: found on reading the change. A node that sees the notice of a primary asked all listed nodes, three times. Nodes that own nothing read the registry rarely and have no proof.

Result: test_only_owners_are_asked fails before (three nodes asked instead of one) and passes now; the other tests of departures pass.

--- a/jacinthhaven/sql/departure_exchange.py
+++ b/jacinthhaven/sql/departure_exchange.py
@@ -1,7 +1,7 @@
 """Exchange between nodes about instances that leave.
 
-A node that sees the notice of a primary asks the other nodes for the last time at
-which their reads showed no notice. The reply has an age, which the asking node
+A node that sees the notice of a primary asks the owners of its service, which read
+the registry often, for the last time at which their reads showed no notice. The reply has an age, which the asking node
 counts from the time of its question, so that clocks need not agree and the result
 is never too late.
 """
@@ -82,7 +82,7 @@
             name = service_group.primary_check.presumed_leader()
             state = service_group.pool.states.get(name)
             if state is not None and service_group.active:
-                self._ask_if_due(service_group.name, state, now_ms)
+                self._ask_if_due(service_group, state, now_ms)
 
     def on_message(
         self, message: departure_messages.Message, now_ms: int
@@ -100,8 +100,12 @@
             self._log(message.service, state, now_ms, message.sender)
 
     def _ask_if_due(
-        self, service: str, state: instances.InstanceState, now_ms: int
+        self,
+        service_group: group.Group,
+        state: instances.InstanceState,
+        now_ms: int,
     ) -> None:
+        service = service_group.name
         name = state.entry.name
         leaving_ms = state.departure.leaving_ms
         if leaving_ms is None:
@@ -119,8 +123,10 @@
         question = departure_messages.Request(
             self.node, self.address, now_ms, service, name
         )
-        for peer in self.others.values():
-            self.messenger.send(peer.address, question)
+        for owner in service_group.owners:
+            peer = self.others.get(owner)
+            if peer is not None:
+                self.messenger.send(peer.address, question)
 
     def _reply(
         self,
--- a/jacinthhaven/sql/departures.py
+++ b/jacinthhaven/sql/departures.py
@@ -4,7 +4,7 @@
 of an instance. No node knows that moment. What it can know is the latest time at
 which the instance had not given notice yet: when a read was sent that cannot be
 old, and that lists it as ready. The time is counted from there. A node that has just
-started has no such proof, and asks the other nodes for theirs.
+started has no such proof, and asks the owners of the service for theirs.
 """
 
 # Time in which new work may be sent, from the last proof that no notice was given.
--- a/jacinthhaven/sql/departures_test.py
+++ b/jacinthhaven/sql/departures_test.py
@@ -145,3 +145,17 @@
 
 def _leaving() -> records.Instance:
     return builders.instance('db-a', leaving=True)
+
+
+def test_only_owners_are_asked():
+    """Guards against messages that grow with the square of the fleet."""
+    cluster = cluster_builders.Cluster(4)
+    asked = []
+    member = cluster.nodes[0]
+    member.gateway.groups[builders.SERVICE].owners = ('n0', 'n2')
+    exchange = member.protocols.departures
+    exchange.messenger.send = lambda address, _message: asked.append(address[1])
+    _release(cluster)
+    member.gateway.register(cluster.documents.listed, cluster.now_ms)
+    exchange.tick(cluster.now_ms)
+    assert asked == [3]
