--- a/scenarios/sql_faults.py
+++ b/scenarios/sql_faults.py
@@ -64,8 +64,9 @@
     Attributes:
       released_ms: When the store accepted that an instance is leaving.
       suspended_ms: When each node was last suspended.
-      earlier: State of the store that old reads return.
-      awaits_order: Whether nodes lose power in the next promotion.
+      old_reads: Whether reads that may be old are old.
+      earlier_ms: When the state that these return was taken.
+      awaits_promotion: Whether nodes lose power in the next promotion.
       broken: Broken promises that are not reported yet.
     """
 
@@ -79,7 +80,7 @@
         self.released_ms: dict[str, int] = {}
         self.suspended_ms: dict[int, int] = {}
         self.old_reads = False
-        self.awaits_order = False
+        self.awaits_promotion = False
         self.earlier_ms = 0
         self.broken: list[str] = []
         self.seen_lines = [0 for _ in range(_NODES)]
@@ -211,19 +212,23 @@
 
     def lose_power(self) -> None:
         """Let half of the nodes, or all, lose power in the next promotion."""
-        self.awaits_order = True
+        self.awaits_promotion = True
 
     def _lose_power_if_due(self) -> None:
         """Kill the node that holds the promotion lock, and others."""
-        senders = [
+        holders = [
             index
             for index, election in enumerate(self.cluster.elections())
             if election.lock.until_ms > self.now_ms
         ]
-        if self.awaits_order and senders and self.rng.random() < _LOSS_SHARE:
-            self.awaits_order = False
+        if (
+            self.awaits_promotion
+            and holders
+            and self.rng.random() < _LOSS_SHARE
+        ):
+            self.awaits_promotion = False
             for offset in range(self.rng.choice((_NODES // 2, _NODES))):
-                self._start_again((senders[0] + offset) % _NODES)
+                self._start_again((holders[0] + offset) % _NODES)
 
     def _unserved(self) -> list[str]:
         """Return the nodes on which a write has no success."""
