--- a/soak/releases.py
+++ b/soak/releases.py
@@ -14,9 +14,12 @@
 DRAIN_S = 7.0
 _RELEASE_S = 8.5
 _LONGEST_PAUSE_S = 6.0
+_STATEMENT_EVENTS = frozenset(('place', 'answer'))
 
 Control = typing.Callable[..., dict[str, typing.Any]]
 Entry = dict[str, typing.Any]
+# Time and number of a step of a client.
+Step = tuple[float, int]
 
 
 class Release(typing.NamedTuple):
@@ -64,14 +67,45 @@
             self.join()
 
 
+class Progress:
+    """When each client was seen at its steps, in the logs of all proxies.
+
+    A client goes on with its next step once it has an answer, or once its
+    connection has ended.
+    """
+
+    def __init__(self, logs: typing.Iterable[pathlib.Path]) -> None:
+        """Read the logs."""
+        self.seen: dict[str, list[Step]] = {}
+        for log in logs:
+            for entry in versions.entries(log):
+                if entry.get('event') in _STATEMENT_EVENTS:
+                    client, _, step = entry['request'].partition('x')
+                    steps = self.seen.setdefault(client, [])
+                    steps.append((_time_s(entry), int(step)))
+
+    def has_passed(self, request: str, before_s: float) -> bool:
+        """Return whether a client was at a later step before a time."""
+        client, _, step = request.partition('x')
+        return any(
+            at_s < before_s and later > int(step)
+            for at_s, later in self.seen.get(client, ())
+        )
+
+
 def log_problems(
-    log: pathlib.Path, spans: typing.Sequence[Release]
+    log: pathlib.Path,
+    spans: typing.Sequence[Release],
+    progress: Progress,
+    is_calm: typing.Callable[[float, float], bool],
 ) -> list[str]:
     """Return late work and unanswered statements in the log of a proxy.
 
     Args:
       log: Log of one proxy, which may have been started several times.
       spans: Releases of primaries.
+      progress: Steps of the clients.
+      is_calm: Returns whether the proxy and the store were undisturbed for a time.
     """
     problems = []
     open_requests: dict[str, Entry] = {}
@@ -81,24 +115,30 @@
                 open_requests.clear()
             case 'place':
                 open_requests[entry['request']] = entry
-                problems += _late_work(entry, spans)
+                at_s = _time_s(entry)
+                if is_calm(at_s, at_s):
+                    problems += _late_work(entry, spans)
             case 'answer':
                 open_requests.pop(entry['request'], None)
             case 'stopped':
                 problems += [
                     f'{log.name}: no answer after {placed}'
-                    for placed in open_requests.values()
+                    for request, placed in open_requests.items()
+                    if not progress.has_passed(request, _time_s(entry))
                 ]
     return problems
 
 
 def _late_work(entry: Entry, spans: typing.Sequence[Release]) -> list[str]:
     """Return whether a placement came too long after a notice."""
-    logged = datetime.datetime.fromisoformat(entry['timestamp'])
-    placed_s = logged.timestamp()
+    placed_s = _time_s(entry)
     return [
         f'{entry} was placed too long after {span}'
         for span in spans
         if span.instance == entry['instance']
         and span.began_s + DRAIN_S < placed_s < span.ended_s
     ]
+
+
+def _time_s(entry: Entry) -> float:
+    return datetime.datetime.fromisoformat(entry['timestamp']).timestamp()
--- a/soak/run.py
+++ b/soak/run.py
@@ -165,10 +165,16 @@
     def _log_problems(self) -> list[str]:
         """Return versions that went back, and unexpected errors."""
         problems = []
+        progress = releases.Progress(proxy.log for proxy in self.fleet.proxies)
         for proxy in self.fleet.proxies:
             problems.extend(versions.log_problems(proxy.log))
             problems.extend(
-                releases.log_problems(proxy.log, self.releases.spans)
+                releases.log_problems(
+                    proxy.log,
+                    self.releases.spans,
+                    progress,
+                    functools.partial(self.disturbances.is_calm, proxy.number),
+                )
             )
         return problems
 
