Revert: Read the registry like an owner on nodes that execute statements

Cause: each node counts as executing until its role is known, and while any link is open, so all 87 nodes make fresh reads at each start.

--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -129,9 +129,6 @@
         """Run all timers that are due."""
         self.now_ms = now_ms
         self.sync.tick(now_ms)
-        self.coordination.registry.update_execution(
-            any(known.active for known in self.gateway.groups.values())
-        )
         self.coordination.tick(now_ms)
         self.gateway.tick(now_ms)
         self.relay.tick(now_ms)
--- a/jacinthhaven/sql/read_schedules.py
+++ b/jacinthhaven/sql/read_schedules.py
@@ -35,8 +35,6 @@
       expedite_until_ms: Until when the registry is read often because instances
         are missing.
       needs_fresh: Whether a new owner still needs its first fresh read.
-      executes: Whether this node executes statements, also without owning a
-        service, because no owner could be reached.
       known: Whether a read has succeeded. Until then a failed read is repeated
         as soon as the store may be called, since no client can be served.
     """
@@ -47,7 +45,6 @@
         'running',
         'expedite_until_ms',
         'needs_fresh',
-        'executes',
         'known',
     )
 
@@ -58,7 +55,6 @@
         self.running = False
         self.expedite_until_ms = 0
         self.needs_fresh = False
-        self.executes = False
         self.known = False
 
     def due(self, now_ms: int) -> bool:
@@ -69,24 +65,14 @@
         """Schedule a fresh read at once, for a new owner."""
         self.needs_fresh = True
 
-    def update_execution(self, executes: bool) -> None:
-        """Set whether this node executes statements.
-
-        It must then learn as soon as an owner which instances leave.
-        """
-        if executes and not self.executes:
-            self.require_fresh()
-        self.executes = executes
-
     def start(self, now_ms: int, *, owns_service: bool) -> bool:
         """Start a read; return whether it must be fresh."""
         self.running = True
-        reads_often = owns_service or self.executes
-        factor = 1 if reads_often else _IDLE_REGISTRY_FACTOR
+        factor = 1 if owns_service else _IDLE_REGISTRY_FACTOR
         self.next_ms = now_ms + _STALE_READ_MS * factor
         fresh = self.needs_fresh or self.reads % _FRESH_READ_EVERY == 0
-        self.needs_fresh = self.needs_fresh and not reads_often
-        return reads_often and fresh
+        self.needs_fresh = self.needs_fresh and not owns_service
+        return owns_service and fresh
 
     def expedite(self, now_ms: int) -> None:
         """Read often for some time while instances are missing."""
