Recognise customers by their keys, and open links for customers

Change: the digest of a key identifies the customer, a link belongs to one customer, links of others make room, removed keys end transactions and inactive sessions.

--- a/jacinthhaven/lab/emulator.py
+++ b/jacinthhaven/lab/emulator.py
@@ -138,6 +138,7 @@
         self,
         instance: records.Instance,
         lender: records.Address | None = None,
+        customer: str = '',
     ) -> int:
         """Start to connect; the handshake occupies a slot."""
         number = next(self.numbers)
@@ -145,7 +146,7 @@
         model = self.instances.group.instances[name]
         self.connections[number] = sql_group.SqlConnection(model)
         self.readers[number] = reply_reader.ReplyReader()
-        line = _text(instance_wire.encode_start(instance))
+        line = _text(instance_wire.encode_start(instance, customer))
         now_ms = self.plan.now_ms
         full = (
             self.instances.open_count[name]
--- a/jacinthhaven/platform/client_wire.py
+++ b/jacinthhaven/platform/client_wire.py
@@ -3,7 +3,7 @@
 import types
 
 from jacinthhaven.platform import words
-from jacinthhaven.sql import statements
+from jacinthhaven.sql import customer_keys, statements
 
 _VERBS_WITH_ARGUMENTS = types.MappingProxyType(
     {
@@ -31,17 +31,19 @@
 )
 
 
-def decode_start(line: str) -> str:
-    """Return the database name in the START line of a client.
+def decode_start(line: str) -> tuple[str, str]:
+    """Return the database name and the key's digest in a client's START line.
+
+    The key itself is not kept. The digest is '' if the line has no key.
 
     Raises:
       words.MalformedLineError: If the line is not a valid START line.
     """
     word, _, rest = line.partition(' ')
-    database = rest.partition(' ')[0]
+    database, _, key = rest.partition(' ')
     if word != 'START' or not database:
         raise words.MalformedLineError('expected START and a database name')
-    return database
+    return database, customer_keys.digest(key)
 
 
 def decode_query(line: str) -> statements.Statement | None:
--- a/jacinthhaven/platform/documents.py
+++ b/jacinthhaven/platform/documents.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from jacinthhaven.records import store
-from jacinthhaven.sql import records
+from jacinthhaven.sql import customer_keys, records
 
 CONFIGURATION_KEY = 'op/config'
 REGISTRY_PREFIX = 'servers/'
@@ -56,6 +56,14 @@
     target_latency_ms: int
     priority: int = 0
     max_staleness_ms: int = 0
+    public: bool = False
+
+
+class _Tenant(msgspec.Struct, rename='camel'):
+    name: str
+    api_keys: list[str]
+    rate_per_s: float = 0
+    burst: float = 0
 
 
 class _Service(msgspec.Struct, rename='camel'):
@@ -74,6 +82,8 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # The field is missing if clients need no keys.
+    tenants: list[_Tenant] | None = None
 
 
 class _Server(msgspec.Struct, rename='camel'):
@@ -116,9 +126,27 @@
             },
         ),
         document.limits.tx_idle_ms,
+        _decode_customers(document.tenants),
     )
 
 
+def _decode_customers(
+    tenants: list[_Tenant] | None,
+) -> typing.Mapping[str, records.Customer] | None:
+    """Return the customers by the digest of each key."""
+    if tenants is None:
+        return None
+    found = {}
+    for tenant in tenants:
+        _check_name(tenant.name)
+        customer = records.Customer(
+            tenant.name, tenant.rate_per_s, tenant.burst
+        )
+        for key in tenant.api_keys:
+            found[customer_keys.digest(key)] = customer
+    return types.MappingProxyType(found)
+
+
 def _decode_route(route: _Route) -> records.Route:
     return records.Route(
         route.host,
@@ -128,6 +156,7 @@
         route.target_latency_ms,
         route.priority,
         route.max_staleness_ms,
+        route.public,
     )
 
 
@@ -151,10 +180,13 @@
 
 
 def _decode_name(key: str) -> str:
+    return _check_name(key.removeprefix(REGISTRY_PREFIX))
+
+
+def _check_name(name: str) -> str:
     # The name is sent in a line, so that a space or a line end would add to it.
-    name = key.removeprefix(REGISTRY_PREFIX)
     if not _NAME.fullmatch(name):
-        raise ValueError(f'{name!r} is not a name of a server')
+        raise ValueError(f'{name!r} is not a name')
     return name
 
 
--- a/jacinthhaven/platform/instance_wire.py
+++ b/jacinthhaven/platform/instance_wire.py
@@ -7,14 +7,30 @@
 from jacinthhaven.sql import commands, records
 
 
-def encode_start(instance: records.Instance) -> bytes:
-    """Return the START line, which verifies the identity of an instance."""
+# Name of the caller on links that belong to no customer.
+_OWN_NAME = 'jacinthhaven'
+
+
+def encode_start(instance: records.Instance, customer: str = '') -> bytes:
+    """Return the START line, which verifies the identity of an instance.
+
+    Args:
+      instance: Instance to which the link is opened.
+      customer: Name of the customer that the link belongs to, or ''.
+    """
     # Instances expect the name of the service in the field where clients
     # send the name of a database.
-    fields = ('START', instance.service, 'jacinthhaven', instance.name)
+    caller = customer or _OWN_NAME
+    fields = ('START', instance.service, caller, instance.name)
     return words.encode([' '.join(fields)])
 
 
+def decode_start(fields: list[str]) -> tuple[str, str, str]:
+    """Return the service, customer and instance in a START line's fields."""
+    _word, service, caller, name = fields
+    return service, '' if caller == _OWN_NAME else caller, name
+
+
 def encode_command(command: commands.Command) -> bytes:
     """Return the QUERY lines of a command to an instance."""
     return words.encode(
--- a/jacinthhaven/platform/node_sockets.py
+++ b/jacinthhaven/platform/node_sockets.py
@@ -23,13 +23,14 @@
     """Accepts connections of nodes that borrow a link to an instance.
 
     Attributes:
-      on_request: Called with the number and the requested service and
-        instance.
+      on_request: Called with the number and the requested service, customer
+        and instance.
       on_line: Called with the number and a command for the instance.
       on_returned: Called with the number when the borrower has closed the
         connection.
       on_relayed: Called with the connection of a relayed session, the
-        configuration version of the sending node and the database.
+        configuration version of the sending node, the database and the
+        digest of the client's key.
       configuration: Returns the revision and the text of this node's
         configuration.
       on_tunnel: Called with the connection of a node that wants to reach the
@@ -42,11 +43,13 @@
         self.numbers = itertools.count(1)
         self.connections: dict[int, sockets.ClientConnection] = {}
         self.listener: streams.Listener | None = None
-        self.on_request: typing.Callable[[int, str, str], None] = sockets.ignore
+        self.on_request: typing.Callable[[int, str, str, str], None] = (
+            sockets.ignore
+        )
         self.on_line: typing.Callable[[int, str], None] = sockets.ignore
         self.on_returned: typing.Callable[[int], None] = sockets.ignore
         self.on_relayed: typing.Callable[
-            [streams.Stream, int, str],
+            [streams.Stream, int, str, str],
             None,
         ] = sockets.ignore
         self.configuration: Copy = _nothing
@@ -207,6 +210,7 @@
         address: records.Address,
         database: str,
         version: int,
+        key_digest: str = '',
     ) -> int:
         """Connect to an owner and ask it to execute a session."""
         number = next(self.numbers)
@@ -216,7 +220,7 @@
         self.connections[number] = connection
         stream.on_bytes = functools.partial(self._on_bytes, connection)
         stream.on_close = functools.partial(self._on_close, connection)
-        stream.send(peer_wire.encode_relayed(database, version))
+        stream.send(peer_wire.encode_relayed(database, version, key_digest))
         return number
 
     def send(self, number: int, statement: statements.Statement) -> None:
--- a/jacinthhaven/platform/peer_wire.py
+++ b/jacinthhaven/platform/peer_wire.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from jacinthhaven.platform import words
+from jacinthhaven.platform import instance_wire, words
 from jacinthhaven.records import history
 from jacinthhaven.sql import statements
 
@@ -19,27 +19,32 @@
 _RELAYED_KEYWORD = 'SESSION'
 _LOAN_KEYWORD = 'START'
 _LOAN_FIELDS = 4
-_RELAYED_FIELDS = 3
+# A SESSION line without a key has three fields.
+_RELAYED_FIELDS = frozenset((3, 4))
 
 
-def encode_relayed(database: str, version: int) -> bytes:
+def encode_relayed(database: str, version: int, key_digest: str = '') -> bytes:
     """Return the line that asks an owner to execute a session."""
-    return words.encode([f'{_RELAYED_KEYWORD} {version} {database}'])
+    line = f'{_RELAYED_KEYWORD} {version} {database} {key_digest}'
+    return words.encode([line.rstrip()])
 
 
-def decode_relayed(line: str) -> tuple[int, str] | None:
-    """Return the configuration version and database in a SESSION line.
+def decode_relayed(line: str) -> tuple[int, str, str] | None:
+    """Return the fields of a SESSION line.
 
-    Returns None for any other line.
+    Returns:
+      Configuration version, database and the digest of the client's key ('' if
+      it sent none), or None for any other line.
 
     Raises:
       words.MalformedLineError: If the version is not a number.
     """
     fields = line.split(' ')
-    if len(fields) != _RELAYED_FIELDS or fields[0] != _RELAYED_KEYWORD:
+    if len(fields) not in _RELAYED_FIELDS or fields[0] != _RELAYED_KEYWORD:
         return None
+    _word, version, database, *digests = fields
     try:
-        return int(fields[1]), fields[2]
+        return int(version), database, ''.join(digests)
     except ValueError as error:
         raise words.MalformedLineError(line) from error
 
@@ -71,8 +76,8 @@
     return words.encode([f'QUERY {statement.request_id} {statement.text}'])
 
 
-def decode_loan(line: str) -> tuple[str, str]:
-    """Return the service and instance in a node's request for a link.
+def decode_loan(line: str) -> tuple[str, str, str]:
+    """Return the service, customer and instance in a request for a link.
 
     Raises:
       words.MalformedLineError: If the line is not such a request.
@@ -82,4 +87,4 @@
         raise words.MalformedLineError(
             'expected START, a service and an instance'
         )
-    return fields[1], fields[3]
+    return instance_wire.decode_start(fields)
--- a/jacinthhaven/platform/sockets.py
+++ b/jacinthhaven/platform/sockets.py
@@ -48,7 +48,8 @@
     """Accepts client connections and sends the answers.
 
     Attributes:
-      on_start: Called with the number and database of a new session.
+      on_start: Called with the number and database of a new session, and the
+        digest of the client's key.
       on_statement: Called with the number and a statement.
       on_closed: Called with the number of a session that was closed.
       on_malformed: Called for each connection that sends malformed input.
@@ -60,7 +61,7 @@
         self.numbers = itertools.count(1)
         self.connections: dict[int, ClientConnection] = {}
         self.listener: streams.Listener | None = None
-        self.on_start: typing.Callable[[int, str], None] = ignore
+        self.on_start: typing.Callable[[int, str, str], None] = ignore
         self.on_statement: typing.Callable[
             [int, statements.Statement],
             None,
@@ -171,7 +172,7 @@
             return
         if not connection.started:
             connection.started = True
-            self.on_start(connection.number, client_wire.decode_start(line))
+            self.on_start(connection.number, *client_wire.decode_start(line))
             return
         if line == peer_wire.PING:
             connection.stream.send(words.encode([peer_wire.PONG]))
@@ -228,6 +229,7 @@
         self,
         instance: records.Instance,
         lender: records.Address | None = None,
+        customer: str = '',
     ) -> int:
         """Start to connect and return the number of the connection.
 
@@ -235,6 +237,7 @@
           instance: Instance to reach.
           lender: Node that lends its link to the instance; None connects to
             the instance itself.
+          customer: Name of the customer that the link belongs to, or ''.
         """
         number = next(self.numbers)
         stream = streams.connect(self.poller, lender or instance.address)
@@ -243,7 +246,7 @@
         self.connections[number] = connection
         stream.on_bytes = functools.partial(self._on_bytes, connection)
         stream.on_close = functools.partial(self._on_close, connection)
-        stream.send(instance_wire.encode_start(instance))
+        stream.send(instance_wire.encode_start(instance, customer))
         return number
 
     def send(self, number: int, command: commands.Command) -> None:
--- a/jacinthhaven/platform/words.py
+++ b/jacinthhaven/platform/words.py
@@ -30,6 +30,7 @@
         'NOSTMT': statements.Code.UNKNOWN_STATEMENT,
         'MALFORMED': statements.Code.MALFORMED,
         'TOOBIG': statements.Code.TOO_LARGE,
+        'NOAUTH': statements.Code.UNKNOWN_KEY,
     },
 )
 _CODE_WORDS = types.MappingProxyType(
--- a/jacinthhaven/process/sql_proxy.py
+++ b/jacinthhaven/process/sql_proxy.py
@@ -272,7 +272,7 @@
 
     def _connect_clients(self) -> None:
         relay = self.node.relay
-        self.clients.on_start = self._with_time(relay.on_start)
+        self.clients.on_start = self._on_start
         self.clients.on_statement = self._with_time(relay.on_statement)
         self.clients.on_closed = self._with_time(relay.on_closed)
         self.clients.on_malformed = self._on_malformed
@@ -303,14 +303,19 @@
 
         return call
 
+    def _on_start(self, number: int, database: str, key_digest: str) -> None:
+        now_ms = self.clock.now_ms()
+        self.node.relay.on_start(number, database, now_ms, key_digest)
+
     def _on_relayed(
         self,
         stream: streams.Stream,
         version: int,
         database: str,
+        key_digest: str,
     ) -> None:
         number = self.clients.adopt(stream)
-        self.node.gateway.on_relayed(number, database, version)
+        self.node.gateway.on_relayed(number, database, version, key_digest)
 
     def _copy_configuration(self) -> tuple[int, str]:
         return self.node.sync.copy
--- a/jacinthhaven/scheduling/placement.py
+++ b/jacinthhaven/scheduling/placement.py
@@ -87,7 +87,7 @@
     """
     proof = _required_proof(work, view)
     if proof is None:
-        return _primary_candidate(view)
+        return _primary_candidate(work, view)
     states = [
         state
         for state in view.states.values()
@@ -145,11 +145,13 @@
     )
 
 
-def _primary_candidate(view: View) -> list[str]:
+def _primary_candidate(work: sessions.Work, view: View) -> list[str]:
     state = view.states.get(view.leader or '')
     if state is None or not view.may_use_primary:
         return []
-    if not state.free_links or not state.reachable_at(view.now_ms):
+    if not state.reachable_at(view.now_ms):
+        return []
+    if not state.free_for(work.customer):
         return []
     return [state.entry.name]
 
@@ -161,7 +163,9 @@
     proof: proofs.Proof,
 ) -> bool:
     """Return whether an instance can take a read of bounded age now."""
-    if not state.free_links or not state.usable_at(view.now_ms):
+    if not state.usable_at(view.now_ms):
+        return False
+    if not state.free_for(work.customer):
         return False
     if _has_failed_at(work, state) and state.window.shrunk_at(view.now_ms):
         return False
@@ -189,9 +193,9 @@
     state: instances.InstanceState,
     work: sessions.Work,
 ) -> links.Link:
-    """Return the free link that needs the fewest setup commands."""
+    """Return the free link of the customer that needs the fewest commands."""
     return min(
-        state.free_links,
+        state.free_for(work.customer),
         key=lambda link: len(
             links.setup_steps(link, work.session, work.statement),
         ),
--- a/jacinthhaven/sql/builders.py
+++ b/jacinthhaven/sql/builders.py
@@ -10,6 +10,7 @@
 from jacinthhaven.platform import client_wire, instance_wire, reply_reader
 from jacinthhaven.sql import (
     commands,
+    customer_keys,
     gateway,
     peer_messages,
     peering,
@@ -181,6 +182,7 @@
         self,
         instance: records.Instance,
         lender: records.Address | None = None,
+        customer: str = '',
     ) -> int:
         """Open a connection."""
         if lender is not None:
@@ -191,7 +193,8 @@
         model = self.group.instances[instance.name]
         self.connections[number] = sql_group.SqlConnection(model)
         self.readers[number] = reply_reader.ReplyReader()
-        line = instance_wire.encode_start(instance).decode().strip()
+        start = instance_wire.encode_start(instance, customer)
+        line = start.decode().strip()
         self.pending.append((self.now_ms + 1, number, line, True))
         return number
 
@@ -248,6 +251,7 @@
         address: records.Address,
         database: str,
         version: int,
+        key_digest: str = '',
     ) -> int:
         """Store the address and database of a new connection."""
         self.opened.append((address, database))
@@ -388,10 +392,10 @@
         """Return the group of the only service."""
         return self.gateway.groups[SERVICE]
 
-    def connect(self, database: str = OWN) -> int:
+    def connect(self, database: str = OWN, key: str = '') -> int:
         """Open a session and return its number."""
         number = next(self.numbers)
-        self.gateway.on_start(number, database)
+        self.gateway.on_start(number, database, customer_keys.digest(key))
         return number
 
     def send(self, number: int, text: str, request: str = 'r1') -> None:
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -7,6 +7,7 @@
 import typing
 
 from jacinthhaven.sql import (
+    customer_keys,
     execution,
     group,
     local_statements,
@@ -36,9 +37,10 @@
       owner_count: Number of owners of each service in the link shares.
       owned: Names of the services that this node owns; None for all.
       entries: Latest registry entries.
-      pending_starts: Connection number and database of sessions that were
-        opened before the first configuration arrived.
+      pending_starts: Connection number, database and key digest of sessions
+        that were opened before the first configuration arrived.
       route_check: Decision how a database without a route is refused.
+      key_check: Decision whether the key of a client allows a route.
       draining: Whether inactive sessions are closed.
       close_after_answer: Whether a session is closed once its statement is
         answered, because the process is about to exit.
@@ -64,8 +66,9 @@
         self.owner_count = 1
         self.owned: typing.Container[str] | None = None
         self.entries: typing.Sequence[records.Instance] = ()
-        self.pending_starts: list[tuple[int, str]] = []
+        self.pending_starts: list[tuple[int, str, str]] = []
         self.route_check = route_check.RouteCheck()
+        self.key_check = customer_keys.KeyCheck()
         self.draining = False
         self.close_after_answer = False
         self.refused_verbs: frozenset[statements.Verb] = frozenset()
@@ -94,6 +97,7 @@
         )
         self.configuration = configuration
         self.route_check.configuration = configuration
+        self.key_check.configuration = configuration
         for name, service_group in self.groups.items():
             service_group.removed = name not in configuration.services
         for name in configuration.services:
@@ -111,9 +115,10 @@
             )
         self.set_link_shares(self.owner_count, self.owned)
         self.register(self.entries, now_ms)
-        for number, database in self.pending_starts:
-            self.on_start(number, database)
+        for start in self.pending_starts:
+            self.on_start(*start)
         self.pending_starts = []
+        self._end_revoked(now_ms)
 
     def set_link_shares(
         self,
@@ -141,6 +146,9 @@
             )
             service_group.pool.min_links = int(service_group.owned)
             service_group.pool.owners = owner_count
+            service_group.pool.by_customer = (
+                self.configuration.customers is not None
+            )
 
     def register(
         self,
@@ -160,13 +168,15 @@
             own = [entry for entry in entries if entry.service == name]
             service_group.pool.update(own, now_ms, proved_ms)
 
-    def on_start(self, number: int, database: str) -> None:
-        """Open a session, or refuse it if its database has no route."""
+    def on_start(
+        self, number: int, database: str, key_digest: str = ''
+    ) -> None:
+        """Open a session, or refuse it if it may use no route."""
         if not self.configured:
-            self.pending_starts.append((number, database))
+            self.pending_starts.append((number, database, key_digest))
             return
-        if database not in self.configuration.routes:
-            code = self.route_check.refusal_code(database)
+        code = self._refusal_code(database, key_digest)
+        if code is not None:
             self.journal.write(
                 'session_refused',
                 {
@@ -177,11 +187,13 @@
             )
             self.clients.refuse(number, code)
             return
-        session = sessions.Session(number, database, self.now_ms)
+        session = sessions.Session(number, database, self.now_ms, key_digest)
         self.sessions[number] = session
         self.clients.accept(number)
 
-    def on_relayed(self, number: int, database: str, version: int) -> None:
+    def on_relayed(
+        self, number: int, database: str, version: int, key_digest: str = ''
+    ) -> None:
         """Open a session that another node relays, or refuse it at once.
 
         Args:
@@ -189,13 +201,14 @@
           database: Database that the client asked for.
           version: Configuration version of the relaying node. This node
             refuses the session if its own version is older.
+          key_digest: Digest of the client's key, or ''.
         """
         outdated = self.configuration.version < version
         if self.draining or outdated or not self.configured:
             self.journal.count('relays', 'refused')
             self.clients.refuse(number, statements.Code.BUSY)
             return
-        self.on_start(number, database)
+        self.on_start(number, database, key_digest)
 
     def on_statement(
         self,
@@ -240,6 +253,8 @@
         self.now_ms = now_ms
         if self.draining:
             self.close_inactive(now_ms)
+        if self.configuration.customers is not None:
+            self._end_revoked(now_ms)
         for service_group in tuple(self.groups.values()):
             service_group.tick(now_ms)
             if service_group.removed and _end_if_unused(service_group):
@@ -263,17 +278,20 @@
             if transaction is None or session.work is not None:
                 continue
             if not transaction.failed:
-                self._expire_transaction(session, now_ms)
+                self._expire_transaction(session, now_ms, 'stopping')
 
-    def adopt_aborted(self, number: int, database: str, now_ms: int) -> None:
+    def adopt_aborted(
+        self, number: int, database: str, now_ms: int, key_digest: str = ''
+    ) -> None:
         """Take over a session whose transaction another node has rolled back.
 
         Args:
           number: Number of the client connection.
           database: Database of the session, which has a route.
           now_ms: Current time.
+          key_digest: Digest of the client's key, or ''.
         """
-        session = sessions.Session(number, database, now_ms)
+        session = sessions.Session(number, database, now_ms, key_digest)
         routing = sessions.find_routing(session, self.configuration)
         session.transaction = sessions.Transaction(routing, False, now_ms)
         session.transaction.fail_unreported()
@@ -281,7 +299,7 @@
 
     def end_sessions(self, now_ms: int) -> None:
         """Answer all statements and close all sessions."""
-        for number, _database in self.pending_starts:
+        for number, *_login in self.pending_starts:
             self.clients.refuse(number, statements.Code.BUSY)
         self.pending_starts = []
         for session in tuple(self.sessions.values()):
@@ -325,13 +343,17 @@
                     'version': self.configuration.version,
                 },
             )
-            code = self.route_check.refusal_code(session.database)
-            self.answer_error(session, code, '')
+            self.answer_error(session, self.refusal_code(session), '')
             return
         work = sessions.Work(session, statement, routing, now_ms)
         session.work = work
         self.groups[routing.route.service].submit(work, now_ms)
 
+    def refusal_code(self, session: sessions.Session) -> statements.Code:
+        """Return the error for a session that may use no route now."""
+        code = self._refusal_code(session.database, session.key_digest)
+        return code or statements.Code.BUSY
+
     def answer_success(self, session: sessions.Session) -> None:
         answer = statements.Answer(state=session.state)
         self.clients.answer(session.number, answer)
@@ -365,6 +387,27 @@
         self.executor.release(service_group, transaction.link, now_ms)
         service_group.dispatch(now_ms)
 
+    def _refusal_code(
+        self, database: str, key_digest: str
+    ) -> statements.Code | None:
+        """Return the error for a caller, or None if it may use its route."""
+        if database not in self.configuration.routes:
+            return self.route_check.refusal_code(database)
+        if not self.key_check.allows(database, key_digest):
+            return self.key_check.refusal_code(database, key_digest)
+        return None
+
+    def _end_revoked(self, now_ms: int) -> None:
+        """End the transactions and inactive sessions of removed keys."""
+        for session in tuple(self.sessions.values()):
+            if self.key_check.allows(session.database, session.key_digest):
+                continue
+            transaction = session.transaction
+            if transaction is not None and session.work is None:
+                if not transaction.failed:
+                    self._expire_transaction(session, now_ms, 'key_removed')
+            self.close_if_inactive(session, now_ms)
+
     def _expire_idle(self, now_ms: int) -> None:
         """Roll back transactions that exceed the idle timeout."""
         limit_ms = self.configuration.transaction_idle_ms
@@ -374,7 +417,7 @@
             if session.work is None and _is_idle_for(
                 session.transaction, limit_ms, now_ms
             ):
-                self._expire_transaction(session, now_ms)
+                self._expire_transaction(session, now_ms, 'idle')
 
     def _on_done(self, session: sessions.Session, now_ms: int) -> None:
         session.active_ms = now_ms
@@ -458,12 +501,17 @@
         self,
         session: sessions.Session,
         now_ms: int,
+        reason: str,
     ) -> None:
         """Roll back a transaction; the next answer tells the client."""
         transaction = session.transaction
         self.journal.write(
-            'transaction_idle',
-            {'session': session.number, 'database': session.database},
+            'transaction_expired',
+            {
+                'session': session.number,
+                'database': session.database,
+                'reason': reason,
+            },
         )
         if transaction.link is not None:
             service_group = self.groups[transaction.route.service]
--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -359,13 +359,11 @@
     def _update_wanted(self, now_ms: int) -> None:
         """Record the instances where a queued statement lacks a free link."""
         view = self.view(now_ms)
-        wanted = {
-            placement.wanted_instance(work, view)
+        wanted = [
+            (placement.wanted_instance(work, view), work.customer)
             for work in self.backlog.waiting
-        }
-        added = wanted - self.pool.wanted
-        self.pool.wanted = wanted
-        if added:
+        ]
+        if self.pool.update_wanted(wanted):
             self.pool.open_missing(now_ms)
 
     def _send_control_commands(self, now_ms: int) -> None:
--- a/jacinthhaven/sql/instances.py
+++ b/jacinthhaven/sql/instances.py
@@ -112,6 +112,14 @@
         """Return the links that can execute new work."""
         return [link for link in self.links if link.free]
 
+    def free_for(self, customer: str) -> list[links.Link]:
+        """Return the links that can execute new work of a customer."""
+        return [
+            link
+            for link in self.links
+            if link.free and link.customer == customer
+        ]
+
     def mark_overtaken(self, answered: links.Link, now_ms: int) -> None:
         """Record that a statement was answered.
 
--- a/jacinthhaven/sql/lending.py
+++ b/jacinthhaven/sql/lending.py
@@ -69,20 +69,21 @@
         self,
         number: int,
         service: str,
+        customer: str,
         instance: str,
         now_ms: int,
     ) -> None:
-        """Lend a free link to an instance, or refuse at once.
+        """Lend a free link of a customer to an instance, or refuse at once.
 
         After a refusal a further link is opened if possible.
         """
         known = self.gateway.groups.get(service)
         link = None
         if known is not None and not self.gateway.draining:
-            link = _find_lendable_link(known.pool, instance)
+            link = _find_lendable_link(known.pool, customer, instance)
         if link is None:
             if known is not None:
-                known.pool.request_link(instance)
+                known.pool.request_link(instance, customer)
                 known.pool.open_missing(now_ms)
             self.journal.count('loans', 'refused')
             self.borrowers.refuse(number)
@@ -162,12 +163,14 @@
         self.gateway.executor.send_next(known, loan.link, now_ms)
 
 
-def _find_lendable_link(known: pool.Pool, instance: str) -> links.Link | None:
+def _find_lendable_link(
+    known: pool.Pool, customer: str, instance: str
+) -> links.Link | None:
     """Return a free link of this node without session values, if any."""
     state = known.states.get(instance)
     if state is None:
         return None
-    for link in state.free_links:
+    for link in state.free_for(customer):
         if not (link.borrowed or link.settings or link.prepared):
             return link
     return None
--- a/jacinthhaven/sql/lending_test.py
+++ b/jacinthhaven/sql/lending_test.py
@@ -15,7 +15,7 @@
 
 def _lend(rig: builders.Rig) -> tuple[lending.Lender, lending.Loan]:
     lender = _lender(rig)
-    lender.on_request(_BORROWER, builders.SERVICE, 'db-a', rig.now_ms)
+    lender.on_request(_BORROWER, builders.SERVICE, '', 'db-a', rig.now_ms)
     return lender, lender.loans[_BORROWER]
 
 
@@ -32,7 +32,7 @@
     """Guards against borrowers that wait although no link is free."""
     rig = builders.Rig()
     lender, _loan = _lend(rig)
-    lender.on_request(_BORROWER + 1, builders.SERVICE, 'db-a', rig.now_ms)
+    lender.on_request(_BORROWER + 1, builders.SERVICE, '', 'db-a', rig.now_ms)
     assert lender.borrowers.sent[_BORROWER + 1] == ['refused']
 
 
--- a/jacinthhaven/sql/links.py
+++ b/jacinthhaven/sql/links.py
@@ -31,6 +31,8 @@
       number: Number of the connection within the process.
       instance: Name of the instance.
       borrowed: Whether the connection runs through another node.
+      customer: Name of the customer that the instance was told, or ''. Only
+        statements of this customer may run on it.
       ready: Whether the connection is open and the instance accepted it.
       settings: Session settings in effect on it.
       prepared: Names of the statements that are prepared on it.
@@ -52,6 +54,7 @@
         'number',
         'instance',
         'borrowed',
+        'customer',
         'ready',
         'settings',
         'prepared',
@@ -73,8 +76,10 @@
         now_ms: int,
         *,
         borrowed: bool = False,
+        customer: str = '',
     ) -> None:
         """Create a link whose connection is being opened."""
+        self.customer = customer
         self.number = number
         self.instance = instance
         self.borrowed = borrowed
--- a/jacinthhaven/sql/local_statements.py
+++ b/jacinthhaven/sql/local_statements.py
@@ -14,7 +14,6 @@
     """The part of a gateway that these statements use."""
 
     configuration: records.Configuration
-    route_check: typing.Any
     journal: typing.Any
 
     def execute(
@@ -25,6 +24,9 @@
     ) -> None:
         """Let an instance execute a statement."""
 
+    def refusal_code(self, session: sessions.Session) -> statements.Code:
+        """Return the error for a session that may use no route now."""
+
     def answer_success(self, session: sessions.Session) -> None:
         """Answer a statement that was not sent to an instance."""
 
@@ -56,8 +58,7 @@
         return
     routing = sessions.find_routing(session, gateway.configuration)
     if routing is None:
-        code = gateway.route_check.refusal_code(session.database)
-        gateway.answer_error(session, code, '')
+        gateway.answer_error(session, gateway.refusal_code(session), '')
         return
     read_only = (
         statement.verb is statements.Verb.BEGIN_READ
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -75,6 +75,7 @@
             ownership.encode(identity.peer),
         )
         self.gateway.route_check.is_certain = self.sync.is_certain
+        self.gateway.key_check.is_certain = self.sync.is_certain
         self.relay = relaying.Relay(
             identity.name,
             self.gateway,
--- a/jacinthhaven/sql/pool.py
+++ b/jacinthhaven/sql/pool.py
@@ -31,9 +31,14 @@
 # Links to one instance that are opened at the same time; opening one takes
 # one of its slots.
 _MAX_OPENING = 1
+# The same where each link belongs to one customer, so that more are opened.
+_MAX_OPENING_BY_CUSTOMER = 2
 
 # Idle time after which a link beyond the minimum is closed.
 _IDLE_TIMEOUT_MS = 3000
+# The same for a link that belongs to a customer: the next statement of the
+# customer cannot use another one.
+_CUSTOMER_IDLE_TIMEOUT_MS = 20_000
 
 # Time for which links are borrowed after an own one could not be opened.
 _BORROW_PERIOD_MS = 2000
@@ -51,6 +56,7 @@
 _LAG_MS = 1000
 
 OnReply = typing.Callable[[statements.Reply | None], None]
+Wanted = typing.Iterable[tuple[str | None, str]]
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,7 +88,9 @@
         node take the place of others for three seconds.
       control_requests: Queued control commands by instance.
       lenders: Addresses of the nodes from which links may be borrowed.
-      wanted: Instances to which one more link is needed.
+      wanted: Instances to which one more link is needed, each with the customers
+        of the waiting statements in the order of the queue.
+      by_customer: Whether each link belongs to one customer.
       lender_turn: Counter that selects the next lender, round robin.
     """
 
@@ -95,7 +103,8 @@
         self.min_links = 1
         self.owners = 1
         self.control_requests: dict[str, collections.deque[ControlRequest]] = {}
-        self.wanted: set[str] = set()
+        self.wanted: dict[str, list[str]] = {}
+        self.by_customer = False
         self.lenders: list[records.Address] = []
         self.lender_turn = 0
 
@@ -141,10 +150,30 @@
             if now_ms < state.borrow_until_ms:
                 self._borrow(state, now_ms)
 
-    def request_link(self, instance: str) -> None:
-        """Record that another node needs a link to an instance."""
+    def request_link(self, instance: str, customer: str) -> None:
+        """Record that another node needs a link of a customer."""
         if instance in self.states:
-            self.wanted.add(instance)
+            self.wanted.setdefault(instance, []).append(customer)
+
+    def update_wanted(self, pairs: Wanted) -> bool:
+        """Set the links that waiting statements need.
+
+        Args:
+          pairs: Instance, or None if no one is known, and customer.
+
+        Returns:
+          Whether one of them was not needed before.
+        """
+        wanted: dict[str, list[str]] = {}
+        for instance, customer in pairs:
+            if instance is not None:
+                wanted.setdefault(instance, []).append(customer)
+        known = {name: set(found) for name, found in self.wanted.items()}
+        self.wanted = wanted
+        return any(
+            not known.get(name, set()).issuperset(found)
+            for name, found in wanted.items()
+        )
 
     def replicas_lag(self, leader: str, now_ms: int) -> bool:
         """Return whether all replicas have lagged too far to serve reads.
@@ -258,10 +287,80 @@
             return
         own = [link for link in state.links if not link.borrowed]
         opening = sum(not link.ready for link in own)
+        if self.by_customer:
+            self._open_for_customers(state, own, now_ms)
+            return
         missing = self._target(state, own, now_ms) - len(own)
         if missing > 0 and opening < _MAX_OPENING:
             self._open_link(state, None, now_ms)
 
+    def _open_for_customers(
+        self,
+        state: instances.InstanceState,
+        own: list[links.Link],
+        now_ms: int,
+    ) -> None:
+        """Open the links of customers whose statements wait.
+
+        If the limit of links is reached, the link that has been idle for the
+        longest time makes room.
+        """
+        opening = sum(not link.ready for link in own)
+        for customer in self._missing_customers(state, own, now_ms):
+            if opening >= _MAX_OPENING_BY_CUSTOMER:
+                return
+            if len(own) >= self.max_links and not self._make_room(state, own):
+                return
+            opening += 1
+            own.append(self._open_link(state, None, now_ms, customer))
+
+    def _missing_customers(
+        self,
+        state: instances.InstanceState,
+        own: list[links.Link],
+        now_ms: int,
+    ) -> list[str]:
+        """Return the customer of each own link that should be opened."""
+        name = state.entry.name
+        if self.control_requests.get(name):
+            # A control command must not wait until a transaction ends.
+            return [] if any(link.free for link in own) else ['']
+        if state.departure.leaving_ms is not None:
+            if not state.reachable_at(now_ms):
+                return []
+        missing = collections.Counter(self.wanted.get(name, ()))
+        if not missing or not state.has_room():
+            return [''] if self.min_links and not own else []
+        for link in own:
+            if link.free or not link.ready:
+                missing[link.customer] -= 1
+        return [
+            customer
+            for customer in dict.fromkeys(self.wanted[name])
+            if missing[customer] > 0
+        ]
+
+    def _make_room(
+        self, state: instances.InstanceState, own: list[links.Link]
+    ) -> bool:
+        """Close the least recently used link that no waiting statement needs.
+
+        Returns:
+          Whether there was one.
+        """
+        needed = self.wanted.get(state.entry.name, ())
+        unused = [
+            link
+            for link in own
+            if link.free and link.unused and link.customer not in needed
+        ]
+        if not unused:
+            return False
+        oldest = min(unused, key=lambda link: link.idle_since_ms)
+        own.remove(oldest)
+        self.drop(oldest)
+        return True
+
     def _borrow(self, state: instances.InstanceState, now_ms: int) -> None:
         """Borrow a link for queued work; lenders are asked round robin."""
         name = state.entry.name
@@ -274,23 +373,27 @@
         if all(link.ready for link in borrowed):
             self.lender_turn += 1
             lender = self.lenders[self.lender_turn % len(self.lenders)]
-            self._open_link(state, lender, now_ms)
+            customers = self.wanted.get(name, [''])
+            self._open_link(state, lender, now_ms, customers[0])
 
     def _open_link(
         self,
         state: instances.InstanceState,
         lender: records.Address | None,
         now_ms: int,
-    ) -> None:
-        number = self.databases.open(state.entry, lender)
+        customer: str = '',
+    ) -> links.Link:
+        number = self.databases.open(state.entry, lender, customer)
         link = links.Link(
             number,
             state.entry.name,
             now_ms,
             borrowed=lender is not None,
+            customer=customer,
         )
         state.links.append(link)
         self.by_number[number] = link
+        return link
 
     def _target(
         self,
@@ -326,7 +429,9 @@
 
 
 def _idle_too_long(link: links.Link, now_ms: int) -> bool:
-    timeout_ms = (
-        _BORROWED_IDLE_TIMEOUT_MS if link.borrowed else _IDLE_TIMEOUT_MS
-    )
+    timeout_ms = _IDLE_TIMEOUT_MS
+    if link.borrowed:
+        timeout_ms = _BORROWED_IDLE_TIMEOUT_MS
+    elif link.customer:
+        timeout_ms = _CUSTOMER_IDLE_TIMEOUT_MS
     return now_ms - link.idle_since_ms >= timeout_ms
--- a/jacinthhaven/sql/ports.py
+++ b/jacinthhaven/sql/ports.py
@@ -21,6 +21,7 @@
         self,
         instance: records.Instance,
         lender: records.Address | None = None,
+        customer: str = '',
     ) -> int:
         """Start to connect and return the number of the new connection.
 
@@ -28,6 +29,7 @@
           instance: Instance to connect to.
           lender: Address of a node that lends its connection; None to
             connect directly.
+          customer: Name of the customer that the link belongs to, or ''.
         """
 
     @abc.abstractmethod
@@ -52,6 +54,7 @@
         address: records.Address,
         database: str,
         version: int,
+        key_digest: str = '',
     ) -> int:
         """Ask an owner to execute a session.
 
@@ -59,6 +62,7 @@
           address: Address at which the owner accepts other nodes.
           database: Database that the client connects to.
           version: Minimum version of the configuration at the owner.
+          key_digest: Digest of the client's key, or ''.
 
         Returns:
           Number of the connection.
--- a/jacinthhaven/sql/records.py
+++ b/jacinthhaven/sql/records.py
@@ -64,6 +64,7 @@
       target_ms: Target latency of one statement.
       priority: Priority under overload; 0 is the highest.
       max_age_ms: Maximum age of the data that a read may return.
+      is_public: Whether it may be used without a key.
     """
 
     database: str
@@ -73,13 +74,36 @@
     target_ms: int
     priority: int
     max_age_ms: int
+    is_public: bool = False
 
 
 class Routing(typing.NamedTuple):
-    """Route of a statement, and the version of the configuration it is from."""
+    """How a statement is routed.
+
+    Attributes:
+      route: Route of its database.
+      version: Version of the configuration that the route is from.
+      customer: Name of the customer that it runs for; '' if none is known.
+    """
 
     route: Route
     version: int
+    customer: str = ''
+
+
+class Customer(msgspec.Struct, frozen=True):
+    """Customer whose callers are recognised by their keys.
+
+    Attributes:
+      name: Name that the instances are told.
+      rate_per_s: Operations a second that all its callers together may run;
+        0 for no limit.
+      burst: Operations that they may run beyond the rate at once.
+    """
+
+    name: str
+    rate_per_s: float = 0
+    burst: float = 0
 
 
 class Service(msgspec.Struct, frozen=True):
@@ -106,12 +130,15 @@
       services: Services by name.
       transaction_idle_ms: Idle time after which a transaction is rolled
         back; 0 for no limit.
+      customers: Customers by the digest of each of their keys, or None if
+        callers need no key.
     """
 
     version: int
     routes: typing.Mapping[str, Route]
     services: typing.Mapping[str, Service]
     transaction_idle_ms: int
+    customers: typing.Mapping[str, Customer] | None = None
 
 
 def shortest_targets_ms(
--- a/jacinthhaven/sql/relayed_sessions.py
+++ b/jacinthhaven/sql/relayed_sessions.py
@@ -30,6 +30,7 @@
     Attributes:
       number: Number of the client connection.
       database: Database that the client asked for.
+      key_digest: Digest of the client's key, or ''.
       candidates: Owners that have not been tried yet.
       owner: Owner that executes the session or is being tried.
       relay: Number of the connection to the owner.
@@ -45,6 +46,7 @@
     __slots__ = (
         'number',
         'database',
+        'key_digest',
         'candidates',
         'owner',
         'relay',
@@ -56,10 +58,11 @@
         'pinged',
     )
 
-    def __init__(self, number: int, database: str, owners: list[str]) -> None:
+    def __init__(self, start: 'PendingStart', owners: list[str]) -> None:
         """Create a session that no owner has been asked to execute."""
-        self.number = number
-        self.database = database
+        self.number = start.number
+        self.database = start.database
+        self.key_digest = start.key_digest
         self.candidates = owners
         self.owner = ''
         self.relay = 0
@@ -82,6 +85,7 @@
     number: int
     database: str
     arrived_ms: int
+    key_digest: str = ''
 
 
 def timeout_ms(session: RelayedSession) -> int:
--- a/jacinthhaven/sql/relaying.py
+++ b/jacinthhaven/sql/relaying.py
@@ -93,10 +93,13 @@
         self.peers = peers
         self.owners_by_service = {}
 
-    def on_start(self, number: int, database: str, now_ms: int) -> None:
+    def on_start(
+        self, number: int, database: str, now_ms: int, key_digest: str = ''
+    ) -> None:
         """Relay a new session to an owner, or open it on this node."""
         self._start(
-            relayed_sessions.PendingStart(number, database, now_ms), now_ms
+            relayed_sessions.PendingStart(number, database, now_ms, key_digest),
+            now_ms,
         )
 
     def on_statement(
@@ -110,11 +113,8 @@
         if session is None:
             self.local.on_statement(number, statement, now_ms)
             return
-        routes = self.local.configuration.routes
-        if session.idle and session.database not in routes:
-            answer = statements.Answer(
-                code=self.local.route_check.refusal_code(session.database)
-            )
+        if session.idle and not self._may_use_route(session):
+            answer = statements.Answer(code=self.local.refusal_code(session))
             self.local.clients.answer(number, answer)
             return
         if session.refused or statement.verb in self.local.refused_verbs:
@@ -191,12 +191,29 @@
         self._return_session(now_ms)
         if self.local.draining:
             self.close_inactive(now_ms)
+        if self.local.configuration.customers is not None:
+            self._close_revoked(now_ms)
         for session in tuple(self.sessions.values()):
             if now_ms - session.active_ms >= relayed_sessions.timeout_ms(
                 session
             ):
                 self._check_owner(session, now_ms)
 
+    def _close_revoked(self, now_ms: int) -> None:
+        """Close the inactive sessions whose keys were removed."""
+        check = self.local.key_check
+        for session in tuple(self.sessions.values()):
+            if check.allows(session.database, session.key_digest):
+                continue
+            if session.accepted and self._is_inactive(session, now_ms):
+                self._close(session)
+
+    def _may_use_route(self, session: relayed_sessions.RelayedSession) -> bool:
+        """Return whether a new operation of a session may run."""
+        if session.database not in self.local.configuration.routes:
+            return False
+        return self.local.key_check.allows(session.database, session.key_digest)
+
     def close_inactive(self, now_ms: int) -> None:
         """Close all inactive sessions."""
         for session in tuple(self.sessions.values()):
@@ -215,7 +232,10 @@
                 self.sessions.pop(session.number)
                 self._drop(session)
                 self.local.adopt_aborted(
-                    session.number, session.database, now_ms
+                    session.number,
+                    session.database,
+                    now_ms,
+                    session.key_digest,
                 )
 
     def end_sessions(self) -> None:
@@ -256,22 +276,24 @@
             self._close(session)
 
     def _start(self, start: relayed_sessions.PendingStart, now_ms: int) -> None:
-        number, database, arrived_ms = start
+        number, database, arrived_ms, key_digest = start
         if not self.routing_ready:
             self.pending_starts.append(start)
             return
-        in_doubt = self.local.route_check.is_in_doubt(database)
+        in_doubt = self.local.route_check.is_in_doubt(
+            database
+        ) or self.local.key_check.is_in_doubt(database, key_digest)
         if in_doubt and now_ms - arrived_ms < _PROOF_WAIT_MS:
             self.pending_starts.append(start)
             return
         route = self.local.configuration.routes.get(database)
-        owners = [] if route is None else self._owners(route.service, now_ms)
+        owners = []
+        if route and self.local.key_check.allows(database, key_digest):
+            owners = self._owners(route.service, now_ms)
         if not owners or self.node in owners:
-            self.local.on_start(number, database)
+            self.local.on_start(number, database, key_digest)
             return
-        session = relayed_sessions.RelayedSession(
-            number, database, owners[:_MAX_TRIES]
-        )
+        session = relayed_sessions.RelayedSession(start, owners[:_MAX_TRIES])
         self.sessions[number] = session
         self._try_next(session, now_ms)
 
@@ -330,7 +352,9 @@
             self.sessions.pop(session.number, None)
             self.journal.count('relays', 'local')
             self.on_unreachable()
-            self.local.on_start(session.number, session.database)
+            self.local.on_start(
+                session.number, session.database, session.key_digest
+            )
             return
         session.owner = listed[0]
         session.candidates = listed[1:]
@@ -339,6 +363,7 @@
             self.peers[session.owner].address,
             session.database,
             self.local.configuration.version,
+            session.key_digest,
         )
         self.by_relay[session.relay] = session
 
--- a/jacinthhaven/sql/sessions.py
+++ b/jacinthhaven/sql/sessions.py
@@ -3,7 +3,7 @@
 import collections
 import typing
 
-from jacinthhaven.sql import leadership, records, statements
+from jacinthhaven.sql import customer_keys, leadership, records, statements
 
 
 class Transaction:
@@ -69,6 +69,7 @@
     Attributes:
       number: Number of the client connection within the process.
       database: Database name that the client connects to.
+      key_digest: Digest of the client's key, or ''.
       settings: Session settings, as acknowledged to the client.
       prepared: Prepared statements by the names that the client gave them.
       position: Log position of the last commit of this session.
@@ -81,6 +82,7 @@
     __slots__ = (
         'number',
         'database',
+        'key_digest',
         'settings',
         'prepared',
         'position',
@@ -90,8 +92,11 @@
         'active_ms',
     )
 
-    def __init__(self, number: int, database: str, now_ms: int) -> None:
+    def __init__(
+        self, number: int, database: str, now_ms: int, key_digest: str = ''
+    ) -> None:
         """Create an idle session."""
+        self.key_digest = key_digest
         self.active_ms = now_ms
         self.number = number
         self.database = database
@@ -209,6 +214,11 @@
         """Return the route that applies to the statement."""
         return self.routing.route
 
+    @property
+    def customer(self) -> str:
+        """Return the name of the customer that it runs for, or ''."""
+        return self.routing.customer
+
     @property
     def strict_read(self) -> bool:
         """Return whether it is a single read that requires the newest data."""
@@ -233,10 +243,20 @@
 def find_routing(
     session: Session, configuration: records.Configuration
 ) -> records.Routing | None:
-    """Return the route of the open transaction, or of the database."""
+    """Return the route of the open transaction, or of the database.
+
+    Returns:
+      The route, or None if the database has none or the client's key does not
+      allow it.
+    """
     if session.transaction is not None:
         return session.transaction.routing
     route = configuration.routes.get(session.database)
     if route is None:
         return None
-    return records.Routing(route, configuration.version)
+    customer = customer_keys.find_customer(
+        configuration, route, session.key_digest
+    )
+    if customer is None:
+        return None
+    return records.Routing(route, configuration.version, customer)
--- a/jacinthhaven/sql/statements.py
+++ b/jacinthhaven/sql/statements.py
@@ -39,6 +39,7 @@
     UNKNOWN_STATEMENT = 'unknown_statement'
     MALFORMED = 'malformed'
     TOO_LARGE = 'too_large'
+    UNKNOWN_KEY = 'unknown_key'
 
 
 # Refusals by an instance that guarantee that the statement was not executed.
--- a/jacinthhaven/standins/sql_group.py
+++ b/jacinthhaven/standins/sql_group.py
@@ -225,6 +225,7 @@
     Attributes:
       lose_answers: Whether replies to statements are swallowed.
       handled: Lines that arrived, for assertions.
+      caller: Name of the caller in the first line.
     """
 
     def __init__(self, instance: SqlInstance) -> None:
@@ -239,10 +240,11 @@
         self.prepared: dict[str, tuple[str, str]] = {}
         self.numbers = itertools.count(1)
         self.handled: list[str] = []
+        self.caller = ''
 
     def start(self, line: str, now_ms: int) -> list[str]:
         """Return the reply to the first line."""
-        service, _caller, expected = line.split(' ')[1:]
+        service, self.caller, expected = line.split(' ')[1:]
         if service != self.group.name or expected != self.instance.name:
             return ['ERROR MISROUTED -']
         return [self._ready(now_ms)]
