Decide access in one module, and end sessions in another

Change: sql/access decides on routes and keys, sql/expiry ends idle, revoked and stopping sessions, sql/customer_links chooses links of customers.

--- a/jacinthhaven/platform/documents.py
+++ b/jacinthhaven/platform/documents.py
@@ -168,7 +168,7 @@
     """
     server = _server_decoder.decode(entry.value)
     return records.Instance(
-        _decode_name(entry.key),
+        _check_name(entry.key.removeprefix(REGISTRY_PREFIX)),
         server.service,
         _decode_address(server.address),
         server.zone,
@@ -179,10 +179,6 @@
     )
 
 
-def _decode_name(key: str) -> str:
-    return _check_name(key.removeprefix(REGISTRY_PREFIX))
-
-
 def _check_name(name: str) -> str:
     # The name is sent in a line, so that a space or a line end would add to it.
     if not _NAME.fullmatch(name):
--- a/jacinthhaven/sql/customer_keys_test.py
+++ b/jacinthhaven/sql/customer_keys_test.py
@@ -1,10 +1,12 @@
 """Tests of keys, customers and the links that belong to customers."""
 
+import types
+
 import msgspec
 
 from jacinthhaven.sql import builders, customer_keys, records, statements
 
-_KEYS = {'k-ann': 'ann', 'k-bob': 'bob'}
+_KEYS = types.MappingProxyType({'k-ann': 'ann', 'k-bob': 'bob'})
 
 
 def _configuration(version: int, *keys: str) -> records.Configuration:
@@ -18,6 +20,10 @@
     )
 
 
+def _never() -> bool:
+    return False
+
+
 def _rig(*keys: str) -> builders.Rig:
     rig = builders.Rig()
     rig.gateway.configure(_configuration(2, *keys), rig.now_ms)
@@ -43,7 +49,7 @@
 def test_unknown_key_is_in_doubt_while_the_configuration_may_be_old():
     """Guards against turning a new key away for good."""
     rig = _rig('k-ann')
-    rig.gateway.key_check.is_certain = lambda: False
+    rig.gateway.access.is_certain = _never
     number = rig.connect(key='k-bob')
     assert rig.clients.refused[number] is statements.Code.BUSY
 
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -7,13 +7,13 @@
 import typing
 
 from jacinthhaven.sql import (
-    customer_keys,
+    access,
     execution,
+    expiry,
     group,
     local_statements,
     ports,
     records,
-    route_check,
     sessions,
     statements,
 )
@@ -21,11 +21,6 @@
 # Pipelined statements that may wait in one session.
 _MAX_PIPELINED = 64
 
-# A session counts as inactive after this time without traffic. An active client
-# sends its next statement sooner; closing the session earlier could lose a
-# statement in transit.
-INACTIVITY_MS = 400
-
 
 class Gateway:
     """Client sessions and service groups of one process.
@@ -39,8 +34,7 @@
       entries: Latest registry entries.
       pending_starts: Connection number, database and key digest of sessions
         that were opened before the first configuration arrived.
-      route_check: Decision how a database without a route is refused.
-      key_check: Decision whether the key of a client allows a route.
+      access: Decision which callers may use which databases.
       draining: Whether inactive sessions are closed.
       close_after_answer: Whether a session is closed once its statement is
         answered, because the process is about to exit.
@@ -67,8 +61,7 @@
         self.owned: typing.Container[str] | None = None
         self.entries: typing.Sequence[records.Instance] = ()
         self.pending_starts: list[tuple[int, str, str]] = []
-        self.route_check = route_check.RouteCheck()
-        self.key_check = customer_keys.KeyCheck()
+        self.access = access.Access()
         self.draining = False
         self.close_after_answer = False
         self.refused_verbs: frozenset[statements.Verb] = frozenset()
@@ -96,8 +89,7 @@
             },
         )
         self.configuration = configuration
-        self.route_check.configuration = configuration
-        self.key_check.configuration = configuration
+        self.access.configuration = configuration
         for name, service_group in self.groups.items():
             service_group.removed = name not in configuration.services
         for name in configuration.services:
@@ -118,7 +110,8 @@
         for start in self.pending_starts:
             self.on_start(*start)
         self.pending_starts = []
-        self._end_revoked(now_ms)
+        if self.access.needs_keys:
+            expiry.end_revoked(self, now_ms)
 
     def set_link_shares(
         self,
@@ -146,9 +139,7 @@
             )
             service_group.pool.min_links = int(service_group.owned)
             service_group.pool.owners = owner_count
-            service_group.pool.by_customer = (
-                self.configuration.customers is not None
-            )
+            service_group.pool.by_customer = self.access.needs_keys
 
     def register(
         self,
@@ -175,7 +166,7 @@
         if not self.configured:
             self.pending_starts.append((number, database, key_digest))
             return
-        code = self._refusal_code(database, key_digest)
+        code = self.access.refusal_code(database, key_digest)
         if code is not None:
             self.journal.write(
                 'session_refused',
@@ -252,33 +243,19 @@
         """Run the timers of all services, transactions and sessions."""
         self.now_ms = now_ms
         if self.draining:
-            self.close_inactive(now_ms)
-        if self.configuration.customers is not None:
-            self._end_revoked(now_ms)
+            expiry.close_inactive(self, now_ms)
+        if self.access.needs_keys:
+            expiry.end_revoked(self, now_ms)
         for service_group in tuple(self.groups.values()):
             service_group.tick(now_ms)
             if service_group.removed and _end_if_unused(service_group):
                 self.groups.pop(service_group.name)
-        self._expire_idle(now_ms)
+        expiry.end_idle(self, now_ms)
 
     def drain(self, now_ms: int) -> None:
         """Close inactive sessions now and at every later tick."""
         self.draining = True
-        self.close_inactive(now_ms)
-
-    def close_inactive(self, now_ms: int) -> None:
-        """Close all inactive sessions."""
-        for session in tuple(self.sessions.values()):
-            self.close_if_inactive(session, now_ms)
-
-    def abort_transactions(self, now_ms: int) -> None:
-        """Roll back the transactions that have no running statement."""
-        for session in tuple(self.sessions.values()):
-            transaction = session.transaction
-            if transaction is None or session.work is not None:
-                continue
-            if not transaction.failed:
-                self._expire_transaction(session, now_ms, 'stopping')
+        expiry.close_inactive(self, now_ms)
 
     def adopt_aborted(
         self, number: int, database: str, now_ms: int, key_digest: str = ''
@@ -299,8 +276,8 @@
 
     def end_sessions(self, now_ms: int) -> None:
         """Answer all statements and close all sessions."""
-        for number, *_login in self.pending_starts:
-            self.clients.refuse(number, statements.Code.BUSY)
+        for start in self.pending_starts:
+            self.clients.refuse(start[0], statements.Code.BUSY)
         self.pending_starts = []
         for session in tuple(self.sessions.values()):
             work = session.work
@@ -311,14 +288,6 @@
                 self.clients.close(session.number)
                 self.on_closed(session.number, now_ms)
 
-    def close_if_inactive(self, session: sessions.Session, now_ms: int) -> bool:
-        """Close a session if it is inactive; return whether it was closed."""
-        if not session.idle or not _is_inactive(session, self.clients, now_ms):
-            return False
-        self.clients.close(session.number)
-        self.on_closed(session.number, now_ms)
-        return True
-
     def execute(
         self,
         session: sessions.Session,
@@ -351,7 +320,7 @@
 
     def refusal_code(self, session: sessions.Session) -> statements.Code:
         """Return the error for a session that may use no route now."""
-        code = self._refusal_code(session.database, session.key_digest)
+        code = self.access.refusal_code(session.database, session.key_digest)
         return code or statements.Code.BUSY
 
     def answer_success(self, session: sessions.Session) -> None:
@@ -387,38 +356,6 @@
         self.executor.release(service_group, transaction.link, now_ms)
         service_group.dispatch(now_ms)
 
-    def _refusal_code(
-        self, database: str, key_digest: str
-    ) -> statements.Code | None:
-        """Return the error for a caller, or None if it may use its route."""
-        if database not in self.configuration.routes:
-            return self.route_check.refusal_code(database)
-        if not self.key_check.allows(database, key_digest):
-            return self.key_check.refusal_code(database, key_digest)
-        return None
-
-    def _end_revoked(self, now_ms: int) -> None:
-        """End the transactions and inactive sessions of removed keys."""
-        for session in tuple(self.sessions.values()):
-            if self.key_check.allows(session.database, session.key_digest):
-                continue
-            transaction = session.transaction
-            if transaction is not None and session.work is None:
-                if not transaction.failed:
-                    self._expire_transaction(session, now_ms, 'key_removed')
-            self.close_if_inactive(session, now_ms)
-
-    def _expire_idle(self, now_ms: int) -> None:
-        """Roll back transactions that exceed the idle timeout."""
-        limit_ms = self.configuration.transaction_idle_ms
-        if not limit_ms:
-            return
-        for session in tuple(self.sessions.values()):
-            if session.work is None and _is_idle_for(
-                session.transaction, limit_ms, now_ms
-            ):
-                self._expire_transaction(session, now_ms, 'idle')
-
     def _on_done(self, session: sessions.Session, now_ms: int) -> None:
         session.active_ms = now_ms
         transaction = session.transaction
@@ -497,47 +434,6 @@
                 session, statements.Code.MALFORMED, 'failed transaction'
             )
 
-    def _expire_transaction(
-        self,
-        session: sessions.Session,
-        now_ms: int,
-        reason: str,
-    ) -> None:
-        """Roll back a transaction; the next answer tells the client."""
-        transaction = session.transaction
-        self.journal.write(
-            'transaction_expired',
-            {
-                'session': session.number,
-                'database': session.database,
-                'reason': reason,
-            },
-        )
-        if transaction.link is not None:
-            service_group = self.groups[transaction.route.service]
-            self.executor.release(service_group, transaction.link, now_ms)
-        transaction.fail_unreported()
-
-
-def _is_idle_for(
-    transaction: sessions.Transaction | None, limit_ms: int, now_ms: int
-) -> bool:
-    """Return whether a transaction holds a link and has been idle."""
-    if transaction is None or transaction.link is None:
-        return False
-    return now_ms - transaction.active_ms >= limit_ms
-
-
-def _is_inactive(
-    session: sessions.Session,
-    clients: ports.Clients,
-    now_ms: int,
-) -> bool:
-    if now_ms - session.active_ms < INACTIVITY_MS:
-        return False
-    # A statement in the receive buffer must still be answered.
-    return not clients.has_more(session.number)
-
 
 def _end_if_unused(service_group: group.Group) -> bool:
     """Close the links of a removed service that has no statements left.
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -11,6 +11,7 @@
     configuration_sync,
     coordination,
     elections,
+    expiry,
     gateway,
     lending,
     node_context,
@@ -74,8 +75,7 @@
             f'{documents.member_prefix}{identity.name}',
             ownership.encode(identity.peer),
         )
-        self.gateway.route_check.is_certain = self.sync.is_certain
-        self.gateway.key_check.is_certain = self.sync.is_certain
+        self.gateway.access.is_certain = self.sync.is_certain
         self.relay = relaying.Relay(
             identity.name,
             self.gateway,
@@ -219,7 +219,7 @@
         """
         self.protocols.tick(now_ms)
         if self.peering.isolated:
-            self.gateway.close_inactive(now_ms)
+            expiry.close_inactive(self.gateway, now_ms)
             self.relay.close_inactive(now_ms)
         self.elections.tick(
             self.members,
--- a/jacinthhaven/sql/planned_stop.py
+++ b/jacinthhaven/sql/planned_stop.py
@@ -13,7 +13,14 @@
 
 import typing
 
-from jacinthhaven.sql import gateway, lending, ports, relaying, statements
+from jacinthhaven.sql import (
+    expiry,
+    gateway,
+    lending,
+    ports,
+    relaying,
+    statements,
+)
 
 # How long a stopping process accepts new sessions: the load balancer needs two
 # failed health checks before it stops sending them.
@@ -98,7 +105,7 @@
         """Roll back transactions, and close sessions with their next answer."""
         self.gateway.close_after_answer = True
         self.gateway.refused_verbs |= _BEGINS
-        self.gateway.abort_transactions(now_ms)
+        expiry.abort_transactions(self.gateway, now_ms)
         self.relay.abort_transactions(now_ms)
         self.lender.end_unused(now_ms)
 
--- a/jacinthhaven/sql/pool.py
+++ b/jacinthhaven/sql/pool.py
@@ -6,6 +6,7 @@
 
 from jacinthhaven.sql import (
     commands,
+    customer_links,
     instances,
     links,
     ports,
@@ -309,8 +310,14 @@
         for customer in self._missing_customers(state, own, now_ms):
             if opening >= _MAX_OPENING_BY_CUSTOMER:
                 return
-            if len(own) >= self.max_links and not self._make_room(state, own):
-                return
+            if len(own) >= self.max_links:
+                unused = customer_links.least_recently_used(
+                    own, self.wanted.get(state.entry.name, ())
+                )
+                if unused is None:
+                    return
+                own.remove(unused)
+                self.drop(unused)
             opening += 1
             own.append(self._open_link(state, None, now_ms, customer))
 
@@ -325,41 +332,13 @@
         if self.control_requests.get(name):
             # A control command must not wait until a transaction ends.
             return [] if any(link.free for link in own) else ['']
-        if state.departure.leaving_ms is not None:
-            if not state.reachable_at(now_ms):
-                return []
-        missing = collections.Counter(self.wanted.get(name, ()))
-        if not missing or not state.has_room():
-            return [''] if self.min_links and not own else []
-        for link in own:
-            if link.free or not link.ready:
-                missing[link.customer] -= 1
-        return [
-            customer
-            for customer in dict.fromkeys(self.wanted[name])
-            if missing[customer] > 0
-        ]
-
-    def _make_room(
-        self, state: instances.InstanceState, own: list[links.Link]
-    ) -> bool:
-        """Close the least recently used link that no waiting statement needs.
-
-        Returns:
-          Whether there was one.
-        """
-        needed = self.wanted.get(state.entry.name, ())
-        unused = [
-            link
-            for link in own
-            if link.free and link.unused and link.customer not in needed
-        ]
-        if not unused:
-            return False
-        oldest = min(unused, key=lambda link: link.idle_since_ms)
-        own.remove(oldest)
-        self.drop(oldest)
-        return True
+        leaves = state.departure.leaving_ms is not None
+        if leaves and not state.reachable_at(now_ms):
+            return []
+        wanted = self.wanted.get(name, [])
+        if wanted and state.has_room():
+            return customer_links.missing(wanted, own)
+        return [''] if self.min_links and not own else []
 
     def _borrow(self, state: instances.InstanceState, now_ms: int) -> None:
         """Borrow a link for queued work; lenders are asked round robin."""
--- a/jacinthhaven/sql/relaying.py
+++ b/jacinthhaven/sql/relaying.py
@@ -10,6 +10,7 @@
 import typing
 
 from jacinthhaven.sql import (
+    expiry,
     gateway,
     ownership,
     ports,
@@ -113,8 +114,11 @@
         if session is None:
             self.local.on_statement(number, statement, now_ms)
             return
-        if session.idle and not self._may_use_route(session):
-            answer = statements.Answer(code=self.local.refusal_code(session))
+        refusal = self.local.access.refusal_code(
+            session.database, session.key_digest
+        )
+        if session.idle and refusal is not None:
+            answer = statements.Answer(code=refusal)
             self.local.clients.answer(number, answer)
             return
         if session.refused or statement.verb in self.local.refused_verbs:
@@ -186,12 +190,15 @@
         self.now_ms = now_ms
         if self.configured_ms is None and self.local.configured:
             self.configured_ms = now_ms
-        if self.pending_starts and self.routing_ready:
-            self._start_early(now_ms)
+        pending = self.pending_starts if self.routing_ready else []
+        if pending:
+            self.pending_starts = []
+        for start in pending:
+            self._start(start, now_ms)
         self._return_session(now_ms)
         if self.local.draining:
             self.close_inactive(now_ms)
-        if self.local.configuration.customers is not None:
+        elif self.local.access.needs_keys:
             self._close_revoked(now_ms)
         for session in tuple(self.sessions.values()):
             if now_ms - session.active_ms >= relayed_sessions.timeout_ms(
@@ -199,25 +206,10 @@
             ):
                 self._check_owner(session, now_ms)
 
-    def _close_revoked(self, now_ms: int) -> None:
-        """Close the inactive sessions whose keys were removed."""
-        check = self.local.key_check
-        for session in tuple(self.sessions.values()):
-            if check.allows(session.database, session.key_digest):
-                continue
-            if session.accepted and self._is_inactive(session, now_ms):
-                self._close(session)
-
-    def _may_use_route(self, session: relayed_sessions.RelayedSession) -> bool:
-        """Return whether a new operation of a session may run."""
-        if session.database not in self.local.configuration.routes:
-            return False
-        return self.local.key_check.allows(session.database, session.key_digest)
-
     def close_inactive(self, now_ms: int) -> None:
         """Close all inactive sessions."""
         for session in tuple(self.sessions.values()):
-            if session.accepted and self._is_inactive(session, now_ms):
+            if self._is_inactive(session, now_ms):
                 self._close(session)
 
     def abort_transactions(self, now_ms: int) -> None:
@@ -251,6 +243,14 @@
                 self._drop(session)
                 self.local.clients.refuse(session.number, statements.Code.BUSY)
 
+    def _close_revoked(self, now_ms: int) -> None:
+        """Close the inactive sessions whose keys were removed."""
+        allows = self.local.access.allows
+        for session in tuple(self.sessions.values()):
+            if not allows(session.database, session.key_digest):
+                if self._is_inactive(session, now_ms):
+                    self._close(session)
+
     def _refuse(self, session: relayed_sessions.RelayedSession) -> None:
         """Refuse a statement, since the process is about to exit.
 
@@ -280,15 +280,13 @@
         if not self.routing_ready:
             self.pending_starts.append(start)
             return
-        in_doubt = self.local.route_check.is_in_doubt(
-            database
-        ) or self.local.key_check.is_in_doubt(database, key_digest)
+        in_doubt = self.local.access.is_in_doubt(database, key_digest)
         if in_doubt and now_ms - arrived_ms < _PROOF_WAIT_MS:
             self.pending_starts.append(start)
             return
         route = self.local.configuration.routes.get(database)
         owners = []
-        if route and self.local.key_check.allows(database, key_digest):
+        if self.local.access.allows(database, key_digest):
             owners = self._owners(route.service, now_ms)
         if not owners or self.node in owners:
             self.local.on_start(number, database, key_digest)
@@ -297,12 +295,6 @@
         self.sessions[number] = session
         self._try_next(session, now_ms)
 
-    def _start_early(self, now_ms: int) -> None:
-        waiting = self.pending_starts
-        self.pending_starts = []
-        for start in waiting:
-            self._start(start, now_ms)
-
     def _return_session(self, now_ms: int) -> None:
         """Close one inactive local session that an owner can execute.
 
@@ -313,7 +305,7 @@
             return
         for session in self.local.sessions.values():
             if self._owned_elsewhere(session.database, now_ms):
-                if self.local.close_if_inactive(session, now_ms):
+                if expiry.close_if_inactive(self.local, session, now_ms):
                     self.journal.count('relays', 'returned')
                     self.next_return_ms = now_ms + _RETURN_INTERVAL_MS
                     return
@@ -380,10 +372,9 @@
     def _is_inactive(
         self, session: relayed_sessions.RelayedSession, now_ms: int
     ) -> bool:
-        if (
-            not session.idle
-            or now_ms - session.active_ms < gateway.INACTIVITY_MS
-        ):
+        if not session.accepted or not session.idle:
+            return False
+        if now_ms - session.active_ms < expiry.INACTIVITY_MS:
             return False
         return not self.local.clients.has_more(session.number)
 
--- a/jacinthhaven/standins/sql_group.py
+++ b/jacinthhaven/standins/sql_group.py
@@ -244,7 +244,8 @@
 
     def start(self, line: str, now_ms: int) -> list[str]:
         """Return the reply to the first line."""
-        service, self.caller, expected = line.split(' ')[1:]
+        service, caller, expected = line.split(' ')[1:]
+        self.caller = caller
         if service != self.group.name or expected != self.instance.name:
             return ['ERROR MISROUTED -']
         return [self._ready(now_ms)]
--- a/scenarios/sql_variants.py
+++ b/scenarios/sql_variants.py
@@ -8,6 +8,7 @@
 from jacinthhaven.sql import (
     departures,
     execution,
+    expiry,
     gateway,
     leadership,
     planned_stop,
@@ -87,9 +88,7 @@
         mock.patch.object(planned_stop, '_BEGINS', none),
         mock.patch.object(planned_stop, '_NEW_WORK', none),
         mock.patch.object(gateway.Gateway, 'end_sessions', _do_nothing),
-        mock.patch.object(
-            gateway.Gateway, 'abort_transactions', _abort_on_links
-        ),
+        mock.patch.object(expiry, 'abort_transactions', _abort_on_links),
         mock.patch.object(relaying.Relay, 'end_sessions', _do_nothing),
     ):
         yield
