--- /dev/null
+++ b/jacinthhaven/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on the operations of each customer over all nodes."""
