Admit operations of customers under their limits

Change: the gateway asks the limits before the first statement of an operation that needs an instance, lets it wait for tokens, or refuses it as not run with the time after which to try again. The window and its slack come from the settings. Nodes exchange the requests and grants with their other datagrams.

--- a/jacinthhaven/adapters/sql_settings_file_test.py
+++ b/jacinthhaven/adapters/sql_settings_file_test.py
@@ -25,6 +25,11 @@
         '{{cloudApi.address|json}}': '"127.0.0.1:9106"',
         '{{limits.cpuShare|json}}': '0.537',
         '{{limits.cores|json}}': '2',
+        '{{#bounds.quotaWindowS}}': '',
+        '{{/bounds.quotaWindowS}}': '',
+        '  window_ms: {{.}}000': '  window_ms: 7000',
+        '{{bounds.quotaOverage|json}}': '0.2',
+        '{{bounds.quotaSlack|json}}': '30',
         '{{#seeds}}{{.|json}}{{,}}{{/seeds}}': (
             '"127.0.0.1:9107", "127.0.0.2:9107"'
         ),
@@ -52,6 +57,7 @@
     assert loaded.grace_ms == 6000
     assert loaded.store.apply_within_ms == 3000
     assert loaded.processor.capacity == 0.537 * 2
+    assert loaded.quotas == sql_settings.Quotas(7000, 0.2, 30)
     assert loaded.seed_nodes == (('127.0.0.2', 7455),)
 
 
--- a/jacinthhaven/process/sql_proxy.py
+++ b/jacinthhaven/process/sql_proxy.py
@@ -32,6 +32,7 @@
     store_tunnel,
 )
 from jacinthhaven.process import ticker
+from jacinthhaven.quotas import limits
 from jacinthhaven.records import sql_settings
 from jacinthhaven.sql import (
     node,
@@ -200,6 +201,11 @@
                 settings.first_start,
                 settings.seed_nodes,
                 settings.store.apply_within_ms,
+                limits.Slack(
+                    settings.quotas.window_ms,
+                    settings.quotas.overage,
+                    settings.quotas.extra,
+                ),
             ),
             node_context.Adapters(
                 self.databases,
--- a/jacinthhaven/records/sql_settings.py
+++ b/jacinthhaven/records/sql_settings.py
@@ -43,6 +43,8 @@
 Wait = typing.Annotated[int, msgspec.Meta(ge=100, le=30_000)]
 Grace = typing.Annotated[int, msgspec.Meta(ge=1000)]
 Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
+NotNegative = typing.Annotated[float, msgspec.Meta(ge=0)]
+Window = typing.Annotated[int, msgspec.Meta(ge=1000)]
 Name = typing.Annotated[str, msgspec.Meta(min_length=1)]
 Addresses = tuple[Address, ...]
 FlushTime = typing.Annotated[int, msgspec.Meta(ge=1, le=10_000)]
@@ -107,6 +109,21 @@
         return self.share * self.speed
 
 
+class Quotas(_Section, frozen=True):
+    """How far all nodes together may exceed the limit of a customer.
+
+    Attributes:
+      window_ms: Length of the window in which operations count.
+      overage: Share of the allowed operations that may be admitted beyond
+        them.
+      extra: Operations that may be admitted beyond that.
+    """
+
+    window_ms: Window = 5000
+    overage: NotNegative = 0.1
+    extra: NotNegative = 20
+
+
 class Log(_Section, frozen=True):
     """Destination of the log.
 
@@ -137,6 +154,7 @@
       seeds: Addresses of nodes through which this one may reach the store
         before it knows any other. Only their hosts count: nodes accept each
         other on the port of `listeners.peers`, which is the same on all VMs.
+      quotas: How far the limits of customers may be exceeded.
     """
 
     node: Name
@@ -149,6 +167,7 @@
     log: Log = Log()
     processor: Processor = Processor()
     seeds: Addresses = ()
+    quotas: Quotas = Quotas()
 
     @property
     def seed_nodes(self) -> tuple[tuple[str, int], ...]:
--- a/jacinthhaven/sql/election_test.py
+++ b/jacinthhaven/sql/election_test.py
@@ -138,7 +138,8 @@
         cluster.model.call(store.SwapRequest((), (store.Delete(key),)), 0)
     cluster.nodes = cluster.nodes[:1]
     cluster.run(5000)
-    assert cluster.nodes[0].gateway.owner_count == 3
+    gateway = cluster.nodes[0].gateway
+    assert gateway.shares.owner_count == 3
 
 
 def test_each_attempt_has_a_higher_fencing_token():
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -13,6 +13,7 @@
     group,
     local_statements,
     ports,
+    quota_gate,
     records,
     sessions,
     statements,
@@ -22,6 +23,18 @@
 _MAX_PIPELINED = 64
 
 
+class LinkShares(typing.NamedTuple):
+    """How the connection limit of each instance is divided.
+
+    Attributes:
+      owner_count: Number of owners of each service.
+      owned: Names of the services that this node owns; None for all.
+    """
+
+    owner_count: int
+    owned: typing.Container[str] | None = None
+
+
 class Gateway:
     """Client sessions and service groups of one process.
 
@@ -29,8 +42,7 @@
       sessions: Open sessions by connection number.
       groups: Service groups by service name.
       configuration: Active configuration.
-      owner_count: Number of owners of each service in the link shares.
-      owned: Names of the services that this node owns; None for all.
+      shares: How the connection limits are divided.
       entries: Latest registry entries.
       pending_starts: Connection number, database and key digest of sessions
         that were opened before the first configuration arrived.
@@ -39,6 +51,7 @@
       close_after_answer: Whether a session is closed once its statement is
         answered, because the process is about to exit.
       refused_verbs: Statements that are refused for the same reason.
+      quota_gate: Operations that wait for the limit of their customer.
     """
 
     def __init__(
@@ -57,14 +70,16 @@
         self.sessions: dict[int, sessions.Session] = {}
         self.groups: dict[str, group.Group] = {}
         self.configuration = records.EMPTY
-        self.owner_count = 1
-        self.owned: typing.Container[str] | None = None
+        self.shares = LinkShares(1)
         self.entries: typing.Sequence[records.Instance] = ()
         self.pending_starts: list[tuple[int, str, str]] = []
         self.access = access.Access()
         self.draining = False
         self.close_after_answer = False
         self.refused_verbs: frozenset[statements.Verb] = frozenset()
+        self.quota_gate = quota_gate.QuotaGate(
+            self.executor, journal, self._submit
+        )
         self.now_ms = 0
 
     @property
@@ -105,7 +120,7 @@
             service_group.limits_ms = records.shortest_targets_ms(
                 configuration, service_group.name
             )
-        self.set_link_shares(self.owner_count, self.owned)
+        self.set_link_shares(*self.shares)
         self.register(self.entries, now_ms)
         for start in self.pending_starts:
             self.on_start(*start)
@@ -124,8 +139,7 @@
           owner_count: Number of owners of each service.
           owned: Names of the services that this node owns; None for all.
         """
-        self.owner_count = owner_count
-        self.owned = owned
+        self.shares = LinkShares(owner_count, owned)
         for name, service_group in self.groups.items():
             service = self.configuration.services.get(name)
             if service is None:
@@ -246,6 +260,7 @@
             expiry.close_inactive(self, now_ms)
         if self.access.needs_keys:
             expiry.end_revoked(self, now_ms)
+        self.quota_gate.tick(now_ms)
         for service_group in tuple(self.groups.values()):
             service_group.tick(now_ms)
             if service_group.removed and _end_if_unused(service_group):
@@ -316,7 +331,7 @@
             return
         work = sessions.Work(session, statement, routing, now_ms)
         session.work = work
-        self.groups[routing.route.service].submit(work, now_ms)
+        self.quota_gate.enter(work, now_ms)
 
     def refusal_code(self, session: sessions.Session) -> statements.Code:
         """Return the error for a session that may use no route now."""
@@ -356,6 +371,10 @@
         self.executor.release(service_group, transaction.link, now_ms)
         service_group.dispatch(now_ms)
 
+    def _submit(self, work: sessions.Work, now_ms: int) -> None:
+        """Execute a statement that its customer's limit has admitted."""
+        self.groups[work.route.service].submit(work, now_ms)
+
     def _on_done(self, session: sessions.Session, now_ms: int) -> None:
         session.active_ms = now_ms
         transaction = session.transaction
--- a/jacinthhaven/sql/load_sharing.py
+++ b/jacinthhaven/sql/load_sharing.py
@@ -45,7 +45,7 @@
         for name, service_group in self.groups.items():
             own = service_group.scheduler.permits
             own.node = self.node
-            own.send = self._send
+            own.send = self.send
             own.candidates = tuple(
                 ranking.ranked(name, service_group.owners)[
                     : permits.MAX_CANDIDATES
@@ -74,6 +74,12 @@
         for known in self.dispatchers.values():
             self._send_replies(known, now_ms)
 
+    def send(self, name: str, message: peer_messages.Message) -> None:
+        """Send a message to the node with a name, if it is listed."""
+        address = self.addresses.get(name)
+        if address is not None:
+            self.messenger.send(address, message)
+
     def _dispatcher(self, service_group: group.Group) -> dispatcher.Dispatcher:
         """Return the dispatcher of a service with its present inputs."""
         name = service_group.name
@@ -92,9 +98,4 @@
 
     def _send_replies(self, known: dispatcher.Dispatcher, now_ms: int) -> None:
         for name, reply in known.replies(now_ms):
-            self._send(name, reply)
-
-    def _send(self, name: str, message: peer_messages.PermitMessage) -> None:
-        address = self.addresses.get(name)
-        if address is not None:
-            self.messenger.send(address, message)
+            self.send(name, reply)
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -92,6 +92,7 @@
             identity, adapters, self.gateway.groups, self.sync.exchange
         )
         self.peering = self.protocols.peering
+        self.gateway.quota_gate.connect(self.protocols.quotas)
         self.peers: dict[str, ownership.Peer] = {}
         self.members: tuple[str, ...] = ()
         self.elections = elections.Elections(
@@ -277,6 +278,7 @@
         if loaded.version > self.gateway.configuration.version:
             self.gateway.configure(loaded, self.now_ms)
             self.elections.configure(loaded, self.now_ms)
+            self.protocols.configure(loaded, self.now_ms)
             self._choose_lenders()
             self._update_link_shares()
 
@@ -305,23 +307,30 @@
         """
         owner_count = 1
         owned = set()
+        all_owners: set[str] = set()
         for name, service_group in self.gateway.groups.items():
             owners = ownership.owners(name, self.peers)
             service_group.update_owners(owners, self.identity.name)
             owner_count = max(owner_count, len(owners))
+            all_owners.update(owners)
             if not owners or self.identity.name in owners:
                 owned.add(name)
         self._update_load_sharing()
+        if all_owners:
+            self.protocols.quotas.update_owners(
+                all_owners, self.identity.name, self.now_ms
+            )
         if self.peers:
             self.coordination.update_ownership(bool(owned))
         if (
-            owner_count >= self.gateway.owner_count
+            owner_count >= self.gateway.shares.owner_count
             or self.now_ms >= self.shrink_ms
         ):
             self.shrink_ms = self.now_ms + _SHRINK_DELAY_MS
             self.gateway.set_link_shares(owner_count, owned)
         else:
-            self.gateway.set_link_shares(self.gateway.owner_count, owned)
+            shares = self.gateway.shares
+            self.gateway.set_link_shares(shares.owner_count, owned)
 
     def _update_load_sharing(self) -> None:
         """Apply the owners of all services and the addresses of nodes."""
--- a/jacinthhaven/sql/node_context.py
+++ b/jacinthhaven/sql/node_context.py
@@ -4,6 +4,7 @@
 import random
 
 from jacinthhaven.kernel import clock
+from jacinthhaven.quotas import limits
 from jacinthhaven.sql import ownership, peering, ports, records, registry
 
 
@@ -20,6 +21,7 @@
       first_start: Whether the whole system starts for the first time.
       seeds: Addresses of nodes that may run.
       apply_within_ms: Longest time until a new configuration is in force.
+      slack: How far all nodes together may exceed the limit of a customer.
     """
 
     name: str
@@ -29,6 +31,7 @@
     first_start: bool = False
     seeds: tuple[records.Address, ...] = ()
     apply_within_ms: int = 3000
+    slack: limits.Slack = limits.DEFAULT_SLACK
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/jacinthhaven/sql/peer_messages.py
+++ b/jacinthhaven/sql/peer_messages.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from jacinthhaven.quotas import messages as quota_messages
 from jacinthhaven.records import history
 from jacinthhaven.sql import departure_messages, records
 
@@ -209,7 +210,11 @@
 PermitMessage = PermitRequest | PermitReply
 RevisionMessage = RevisionRequest | RevisionReply
 Message = (
-    RightMessage | PermitMessage | RevisionMessage | departure_messages.Message
+    RightMessage
+    | PermitMessage
+    | RevisionMessage
+    | departure_messages.Message
+    | quota_messages.Message
 )
 
 # What decoding bytes of another writer may raise; deep nesting is the cause of the
--- a/jacinthhaven/sql/peer_protocols.py
+++ b/jacinthhaven/sql/peer_protocols.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from jacinthhaven.quotas import limits, quotas
+from jacinthhaven.quotas import messages as quota_messages
 from jacinthhaven.sql import (
     departure_exchange,
     departure_messages,
@@ -11,6 +13,7 @@
     ownership,
     peer_messages,
     peering,
+    records,
     revision_exchange,
 )
 
@@ -25,6 +28,7 @@
       load_sharing: Sharing of the execution slots of the instances.
       departures: Departures of primaries.
       revisions: Newest revision of the configuration.
+      quotas: Limits of the customers.
     """
 
     def __init__(
@@ -54,6 +58,16 @@
             node, identity.peer.address, groups, messenger, adapters.journal
         )
         self.revisions = revisions
+        self.quotas = quotas.Quotas(
+            self.load_sharing.send, adapters.rng, identity.slack
+        )
+
+    def configure(
+        self, configuration: records.Configuration, now_ms: int
+    ) -> None:
+        """Apply the limits of the customers."""
+        customers = configuration.customers or {}
+        self.quotas.configure(limits.of_customers(customers.values()), now_ms)
 
     def set_members(
         self, peers: dict[str, ownership.Peer], now_ms: int
@@ -67,11 +81,14 @@
         self.peering.tick(now_ms)
         self.load_sharing.tick(now_ms)
         self.departures.tick(now_ms)
+        self.quotas.tick(now_ms)
 
     def on_message(self, message: peer_messages.Message, now_ms: int) -> None:
         """Handle a message from another node."""
         if isinstance(message, peer_messages.PermitMessage):
             self.load_sharing.on_message(message, now_ms)
+        elif isinstance(message, quota_messages.Message):
+            self.quotas.on_message(message, now_ms)
         elif isinstance(message, departure_messages.Message):
             self.departures.on_message(message, now_ms)
         elif isinstance(message, peer_messages.RevisionMessage):
--- a/jacinthhaven/sql/sessions.py
+++ b/jacinthhaven/sql/sessions.py
@@ -15,6 +15,7 @@
       link: Link that executes it, set when its first statement is placed.
       lead: Lead under which its first statement was placed.
       begun: Whether the instance has begun the transaction.
+      counted: Whether it was admitted under the limit of its customer.
       failed: Whether it failed, so that only COMMIT or ROLLBACK is accepted.
       failure_unreported: Whether it failed and the client was not told yet.
       active_ms: Time of the last statement or answer.
@@ -26,6 +27,7 @@
         'link',
         'lead',
         'begun',
+        'counted',
         'failed',
         'failure_unreported',
         'active_ms',
@@ -43,6 +45,7 @@
         self.link: typing.Any = None
         self.lead: leadership.Lead | None = None
         self.begun = False
+        self.counted = False
         self.failed = False
         self.failure_unreported = False
         self.active_ms = now_ms
