Import only what the first answer needs when a SQL proxy starts

Cause: a third of the processor time until the first answer went into modules that a SQL proxy uses late or never: process pools and pickling (circuits), TLS, the full YAML parser, the JSON logger, the code generation of dataclasses, OpenSSL's digests, typing_extensions, urllib.parse; and a tenth of the imports into looking for garbage among them.

Change: process/light_imports imports the libraries without these parts; ssl, the JSON logger, urllib.parse and ipaddress are imported on first use; settings of the simple form that the template gives are read without the full parser, which still reads all other files and reports all errors; the data classes on the start path are msgspec structs; the garbage collector is off during the imports, and what they leave is frozen.

--- a/jacinthhaven/adapters/decision_log.py
+++ b/jacinthhaven/adapters/decision_log.py
@@ -6,13 +6,13 @@
 """
 
 import atexit
+import importlib
 import logging
 import os
 import time
 import typing
 
 import msgspec
-from pythonjsonlogger import msgspec as json_logger
 
 from jacinthhaven.adapters import poller
 from jacinthhaven.decide import messages
@@ -75,7 +75,7 @@
         return f'{self.prefix}{fraction}Z'
 
 
-class LineFormatter(json_logger.MsgspecFormatter):
+class LineFormatter(logging.Formatter):
     """Formatter of decision lines and of `logging` records."""
 
     def __init__(self, node: str) -> None:
@@ -133,7 +133,10 @@
         """Return a field of a type that JSON does not have."""
         if isinstance(field, history.EraNumber):
             return field.text
-        return self.json_default(field)
+        # Fields of other types are rare. The library is loaded for the first
+        # one, because a restarted process must serve requests soon.
+        library = importlib.import_module('pythonjsonlogger.msgspec')
+        return library.msgspec_default(field)
 
 
 class LineBuffer:
--- a/jacinthhaven/adapters/http_client.py
+++ b/jacinthhaven/adapters/http_client.py
@@ -1,6 +1,5 @@
 """HTTP/1.1 client connection with one outstanding request at a time."""
 
-import ssl
 import typing
 
 from jacinthhaven.adapters import http_messages, poller, streams
@@ -21,7 +20,7 @@
         self,
         loop: poller.Poller,
         address: tuple[str, int],
-        tls: ssl.SSLContext | None = None,
+        tls: streams.TlsContext | None = None,
     ) -> None:
         """Start to connect to an IP address and TCP port."""
         self.stream = streams.connect(loop, address, tls)
--- a/jacinthhaven/adapters/http_messages.py
+++ b/jacinthhaven/adapters/http_messages.py
@@ -4,12 +4,12 @@
 clients only handle complete requests and responses.
 """
 
-import dataclasses
 import http
 import types
 import typing
 
 import httptools
+import msgspec
 
 MAX_BODY_BYTES = 1_048_576
 _MAX_HEAD_BYTES = 16_384
@@ -21,8 +21,7 @@
 OnPart = typing.Callable[[int, bytes], None]
 
 
-@dataclasses.dataclass(slots=True)
-class Message:
+class Message(msgspec.Struct):
     """One complete HTTP request or response.
 
     Attributes:
@@ -37,7 +36,7 @@
     method: str = ''
     path: str = ''
     status: int = 0
-    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    headers: dict[str, str] = msgspec.field(default_factory=dict)
     body: bytes = b''
     keep_alive: bool = True
 
--- a/jacinthhaven/adapters/sql_settings_file.py
+++ b/jacinthhaven/adapters/sql_settings_file.py
@@ -1,12 +1,18 @@
 """Loading of the settings of a SQL session proxy from a YAML file."""
 
-from jacinthhaven.adapters import text_file, yaml_file
+import importlib
+import typing
+
+from jacinthhaven.adapters import plain_yaml, text_file
 from jacinthhaven.records import sql_settings
 
-Loaded = sql_settings.SqlSettings | list[yaml_file.FileError]
+if typing.TYPE_CHECKING:
+    from jacinthhaven.adapters import yaml_file  # noqa: WPS433
+
+Loaded = typing.Union[sql_settings.SqlSettings, 'list[yaml_file.FileError]']
 
 
-def validate(document: yaml_file.Document) -> Loaded:
+def validate(document: 'yaml_file.Document') -> Loaded:
     """Return the settings in a document, or all errors by position."""
     if document.errors:
         return sorted(document.errors)
@@ -24,10 +30,25 @@
     Raises:
       text_file.UnreadableFileError: If the file cannot be read.
     """
-    return validate(yaml_file.parse(text_file.read_text(name)))
+    text = text_file.read_text(name)
+    plain = _read_plain(text)
+    if plain is not None:
+        return plain
+    # The full parser is only loaded for files that need it.
+    full = importlib.import_module('jacinthhaven.adapters.yaml_file')
+    return validate(full.parse(text))
 
 
-def is_sql_settings(document: yaml_file.Document) -> bool:
+def is_sql_settings(document: 'yaml_file.Document') -> bool:
     """Return whether a file holds settings of a SQL session proxy."""
     root = document.root
     return isinstance(root, dict) and 'promotion' in root
+
+
+def _read_plain(text: str) -> sql_settings.SqlSettings | None:
+    """Return the settings, or None if the text is not plain or has errors."""
+    try:
+        root = plain_yaml.parse(text)
+    except plain_yaml.NotPlainError:
+        return None
+    return None if sql_settings.check(root) else sql_settings.convert(root)
--- a/jacinthhaven/adapters/streams.py
+++ b/jacinthhaven/adapters/streams.py
@@ -7,7 +7,7 @@
 import collections
 import errno
 import socket
-import ssl
+import sys
 import typing
 
 from jacinthhaven.adapters import poller
@@ -15,7 +15,10 @@
 READ_BYTES = 65536
 _BACKLOG = 1024
 _HANGUP = poller.select.EPOLLHUP | poller.select.EPOLLERR
-_RETRY = (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError)
+
+# An `ssl.SSLContext`. Whoever creates one imports `ssl`. Processes without TLS
+# do without that module, whose import delays the first answer after a restart.
+TlsContext = typing.Any
 
 
 class Stream:
@@ -34,6 +37,7 @@
         'on_open',
         'on_close',
         'connecting',
+        'tls',
         'handshaking',
         'closing',
         'mask',
@@ -54,7 +58,8 @@
         self.on_open: typing.Callable[[], None] = _ignore
         self.on_close: typing.Callable[[], None] = _ignore
         self.connecting = connecting
-        self.handshaking = isinstance(sock, ssl.SSLSocket)
+        self.tls = _is_tls(sock)
+        self.handshaking = self.tls
         self.closing = False
         self.mask = poller.READABLE
         if connecting or self.handshaking:
@@ -119,6 +124,7 @@
         return not self.closed
 
     def _finish_handshake(self) -> bool:
+        ssl = sys.modules['ssl']
         try:
             self.sock.do_handshake()
         except ssl.SSLWantReadError:
@@ -145,16 +151,15 @@
     def _receive(self) -> None:
         try:
             chunk = self.sock.recv(READ_BYTES)
-        except _RETRY:
-            return
-        except OSError:
-            self.fail()
+        except OSError as error:
+            if not _may_retry(error):
+                self.fail()
             return
         if not chunk:
             self.fail()
             return
         self.on_bytes(chunk)
-        if not self.closed and isinstance(self.sock, ssl.SSLSocket):
+        if not self.closed and self.tls:
             self._receive_pending()
 
     def _receive_pending(self) -> None:
@@ -168,11 +173,11 @@
             chunk = self.outgoing[0]
             try:
                 sent = self.sock.send(chunk)
-            except _RETRY:
+            except OSError as error:
+                if not _may_retry(error):
+                    self.fail()
+                    return
                 break
-            except OSError:
-                self.fail()
-                return
             if sent < len(chunk):
                 self.outgoing[0] = chunk[sent:]
                 break
@@ -196,7 +201,7 @@
 def connect(
     loop: poller.Poller,
     address: tuple[str, int],
-    tls: ssl.SSLContext | None = None,
+    tls: TlsContext | None = None,
 ) -> Stream:
     """Start to connect to an IP address and TCP port.
 
@@ -232,7 +237,7 @@
         loop: poller.Poller,
         address: tuple[str, int],
         on_stream: typing.Callable[[Stream], None],
-        tls: ssl.SSLContext | None = None,
+        tls: TlsContext | None = None,
         *,
         share_port: bool = False,
     ) -> None:
@@ -296,5 +301,21 @@
     return sock
 
 
+def _is_tls(sock: socket.socket) -> bool:
+    """Return whether a context has wrapped a socket."""
+    ssl = sys.modules.get('ssl')
+    return ssl is not None and isinstance(sock, ssl.SSLSocket)
+
+
+def _may_retry(error: OSError) -> bool:
+    """Return whether a socket is only to be used again later."""
+    if isinstance(error, BlockingIOError):
+        return True
+    ssl = sys.modules.get('ssl')
+    if ssl is None:
+        return False
+    return isinstance(error, (ssl.SSLWantReadError, ssl.SSLWantWriteError))
+
+
 def _ignore(*_args: typing.Any) -> None:
     """Do nothing; default of an unset callback."""
--- a/jacinthhaven/decide/messages.py
+++ b/jacinthhaven/decide/messages.py
@@ -5,15 +5,15 @@
 test delivers them to the task that owns the socket in question.
 """
 
-import dataclasses
 import typing
 
+import msgspec
+
 from jacinthhaven.kernel import failures
 from jacinthhaven.records import backend, callers, store, topology
 
 
-@dataclasses.dataclass(slots=True)
-class CallerRequest:
+class CallerRequest(msgspec.Struct):
     """Caller side to decision code: a decoded statement request.
 
     Attributes:
@@ -27,8 +27,7 @@
     body: callers.StatementRequest
 
 
-@dataclasses.dataclass(slots=True)
-class CallerOutcome:
+class CallerOutcome(msgspec.Struct):
     """Caller side to decision code: request for the outcome of a write."""
 
     number: int
@@ -36,15 +35,13 @@
     body: callers.OutcomeRequest
 
 
-@dataclasses.dataclass(slots=True)
-class CallerDisconnected:
+class CallerDisconnected(msgspec.Struct):
     """Caller side to decision code: the caller closed its connection."""
 
     number: int
 
 
-@dataclasses.dataclass(slots=True)
-class CallerAnswer:
+class CallerAnswer(msgspec.Struct):
     """Decision code to caller side: answer to one request.
 
     Attributes:
@@ -58,8 +55,7 @@
     failure: failures.Failure | None = None
 
 
-@dataclasses.dataclass(slots=True)
-class BackendOpen:
+class BackendOpen(msgspec.Struct):
     """Decision code to backend task: open a connection.
 
     Attributes:
@@ -73,15 +69,13 @@
     request: backend.ConnectRequest
 
 
-@dataclasses.dataclass(slots=True)
-class BackendOpened:
+class BackendOpened(msgspec.Struct):
     """Backend task to decision code: the connection accepts calls."""
 
     connection: int
 
 
-@dataclasses.dataclass(slots=True)
-class BackendCall:
+class BackendCall(msgspec.Struct):
     """Decision code to backend task: send one request on a connection.
 
     A connection carries one call at a time.
@@ -92,8 +86,7 @@
     request: backend.Request
 
 
-@dataclasses.dataclass(slots=True)
-class BackendReply:
+class BackendReply(msgspec.Struct):
     """Backend task to decision code: answer to one call.
 
     Attributes:
@@ -107,15 +100,13 @@
     reply: backend.Reply | failures.Failure
 
 
-@dataclasses.dataclass(slots=True)
-class BackendClose:
+class BackendClose(msgspec.Struct):
     """Decision code to backend task: close a connection."""
 
     connection: int
 
 
-@dataclasses.dataclass(slots=True)
-class BackendLost:
+class BackendLost(msgspec.Struct):
     """Backend task to decision code: a connection failed or was refused.
 
     Attributes:
@@ -128,8 +119,7 @@
     failure: failures.Failure
 
 
-@dataclasses.dataclass(slots=True)
-class PeerSend:
+class PeerSend(msgspec.Struct):
     """Decision code to peer task: send a payload to a member.
 
     Attributes:
@@ -141,16 +131,14 @@
     payload: typing.Any
 
 
-@dataclasses.dataclass(slots=True)
-class PeerReceived:
+class PeerReceived(msgspec.Struct):
     """Peer task to decision code: a payload arrived from a member."""
 
     member: str
     payload: typing.Any
 
 
-@dataclasses.dataclass(slots=True)
-class PeerLost:
+class PeerLost(msgspec.Struct):
     """Peer task to decision code: the connection to a member is lost.
 
     Payloads that are not answered yet may or may not have arrived.
@@ -159,8 +147,7 @@
     member: str
 
 
-@dataclasses.dataclass(slots=True)
-class StoreCall:
+class StoreCall(msgspec.Struct):
     """Decision code to store task: one call.
 
     Attributes:
@@ -173,8 +160,7 @@
     request: store.Request
 
 
-@dataclasses.dataclass(slots=True)
-class StoreReply:
+class StoreReply(msgspec.Struct):
     """Store task to decision code: reply, watch events or failure.
 
     A failure of kind `store_unavailable` does not tell whether the call
@@ -192,36 +178,31 @@
     era: int = 0
 
 
-@dataclasses.dataclass(slots=True)
-class StoreCancel:
+class StoreCancel(msgspec.Struct):
     """Decision code to store task: end a watch."""
 
     number: int
 
 
-@dataclasses.dataclass(slots=True)
-class VmListUpdate:
+class VmListUpdate(msgspec.Struct):
     """VM list task to decision code: instances marked as leaving."""
 
     leaving: frozenset[str]
 
 
-@dataclasses.dataclass(slots=True)
-class InstanceStatusUpdate:
+class InstanceStatusUpdate(msgspec.Struct):
     """Owner to cluster services: status reported by an instance."""
 
     status: backend.InstanceStatus
 
 
-@dataclasses.dataclass(slots=True)
-class MemberAddresses:
+class MemberAddresses(msgspec.Struct):
     """Decision code to peer task: addresses of all members, by name."""
 
     members: dict[str, topology.Member]
 
 
-@dataclasses.dataclass(slots=True)
-class InstanceOrder:
+class InstanceOrder(msgspec.Struct):
     """Promotion code to owner: send a command to an instance.
 
     The owner sends it on the instance's control connection before the next
@@ -234,8 +215,7 @@
     )
 
 
-@dataclasses.dataclass(slots=True)
-class DecisionLine:
+class DecisionLine(msgspec.Struct):
     """Decision code to log: one routing or placement decision.
 
     Attributes:
@@ -247,8 +227,7 @@
     fields: dict[str, typing.Any]
 
 
-@dataclasses.dataclass(slots=True)
-class Count:
+class Count(msgspec.Struct):
     """Decision code to metrics: increase a counter."""
 
     name: str
--- a/jacinthhaven/kernel/failures.py
+++ b/jacinthhaven/kernel/failures.py
@@ -5,11 +5,12 @@
 interpret text.
 """
 
-import dataclasses
 import enum
 import http
 import types
 
+import msgspec
+
 
 class Outcome(enum.Enum):
     """What is known about a request when its answer is sent."""
@@ -19,8 +20,7 @@
     UNKNOWN = 'unknown'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Kind:
+class Kind(msgspec.Struct, frozen=True):
     """Sentinel that identifies one kind of failure.
 
     Attributes:
@@ -38,8 +38,7 @@
         return Failure(self, reason)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Failure:
+class Failure(msgspec.Struct, frozen=True):
     """One occurrence of a failure kind with its reason."""
 
     kind: Kind
--- a/jacinthhaven/platform/kv_requests.py
+++ b/jacinthhaven/platform/kv_requests.py
@@ -3,15 +3,18 @@
 The store gets its own numbers, without the eras.
 """
 
+import importlib
+import string
 import types
 import typing
-from urllib import parse as urls
 
 import msgspec
 
 from jacinthhaven.adapters import http_client
 from jacinthhaven.records import history, store
 
+_UNQUOTED = frozenset(f'{string.ascii_letters}{string.digits}-._~/')
+
 
 def send(client: http_client.Client, request: store.Request) -> None:
     """Encode a request and send it."""
@@ -20,7 +23,11 @@
 
 def quote(prefix: str) -> str:
     """Percent-encode a key or prefix for a query string."""
-    return urls.quote(prefix, safe='/')
+    if _UNQUOTED.issuperset(prefix):
+        return prefix
+    # Keys of ordinary names need no quoting, so that a restarted process does
+    # without this module.
+    return importlib.import_module('urllib.parse').quote(prefix, safe='/')
 
 
 def number_after(
--- a/jacinthhaven/process/__main__.py
+++ b/jacinthhaven/process/__main__.py
@@ -1,7 +1,12 @@
 """Entry point of `python -m jacinthhaven.process`."""
 
+import gc
 import sys
 
-from jacinthhaven.process import start
+# The imports create many objects and hardly any garbage; looking for it takes a
+# tenth of their time. `start.main` enables the collector again.
+gc.disable()
+
+from jacinthhaven.process import start  # noqa: E402
 
 sys.exit(start.main())
--- a/jacinthhaven/process/start.py
+++ b/jacinthhaven/process/start.py
@@ -1,20 +1,13 @@
 """Entry point of a SQL session proxy that loads its settings file."""
 
+import gc
 import os
 import sys
-import types
 
+from jacinthhaven.process import light_imports
 
-def _ignore_namespace(_name: str) -> None:
-    """Do nothing; circuits is installed as an ordinary package."""
-
-
-# circuits imports pkg_resources, or importlib.metadata without it, only to
-# declare a namespace package. The imports would take a tenth and more of the
-# start-up time after a restart.
-_NAMESPACES = types.ModuleType('pkg_resources')
-_NAMESPACES.declare_namespace = _ignore_namespace
-sys.modules.setdefault('pkg_resources', _NAMESPACES)
+# Before the modules that import the libraries themselves.
+light_imports.import_libraries()
 
 from jacinthhaven.adapters import (  # noqa: E402
     sql_settings_file,
@@ -44,6 +37,9 @@
 
 def main() -> int:
     """Run a proxy with the settings file named in the environment."""
+    # What was imported stays; no later collection has to look at it.
+    gc.freeze()
+    gc.enable()
     name = os.environ.get(SETTINGS_VARIABLE)
     if name is None:
         return _fail(f'{SETTINGS_VARIABLE} is not set', _EXIT_UNREADABLE)
--- a/jacinthhaven/records/sql_settings.py
+++ b/jacinthhaven/records/sql_settings.py
@@ -4,7 +4,8 @@
 takes longer to import than a restarted proxy may take to serve again.
 """
 
-import ipaddress
+import importlib
+import socket
 import typing
 
 import msgspec
@@ -207,7 +208,7 @@
 def _parse_address(text: typing.Any) -> Address:
     host, _, port = str(text).rpartition(':')
     try:
-        ipaddress.ip_address(host)
+        _check_host(host)
         number = int(port)
     except ValueError as error:
         raise ValueError(f'{text} is not an IP address and a port') from error
@@ -216,6 +217,21 @@
     return Address(host, number)
 
 
+def _check_host(host: str) -> None:
+    """Check that a host is an IP address.
+
+    `ipaddress` is only needed for the addresses that `socket` does not
+    recognise; its import would delay the start.
+
+    Raises:
+      ValueError: If it is not.
+    """
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except OSError:
+        importlib.import_module('ipaddress').ip_address(host)
+
+
 def _parse_addresses(texts: typing.Any) -> Addresses:
     if not isinstance(texts, list):
         raise ValueError('must be a list of addresses')
--- a/jacinthhaven/scheduling/dispatcher.py
+++ b/jacinthhaven/scheduling/dispatcher.py
@@ -12,9 +12,10 @@
 would otherwise be lost; the dispatcher counts them as reported.
 """
 
-import dataclasses
 import typing
 
+import msgspec
+
 from jacinthhaven.scheduling import slot_table
 from jacinthhaven.sql import peer_messages
 
@@ -35,8 +36,7 @@
 Replies = list[tuple[str, peer_messages.PermitReply]]
 
 
-@dataclasses.dataclass(slots=True)
-class Grant:
+class Grant(msgspec.Struct):
     """Permit that the owner has not confirmed yet.
 
     Attributes:
--- a/jacinthhaven/scheduling/placement.py
+++ b/jacinthhaven/scheduling/placement.py
@@ -6,7 +6,7 @@
 can only use its slots.
 """
 
-import dataclasses
+import msgspec
 
 from jacinthhaven.sql import instances, links, proofs, records, sessions
 
@@ -17,8 +17,7 @@
 _PRIMARY_MS = 8.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Choice:
+class Choice(msgspec.Struct, frozen=True):
     """Link that executes a statement, and under which conditions.
 
     Attributes:
@@ -38,8 +37,7 @@
     verifies_primary: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class View:
+class View(msgspec.Struct, frozen=True):
     """State of a service that the choice depends on.
 
     Attributes:
--- a/jacinthhaven/sql/node_context.py
+++ b/jacinthhaven/sql/node_context.py
@@ -1,14 +1,14 @@
 """Settings of one node, and the adapters that connect it to its process."""
 
-import dataclasses
 import random
 
+import msgspec
+
 from jacinthhaven.kernel import clock
 from jacinthhaven.sql import ownership, peering, ports, records, registry
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Identity:
+class Identity(msgspec.Struct, frozen=True):
     """Static settings of this node.
 
     Attributes:
@@ -31,8 +31,7 @@
     apply_within_ms: int = 3000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Adapters:
+class Adapters(msgspec.Struct, frozen=True):
     """Adapters that connect one node to its process and platform."""
 
     databases: ports.Databases
--- a/jacinthhaven/sql/pool.py
+++ b/jacinthhaven/sql/pool.py
@@ -1,9 +1,10 @@
 """Connection pool of one service, and queue of its control commands."""
 
 import collections
-import dataclasses
 import typing
 
+import msgspec
+
 from jacinthhaven.sql import (
     commands,
     instances,
@@ -59,8 +60,7 @@
 Wanted = typing.Iterable[tuple[str | None, str]]
 
 
-@dataclasses.dataclass(slots=True)
-class ControlRequest:
+class ControlRequest(msgspec.Struct):
     """Control command that waits for a link or for its reply.
 
     Attributes:
--- a/jacinthhaven/sql/proofs.py
+++ b/jacinthhaven/sql/proofs.py
@@ -7,7 +7,8 @@
 """
 
 import collections
-import dataclasses
+
+import msgspec
 
 from jacinthhaven.sql import records
 
@@ -27,8 +28,7 @@
 _RENEW_RETRY_MS = 200
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Proof:
+class Proof(msgspec.Struct, frozen=True):
     """Position that the primary had reached.
 
     Attributes:
--- a/jacinthhaven/sql/records.py
+++ b/jacinthhaven/sql/records.py
@@ -1,7 +1,8 @@
 """Routes, services, instances and log positions of the SQL proxy."""
 
 import enum
-import ipaddress
+import importlib
+import socket
 import types
 import typing
 
@@ -19,7 +20,11 @@
         to.
     """
     host, port = address
-    ipaddress.IPv4Address(host)
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except OSError:
+        # This describes the error. The import would delay each start.
+        importlib.import_module('ipaddress').IPv4Address(host)
     if not 0 < port <= _MAX_PORT:
         raise ValueError(f'port {port} is not between 1 and {_MAX_PORT}')
     return address
--- a/jacinthhaven/sql/scripts.py
+++ b/jacinthhaven/sql/scripts.py
@@ -4,22 +4,21 @@
 whoever runs it provides a function that performs the calls.
 """
 
-import dataclasses
 import typing
 
+import msgspec
+
 from jacinthhaven.records import history, store
 from jacinthhaven.sql import commands
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Sleep:
+class Sleep(msgspec.Struct, frozen=True):
     """Suspend the script; the result is None."""
 
     delay_ms: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Broadcast:
+class Broadcast(msgspec.Struct, frozen=True):
     """Send a command to several instances and wait for all replies.
 
     The result maps each instance to its status, or to None without one.
@@ -29,8 +28,7 @@
     command: commands.Command
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Promote:
+class Promote(msgspec.Struct, frozen=True):
     """Order a promotion; the result is a `ports.OrderResult`.
 
     Attributes:
