Open no links before the owners are known

Cause: a node that has the configuration and the registry, but not yet the list of nodes, considered itself an owner. If a tick fell between these replies, it opened a link to each instance. At a start of 89 nodes, each such node takes connections and slots that the owners need. Change: it waits for the list, or a second without one, as its sessions do.

--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -130,7 +130,10 @@
         """Run all timers that are due."""
         self.now_ms = now_ms
         self.sync.tick(now_ms)
+        role_known = self.coordination.role_known
         self.coordination.tick(now_ms)
+        if self.coordination.role_known != role_known:
+            self._update_link_shares()
         self.gateway.tick(now_ms)
         self.relay.tick(now_ms)
         self._tick_peering(now_ms)
@@ -301,15 +304,18 @@
     def _update_link_shares(self) -> None:
         """Divide connections by the largest recent number of owners.
 
-        Owners whose keys have disappeared may still hold connections.
+        Owners whose keys have disappeared may still hold connections. A node
+        that starts opens none before it knows whether it is an owner: in a large
+        fleet, all nodes would take the connections that the owners need.
         """
+        may_own = bool(self.peers) or self.coordination.role_known
         owner_count = 1
         owned = set()
         for name, service_group in self.gateway.groups.items():
             owners = ownership.owners(name, self.peers)
             service_group.update_owners(owners, self.identity.name)
             owner_count = max(owner_count, len(owners))
-            if not owners or self.identity.name in owners:
+            if self.identity.name in owners or (may_own and not owners):
                 owned.add(name)
         self._update_load_sharing()
         if self.peers:
