Take each step until the first answer without waiting for a tick

Cause: a node that started waited 20 ms for its first tick, up to 20 ms more before it opened links, and again before it obtained its lease. Change: the first tick runs at once, and in the first second one tick follows the replies of the store that arrive together. No call is added.

--- a/jacinthhaven/platform/plugin.py
+++ b/jacinthhaven/platform/plugin.py
@@ -40,7 +40,11 @@
 
 
 class PlatformCalls(ports.Platform):
-    """Store calls and promotion requests with callbacks."""
+    """Store calls and promotion requests with callbacks.
+
+    Attributes:
+      on_handled: Called after the callback of each reply of the store.
+    """
 
     def __init__(
         self,
@@ -50,6 +54,7 @@
         """Create the clients of the store and of the promotion API."""
         self.numbers = itertools.count(1)
         self.waiting: dict[int, ports.OnStore] = {}
+        self.on_handled: typing.Callable[[], None] = _ignore
         self.store = kv.PlatformStore(
             loop,
             [settings.store.address.pair],
@@ -97,3 +102,8 @@
         if not watching:
             self.waiting.pop(message.number)
         on_reply(message.era, message.reply)
+        self.on_handled()
+
+
+def _ignore() -> None:
+    """Do nothing; default of an unset callback."""
--- a/jacinthhaven/process/sql_proxy.py
+++ b/jacinthhaven/process/sql_proxy.py
@@ -236,7 +236,9 @@
         self.log.write(
             messages.DecisionLine('started', {'zone': self.settings.zone}),
         )
-        ticker.Ticker(self.poller, self._tick)
+        ticks = ticker.Ticker(self.poller, self._tick)
+        ticks.expedite()
+        self.node.adapters.platform.on_handled = ticks.expedite
 
     def signal(self, number: int, _stack: typing.Any) -> None:
         """Start the graceful stop on SIGTERM or SIGINT."""
