--- a/jacinthhaven/adapters/sql_settings_file_test.py
+++ b/jacinthhaven/adapters/sql_settings_file_test.py
@@ -27,7 +27,7 @@
         '{{limits.cores|json}}': '2',
         '{{#bounds.quotaWindowS}}': '',
         '{{/bounds.quotaWindowS}}': '',
-        '  window_ms: {{.}}000': '  window_ms: 7000',
+        '"window_ms": {{.}}000': '"window_ms": 7000',
         '{{bounds.quotaOverage|json}}': '0.2',
         '{{bounds.quotaSlack|json}}': '30',
         '{{#seeds}}{{.|json}}{{,}}{{/seeds}}': (
