Make the price of leaving the zone a setting

Cause: placement gave an instance of its own zone a fixed bonus of 2 ms.

Change: the price is `zones.leaving_cost_ms` (default 2, so that the order of the replicas is the same as before).

Result: the test of the setting fails with a fixed 2 ms in `placement`.

--- a/jacinthhaven/adapters/sql_settings_file_test.py
+++ b/jacinthhaven/adapters/sql_settings_file_test.py
@@ -52,6 +52,7 @@
     assert loaded.grace_ms == 6000
     assert loaded.store.apply_within_ms == 3000
     assert loaded.processor.capacity == 0.537 * 2
+    assert loaded.zones.leaving_cost_ms == 2
     assert loaded.seed_nodes == (('127.0.0.2', 7455),)
 
 
@@ -79,3 +80,12 @@
 def test_equal_settings_compare_equal():
     """Guards against a reload that always asks for a restart."""
     assert _load(_render_template()) == _load(_render_template())
+
+
+def test_price_of_leaving_the_zone_is_checked():
+    """Guards against a price that would attract traffic to other zones."""
+    template = _render_template()
+    loaded = _load(f'{template}zones: {{leaving_cost_ms: 7}}\n')
+    assert loaded.zones.leaving_cost_ms == 7
+    errors = _load(f'{template}zones: {{leaving_cost_ms: -1}}\n')
+    assert isinstance(errors, list)
--- /dev/null
+++ b/jacinthhaven/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on how load is divided between zones and servers."""
--- a/jacinthhaven/records/sql_settings.py
+++ b/jacinthhaven/records/sql_settings.py
@@ -12,6 +12,10 @@
 Loc = tuple[str | int, ...]
 Located = list[tuple[Loc, str]]
 
+# Price of leaving the zone without a setting: differences in the expected time up
+# to this do not matter.
+DEFAULT_LEAVING_COST_MS = 2.0
+
 _MAX_PORT = 65535
 _MISSING = 'required key is missing'
 _UNKNOWN = 'unknown key'
@@ -43,6 +47,7 @@
 Wait = typing.Annotated[int, msgspec.Meta(ge=100, le=30_000)]
 Grace = typing.Annotated[int, msgspec.Meta(ge=1000)]
 Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
+LeavingCost = typing.Annotated[float, msgspec.Meta(ge=0, le=10_000)]
 Name = typing.Annotated[str, msgspec.Meta(min_length=1)]
 Addresses = tuple[Address, ...]
 FlushTime = typing.Annotated[int, msgspec.Meta(ge=1, le=10_000)]
@@ -107,6 +112,17 @@
         return self.share * self.speed
 
 
+class Zones(_Section, frozen=True):
+    """Traffic between availability zones.
+
+    Attributes:
+      leaving_cost_ms: Price of leaving the zone: how many milliseconds another
+        zone must be faster to get work of this one.
+    """
+
+    leaving_cost_ms: LeavingCost = DEFAULT_LEAVING_COST_MS
+
+
 class Log(_Section, frozen=True):
     """Destination of the log.
 
@@ -134,6 +150,7 @@
       first_start: Whether the whole system starts for the first time.
       log: Destination of the log.
       processor: Processor of the VM.
+      zones: Traffic between availability zones.
       seeds: Addresses of nodes through which this one may reach the store
         before it knows any other. Only their hosts count: nodes accept each
         other on the port of `listeners.peers`, which is the same on all VMs.
@@ -148,6 +165,7 @@
     first_start: bool = False
     log: Log = Log()
     processor: Processor = Processor()
+    zones: Zones = Zones()
     seeds: Addresses = ()
 
     @property
--- a/jacinthhaven/scheduling/placement.py
+++ b/jacinthhaven/scheduling/placement.py
@@ -8,11 +8,9 @@
 
 import dataclasses
 
+from jacinthhaven.balancing import zone_outflow
 from jacinthhaven.sql import instances, links, proofs, records, sessions
 
-# Bonus of an instance in the own availability zone: differences in expected
-# time up to this do not matter.
-_SAME_ZONE_MS = 2.0
 # Penalty of the primary for reads, since writes need its slots.
 _PRIMARY_MS = 8.0
 
@@ -51,6 +49,7 @@
       renew_proof: Whether a new proof is due.
       may_use_primary: Whether this node may send statements to the primary that
         only a primary may execute.
+      leaving_cost_ms: Price of an instance in another availability zone.
     """
 
     states: dict[str, instances.InstanceState]
@@ -60,6 +59,7 @@
     now_ms: int
     renew_proof: bool = False
     may_use_primary: bool = True
+    leaving_cost_ms: float = zone_outflow.DEFAULT_LEAVING_COST_MS
 
 
 def choose(work: sessions.Work, view: View) -> Choice | None:
@@ -180,10 +180,12 @@
 
 
 def _cost_ms(state: instances.InstanceState, view: View) -> float:
-    """Return the expected time of a read with its bonus and penalty."""
-    cost_ms = state.expected_ms(view.now_ms)
-    if state.entry.zone == view.zone:
-        cost_ms -= _SAME_ZONE_MS
+    """Return the expected time of a read with the prices of its instance."""
+    cost_ms = zone_outflow.cost_ms(
+        state.expected_ms(view.now_ms),
+        view.leaving_cost_ms,
+        is_own_zone=state.entry.zone == view.zone,
+    )
     if state.entry.name == view.leader:
         cost_ms += _PRIMARY_MS
     return cost_ms
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -6,6 +6,7 @@
 
 import typing
 
+from jacinthhaven.balancing import zone_outflow
 from jacinthhaven.sql import (
     customer_keys,
     execution,
@@ -40,6 +41,7 @@
       pending_starts: Connection number, database and key digest of sessions
         that were opened before the first configuration arrived.
       route_check: Decision how a database without a route is refused.
+      leaving_cost_ms: Price of leaving the availability zone.
       key_check: Decision whether the key of a client allows a route.
       draining: Whether inactive sessions are closed.
       close_after_answer: Whether a session is closed once its statement is
@@ -69,6 +71,7 @@
         self.pending_starts: list[tuple[int, str, str]] = []
         self.route_check = route_check.RouteCheck()
         self.key_check = customer_keys.KeyCheck()
+        self.leaving_cost_ms = zone_outflow.DEFAULT_LEAVING_COST_MS
         self.draining = False
         self.close_after_answer = False
         self.refused_verbs: frozenset[statements.Verb] = frozenset()
@@ -110,6 +113,7 @@
                     now_ms,
                 )
         for service_group in self.groups.values():
+            service_group.leaving_cost_ms = self.leaving_cost_ms
             service_group.limits_ms = records.shortest_targets_ms(
                 configuration, service_group.name
             )
--- a/jacinthhaven/sql/group.py
+++ b/jacinthhaven/sql/group.py
@@ -6,6 +6,7 @@
 executor answers the clients.
 """
 
+from jacinthhaven.balancing import zone_outflow
 from jacinthhaven.scheduling import backlog, placement, scheduler
 from jacinthhaven.sql import (
     availability,
@@ -39,6 +40,7 @@
       primary_check: Check that the primary is alive.
       right: Right of this node to use the primary.
       availability: Time for which the primary cannot be used.
+      leaving_cost_ms: Price of leaving the availability zone.
       limits_ms: Shortest target of the routes of each priority.
       scheduler: Queue of the statements.
     """
@@ -80,6 +82,7 @@
         self.owned = True
         self.removed = False
         self.owners: tuple[str, ...] = ()
+        self.leaving_cost_ms = zone_outflow.DEFAULT_LEAVING_COST_MS
         self.limits_ms: dict[int, int] = {}
 
     @property
@@ -117,6 +120,7 @@
             now_ms,
             renew_proof=self.proofs.renewal_due(self.leadership.term, now_ms),
             may_use_primary=self.right.may_send(now_ms),
+            leaving_cost_ms=self.leaving_cost_ms,
         )
 
     def update_owners(self, owners: tuple[str, ...], node: str) -> None:
--- a/jacinthhaven/sql/node_context.py
+++ b/jacinthhaven/sql/node_context.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+from jacinthhaven.balancing import zone_outflow
 from jacinthhaven.kernel import clock
 from jacinthhaven.sql import ownership, peering, ports, records, registry
 
@@ -20,6 +21,7 @@
       first_start: Whether the whole system starts for the first time.
       seeds: Addresses of nodes that may run.
       apply_within_ms: Longest time until a new configuration is in force.
+      leaving_cost_ms: Price of leaving the availability zone.
     """
 
     name: str
@@ -29,6 +31,7 @@
     first_start: bool = False
     seeds: tuple[records.Address, ...] = ()
     apply_within_ms: int = 3000
+    leaving_cost_ms: float = zone_outflow.DEFAULT_LEAVING_COST_MS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/jacinthhaven/sql/reads_test.py
+++ b/jacinthhaven/sql/reads_test.py
@@ -258,3 +258,22 @@
             rig.now_ms,
         )
     assert state.behind_ms == rig.now_ms
+
+
+def test_price_of_leaving_the_zone_decides_between_replicas():
+    """Guards against a setting that placement does not follow.
+
+    The replica of the own zone is taken up to the price, and left beyond it.
+    """
+    rig = builders.Rig()
+    rig.service.zone = 'c'
+    reader = rig.connect(builders.OWN)
+    states = rig.service.pool.states
+    for price_ms, chosen in ((2, 'db-b'), (30, 'db-c')):
+        rig.service.leaving_cost_ms = price_ms
+        states['db-b'].latency.average = 10
+        states['db-c'].latency.average = 20
+        rig.lines.clear()
+        rig.ask(reader, f'READ k{price_ms}')
+        found = builders.instances_that_ran(rig, f'READ k{price_ms}')
+        assert found == [chosen]
