Send a share of the sessions of a slow zone to other zones

Cause: a relaying node used owners of other zones only when those of its own could not be reached, however slowly they answered.

Change: the relaying node measures how long owners take to accept a session and to answer statements that need no database. If its own zone is slower than others by more than the price, a share of the new sessions leaves.

All tests of `jacinthhaven` pass.

--- a/jacinthhaven/process/sql_proxy.py
+++ b/jacinthhaven/process/sql_proxy.py
@@ -200,6 +200,7 @@
                 settings.first_start,
                 settings.seed_nodes,
                 settings.store.apply_within_ms,
+                settings.zones.leaving_cost_ms,
             ),
             node_context.Adapters(
                 self.databases,
@@ -377,6 +378,7 @@
         self.page.gauge('sessions', len(gateway.sessions))
         self.page.gauge('configuration_version', gateway.configuration.version)
         self.page.gauge('configuration_age_ms', self.node.sync.age_ms)
+        self.page.gauge('zone_outflow_share', self.node.relay.choice.share)
         self.page.gauge('members', len(self.node.members))
         self.page.gauge('log_lines_lost', self.log.buffer.lost)
         waiting = sum(
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -82,6 +82,8 @@
             adapters.relays,
             adapters.rng,
         )
+        self.relay.choice.leaving_cost_ms = identity.leaving_cost_ms
+        self.gateway.leaving_cost_ms = identity.leaving_cost_ms
         self.relay.on_unreachable = self.coordination.expedite_members
         self.lender = lending.Lender(
             self.gateway,
--- a/jacinthhaven/sql/relayed_sessions.py
+++ b/jacinthhaven/sql/relayed_sessions.py
@@ -22,6 +22,17 @@
         statements.Verb.INVALID,
     ),
 )
+# Statements that an owner answers without a database, unless they are malformed.
+ANSWERED_BY_OWNER = frozenset(
+    (
+        statements.Verb.BEGIN,
+        statements.Verb.BEGIN_READ,
+        statements.Verb.ROLLBACK,
+        statements.Verb.SET,
+        statements.Verb.PREPARE,
+        statements.Verb.DEALLOCATE,
+    ),
+)
 
 
 class RelayedSession:
@@ -40,6 +51,9 @@
       refused: Number of statements that are refused after those.
       active_ms: When the owner was last tried or pinged, when it last sent a
         line, or when a statement was sent while none was unanswered.
+      tried_ms: When the owner was asked to execute the session.
+      sent_ms: When the oldest unanswered statement was sent; 0 if it was not sent
+        alone or none is unanswered.
       pinged: Whether a ping to the owner is unanswered.
     """
 
@@ -55,6 +69,8 @@
         'unanswered',
         'refused',
         'active_ms',
+        'tried_ms',
+        'sent_ms',
         'pinged',
     )
 
@@ -71,6 +87,8 @@
         self.unanswered: list[statements.Statement] = []
         self.refused = 0
         self.active_ms = 0
+        self.tried_ms = 0
+        self.sent_ms = 0
         self.pinged = False
 
     @property
@@ -78,6 +96,14 @@
         """Return whether closing the session loses no work."""
         return self.state is statements.State.IDLE and not self.unanswered
 
+    def inactive_for(self, now_ms: int) -> int:
+        """Return for how long an accepted session has been inactive.
+
+        Returns:
+          Milliseconds; 0 if the session is active.
+        """
+        return now_ms - self.active_ms if self.accepted and self.idle else 0
+
 
 class PendingStart(typing.NamedTuple):
     """Session that waits until it can be decided which node executes it."""
--- a/jacinthhaven/sql/relaying.py
+++ b/jacinthhaven/sql/relaying.py
@@ -11,16 +11,14 @@
 
 from jacinthhaven.sql import (
     gateway,
+    owner_choice,
     ownership,
     ports,
     relayed_sessions,
+    session_returns,
     statements,
 )
 
-# How long new sessions skip an owner that did not answer: after the first
-# failure, and at most. The time doubles with each further failure.
-_BACKOFF_MS = 1000
-_MAX_BACKOFF_MS = 8000
 # Owners that a session tries before this node executes it.
 _MAX_TRIES = 3
 # Time after the first configuration in which an empty member list delays new
@@ -29,10 +27,6 @@
 # How long a session of an unknown database waits for a proof that the
 # configuration is the one in force.
 _PROOF_WAIT_MS = 1000
-# Range of the random offsets that spread the nodes over the owners.
-_OFFSET_RANGE = 1000
-# Shortest interval between two sessions that are returned to the owners.
-_RETURN_INTERVAL_MS = 20
 
 
 class Relay:
@@ -43,14 +37,11 @@
       peers: Listed nodes by name.
       sessions: Relayed sessions by number of the client connection.
       by_relay: Relayed sessions by number of the connection to the owner.
-      backoff_until_ms: Time until which new sessions skip an owner, by name.
-      failures: Number of consecutive failures of an owner, by name.
-      owners_by_service: Owners of each service, split by availability zone.
-      offset: Rotation offset of the owners; incremented for each session.
+      choice: Choice of the owners that a session tries.
       pending_starts: Sessions that were opened before `routing_ready`, or whose
         database may have been added since the configuration was read.
       configured_ms: When the first configuration was seen, or None.
-      next_return_ms: When the next session may be returned to the owners.
+      returns: Return of sessions that this node executes to the owners.
       on_unreachable: Called when no owner of a session could be reached.
     """
 
@@ -69,13 +60,10 @@
         self.peers: dict[str, ownership.Peer] = {}
         self.sessions: dict[int, relayed_sessions.RelayedSession] = {}
         self.by_relay: dict[int, relayed_sessions.RelayedSession] = {}
-        self.backoff_until_ms: dict[str, int] = {}
-        self.failures: dict[str, int] = {}
-        self.owners_by_service: dict[str, ownership.Owners] = {}
-        self.offset = rng.randrange(_OFFSET_RANGE)
+        self.choice = owner_choice.OwnerChoice(local.zone, rng, self.journal)
         self.pending_starts: list[relayed_sessions.PendingStart] = []
         self.configured_ms: int | None = None
-        self.next_return_ms = 0
+        self.returns = session_returns.SessionReturns(node, local, self.choice)
         self.on_unreachable: typing.Callable[[], None] = _ignore
         self.now_ms = 0
 
@@ -91,16 +79,16 @@
     def set_members(self, peers: dict[str, ownership.Peer]) -> None:
         """Set the listed nodes of the fleet."""
         self.peers = peers
-        self.owners_by_service = {}
+        self.choice.update_peers(peers)
 
     def on_start(
         self, number: int, database: str, now_ms: int, key_digest: str = ''
     ) -> None:
         """Relay a new session to an owner, or open it on this node."""
-        self._start(
-            relayed_sessions.PendingStart(number, database, now_ms, key_digest),
-            now_ms,
+        start = relayed_sessions.PendingStart(
+            number, database, now_ms, key_digest
         )
+        self._start(start, now_ms)
 
     def on_statement(
         self,
@@ -122,6 +110,7 @@
             return
         if not session.unanswered:
             session.active_ms = now_ms
+            session.sent_ms = now_ms
         session.unanswered.append(statement)
         self.relays.send(session.relay, statement)
 
@@ -153,7 +142,7 @@
             self._on_session_reply(session, state, now_ms)
             return
         if state is not None and session.unanswered:
-            session.unanswered.pop(0)
+            self._on_answer(session, now_ms)
             session.state = state
         self.local.clients.send_line(session.number, line)
         answered = state is not None and session.idle
@@ -178,7 +167,7 @@
         if session.accepted:
             self._on_owner_lost(session)
         else:
-            self._back_off(session.owner, now_ms)
+            self.choice.back_off(session.owner, now_ms)
             self._try_next(session, now_ms)
 
     def tick(self, now_ms: int) -> None:
@@ -188,25 +177,22 @@
             self.configured_ms = now_ms
         if self.pending_starts and self.routing_ready:
             self._start_early(now_ms)
-        self._return_session(now_ms)
+        self.returns.tick(now_ms)
         if self.local.draining:
             self.close_inactive(now_ms)
         if self.local.configuration.customers is not None:
             self._close_revoked(now_ms)
         for session in tuple(self.sessions.values()):
-            if now_ms - session.active_ms >= relayed_sessions.timeout_ms(
-                session
-            ):
+            timeout_ms = relayed_sessions.timeout_ms(session)
+            if now_ms - session.active_ms >= timeout_ms:
                 self._check_owner(session, now_ms)
 
     def _close_revoked(self, now_ms: int) -> None:
         """Close the inactive sessions whose keys were removed."""
         check = self.local.key_check
         for session in tuple(self.sessions.values()):
-            if check.allows(session.database, session.key_digest):
-                continue
-            if session.accepted and self._is_inactive(session, now_ms):
-                self._close(session)
+            if not check.allows(session.database, session.key_digest):
+                self._close_if_inactive(session, now_ms)
 
     def _may_use_route(self, session: relayed_sessions.RelayedSession) -> bool:
         """Return whether a new operation of a session may run."""
@@ -217,8 +203,7 @@
     def close_inactive(self, now_ms: int) -> None:
         """Close all inactive sessions."""
         for session in tuple(self.sessions.values()):
-            if session.accepted and self._is_inactive(session, now_ms):
-                self._close(session)
+            self._close_if_inactive(session, now_ms)
 
     def abort_transactions(self, now_ms: int) -> None:
         """Roll back the transactions that have no running statement.
@@ -289,7 +274,7 @@
         route = self.local.configuration.routes.get(database)
         owners = []
         if route and self.local.key_check.allows(database, key_digest):
-            owners = self._owners(route.service, now_ms)
+            owners = self.choice.order(route.service, now_ms)
         if not owners or self.node in owners:
             self.local.on_start(number, database, key_digest)
             return
@@ -303,47 +288,6 @@
         for start in waiting:
             self._start(start, now_ms)
 
-    def _return_session(self, now_ms: int) -> None:
-        """Close one inactive local session that an owner can execute.
-
-        The client reconnects and is relayed. Sessions executed on this node
-        occupy instance connections that the owners have to give up.
-        """
-        if now_ms < self.next_return_ms or not self.local.sessions:
-            return
-        for session in self.local.sessions.values():
-            if self._owned_elsewhere(session.database, now_ms):
-                if self.local.close_if_inactive(session, now_ms):
-                    self.journal.count('relays', 'returned')
-                    self.next_return_ms = now_ms + _RETURN_INTERVAL_MS
-                    return
-
-    def _owned_elsewhere(self, database: str, now_ms: int) -> bool:
-        route = self.local.configuration.routes.get(database)
-        if route is None:
-            return False
-        zone_owners = self._zone_owners(route.service)
-        if self.node in zone_owners.near or self.node in zone_owners.far:
-            return False
-        return bool(self._owners(route.service, now_ms))
-
-    def _zone_owners(self, service: str) -> ownership.Owners:
-        if service not in self.owners_by_service:
-            self.owners_by_service[service] = ownership.split_by_zone(
-                self.local.zone,
-                service,
-                self.peers,
-            )
-        return self.owners_by_service[service]
-
-    def _owners(self, service: str, now_ms: int) -> list[str]:
-        self.offset += 1
-        return [
-            name
-            for name in self._zone_owners(service).order(self.offset)
-            if self.backoff_until_ms.get(name, 0) <= now_ms
-        ]
-
     def _try_next(
         self, session: relayed_sessions.RelayedSession, now_ms: int
     ) -> None:
@@ -359,6 +303,7 @@
         session.owner = listed[0]
         session.candidates = listed[1:]
         session.active_ms = now_ms
+        session.tried_ms = now_ms
         session.relay = self.relays.open(
             self.peers[session.owner].address,
             session.database,
@@ -377,16 +322,6 @@
             session.active_ms = now_ms
             self.relays.ping(session.relay)
 
-    def _is_inactive(
-        self, session: relayed_sessions.RelayedSession, now_ms: int
-    ) -> bool:
-        if (
-            not session.idle
-            or now_ms - session.active_ms < gateway.INACTIVITY_MS
-        ):
-            return False
-        return not self.local.clients.has_more(session.number)
-
     def _on_session_reply(
         self,
         session: relayed_sessions.RelayedSession,
@@ -399,10 +334,19 @@
             self._try_next(session, now_ms)
             return
         session.accepted = True
-        self.failures.pop(session.owner, None)
+        self.choice.on_accepted(session, now_ms)
         self.journal.count('relays', 'accepted')
         self.local.clients.accept(session.number)
 
+    def _on_answer(
+        self, session: relayed_sessions.RelayedSession, now_ms: int
+    ) -> None:
+        """Remove the answered statement."""
+        answered = session.unanswered.pop(0)
+        if answered.verb in relayed_sessions.ANSWERED_BY_OWNER:
+            self.choice.on_answer(session, now_ms)
+        session.sent_ms = 0
+
     def _on_owner_silent(
         self, session: relayed_sessions.RelayedSession, now_ms: int
     ) -> None:
@@ -413,14 +357,7 @@
         self.relays.close(session.relay)
         self.on_lost(session.relay, now_ms)
         if session.accepted:
-            self._back_off(session.owner, now_ms)
-
-    def _back_off(self, owner: str, now_ms: int) -> None:
-        """Skip an owner for new sessions, with exponential backoff."""
-        failures = self.failures.get(owner, 0)
-        self.failures[owner] = failures + 1
-        pause_ms = min(_BACKOFF_MS * 2**failures, _MAX_BACKOFF_MS)
-        self.backoff_until_ms[owner] = now_ms + pause_ms
+            self.choice.back_off(session.owner, now_ms)
 
     def _on_owner_lost(self, session: relayed_sessions.RelayedSession) -> None:
         """Answer unanswered statements with an error and close the session."""
@@ -439,6 +376,13 @@
                 self.local.clients.answer(session.number, answer)
         self._close(session)
 
+    def _close_if_inactive(
+        self, session: relayed_sessions.RelayedSession, now_ms: int
+    ) -> None:
+        if session.inactive_for(now_ms) >= gateway.INACTIVITY_MS:
+            if not self.local.clients.has_more(session.number):
+                self._close(session)
+
     def _close(self, session: relayed_sessions.RelayedSession) -> None:
         self.sessions.pop(session.number, None)
         self._drop(session)
--- a/jacinthhaven/sql/relaying_test.py
+++ b/jacinthhaven/sql/relaying_test.py
@@ -33,7 +33,7 @@
             self.relays,
             random.Random(1),
         )
-        self.relay.peers = _peers(30)
+        self.relay.set_members(_peers(30))
         self.now_ms = _NOW_MS
 
     @property
@@ -234,6 +234,90 @@
     assert counts == [5, 5]
 
 
+def _measure(setup: _Setup, spent_ms: dict[str, float]) -> None:
+    """Let the node measure the owners of each zone."""
+    for name, peer in _peers(6).items():
+        setup.relay.choice.times.sample(name, spent_ms[peer.zone], setup.now_ms)
+
+
+def _zones(setup: _Setup, sessions: int) -> list[str]:
+    """Open sessions and return the zones of the owners that they try."""
+    begin = len(setup.relays.opened)
+    for number in range(sessions):
+        setup.relay.on_start(100 + number, builders.OWN, setup.now_ms)
+    opened = setup.relays.opened[begin:]
+    return [_ZONES[address[1] % 3] for address, _database in opened]
+
+
+def _pass_time(setup: _Setup, for_ms: int, spent_ms: dict[str, float]) -> None:
+    """Open a session every 250 ms while the owners take some times."""
+    until_ms = setup.now_ms + for_ms
+    while setup.now_ms < until_ms:
+        _measure(setup, spent_ms)
+        setup.now_ms += 250
+        _zones(setup, 1)
+
+
+def _crowd(setup: _Setup) -> None:
+    """Make the own zone slow until a share of the sessions leaves it."""
+    _pass_time(setup, 5000, {'a': 400, 'b': 3, 'c': 3})
+
+
+def test_share_of_the_sessions_leaves_a_slow_zone():
+    """Guards against callers that wait for owners while others are idle.
+
+    Some sessions stay, so that the node sees when its own zone is fast again.
+    """
+    setup = _Setup()
+    _crowd(setup)
+    zones = _zones(setup, 100)
+    assert zones.count('a') >= 30
+    assert zones.count('b') >= 15
+    assert zones.count('c') >= 15
+    # The average of the slow times and then the share take some seconds to fall.
+    _pass_time(setup, 10000, {'a': 1, 'b': 3, 'c': 3})
+    assert set(_zones(setup, 50)) == {'a'}
+    changes = setup.rig.journal.events('zone_outflow')
+    assert changes[0]['share'] and not changes[-1]['share']
+
+
+def test_owners_that_cannot_be_reached_are_left_out_before_the_share():
+    """Guards against sending sessions to a lost owner because it was fast."""
+    setup = _Setup()
+    _crowd(setup)
+    for name, peer in _peers(6).items():
+        if peer.zone == 'b':
+            setup.relay.choice.back_off(name, setup.now_ms)
+    assert 'b' not in _zones(setup, 100)
+
+
+def test_relaying_node_measures_owners_without_their_databases():
+    """Guards against leaving a zone because its statements take long.
+
+    All owners use the same databases, so that leaving would change nothing.
+    """
+    setup = _Setup()
+    setup.relay.on_start(_CLIENT, builders.OWN, setup.now_ms)
+    setup.now_ms += 4
+    setup.reply('READY I -')
+    times = setup.relay.choice.times
+    owner = next(iter(times.by_owner))
+    assert times.expected_ms(owner, setup.now_ms) == 4
+    for text, answer, spent_ms in (
+        ('READ k', 'READY I -', 300),
+        ('BEGIN', 'READY T -', 4),
+        ('COMMIT', 'READY I -', 300),
+    ):
+        setup.send(text)
+        setup.now_ms += spent_ms
+        setup.reply(answer)
+    assert times.expected_ms(owner, setup.now_ms) == 4
+    setup.send('SET a 1')
+    setup.now_ms += 300
+    setup.reply('READY I -')
+    assert times.expected_ms(owner, setup.now_ms) > 4
+
+
 def test_unresponsive_owners_are_tried_less_often():
     """Guards against a delay of half a second for each new session.
 
