--- a/jacinthhaven/adapters/sql_settings_file_test.py
+++ b/jacinthhaven/adapters/sql_settings_file_test.py
@@ -58,6 +58,7 @@
     assert loaded.store.apply_within_ms == 3000
     assert loaded.processor.capacity == 0.537 * 2
     assert loaded.quotas == sql_settings.Quotas(7000, 0.2, 30)
+    assert loaded.zones.leaving_cost_ms == 2
     assert loaded.seed_nodes == (('127.0.0.2', 7455),)
 
 
@@ -85,3 +86,12 @@
 def test_equal_settings_compare_equal():
     """Guards against a reload that always asks for a restart."""
     assert _load(_render_template()) == _load(_render_template())
+
+
+def test_price_of_leaving_the_zone_is_checked():
+    """Guards against a price that would attract traffic to other zones."""
+    head, _, _end = _render_template().rpartition('}')
+    loaded = _load(f'{head}, "zones": {{"leaving_cost_ms": 7}}}}')
+    assert loaded.zones.leaving_cost_ms == 7
+    errors = _load(f'{head}, "zones": {{"leaving_cost_ms": -1}}}}')
+    assert isinstance(errors, list)
--- a/jacinthhaven/sql/node.py
+++ b/jacinthhaven/sql/node.py
@@ -82,6 +82,8 @@
             adapters.relays,
             adapters.rng,
         )
+        self.relay.choice.leaving_cost_ms = identity.leaving_cost_ms
+        self.relay.choice.may_leave = identity.may_leave
         self.relay.on_unreachable = self.coordination.expedite_members
         self.lender = lending.Lender(
             self.gateway,
@@ -280,6 +282,8 @@
         )
         if loaded.version > self.gateway.configuration.version:
             self.gateway.configure(loaded, self.now_ms)
+            for service_group in self.gateway.groups.values():
+                service_group.leaving_cost_ms = self.identity.leaving_cost_ms
             self.elections.configure(loaded, self.now_ms)
             self.protocols.configure(loaded, self.now_ms)
             self._choose_lenders()
--- a/jacinthhaven/sql/node_context.py
+++ b/jacinthhaven/sql/node_context.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from jacinthhaven.balancing import zone_outflow
 from jacinthhaven.kernel import clock
 from jacinthhaven.quotas import limits
 from jacinthhaven.sql import ownership, peering, ports, records, registry
@@ -22,6 +23,9 @@
       seeds: Addresses of nodes that may run.
       apply_within_ms: Longest time until a new configuration is in force.
       slack: How far all nodes together may exceed the limit of a customer.
+      leaving_cost_ms: Price of leaving the availability zone.
+      may_leave: Whether new sessions may leave the zone although its own
+        owners can be reached.
     """
 
     name: str
@@ -32,6 +36,8 @@
     seeds: tuple[records.Address, ...] = ()
     apply_within_ms: int = 3000
     slack: limits.Slack = limits.DEFAULT_SLACK
+    leaving_cost_ms: float = zone_outflow.DEFAULT_LEAVING_COST_MS
+    may_leave: bool = False
 
 
 class Adapters(msgspec.Struct, frozen=True):
