--- a/jacinthhaven/quotas/buckets.py
+++ b/jacinthhaven/quotas/buckets.py
@@ -109,22 +109,17 @@
 
     Attributes:
       used_ms: Times of the admitted operations in the last window.
-      blocked_until_ms: Time before which nothing may be admitted, because an
-        earlier process of this node may have used its reserve.
     """
 
-    __slots__ = ('window_ms', 'used_ms', 'blocked_until_ms')
+    __slots__ = ('window_ms', 'used_ms')
 
-    def __init__(self, window_ms: int, blocked_until_ms: int) -> None:
-        """Create a reserve that is unused and blocked up to a time."""
+    def __init__(self, window_ms: int) -> None:
+        """Create a reserve that is unused."""
         self.window_ms = window_ms
         self.used_ms: collections.deque[int] = collections.deque()
-        self.blocked_until_ms = blocked_until_ms
 
     def left(self, size: int, now_ms: int) -> int:
         """Return how many of the operations of a window are left."""
-        if now_ms < self.blocked_until_ms:
-            return 0
         oldest_ms = now_ms - self.window_ms
         while self.used_ms and self.used_ms[0] < oldest_ms:
             self.used_ms.popleft()
--- a/jacinthhaven/quotas/builders.py
+++ b/jacinthhaven/quotas/builders.py
@@ -82,12 +82,12 @@
         self,
         seed: int,
         network: Network = GOOD_NETWORK,
-        create: typing.Callable[..., quotas.Quotas] = quotas.Quotas,
+        slack: limits.Slack = limits.DEFAULT_SLACK,
     ) -> None:
         """Start without nodes."""
         self.rng = random.Random(seed)
         self.network = network
-        self.create = create
+        self.slack = slack
         self.now_ms = 1_000_000
         self.nodes: dict[str, quotas.Quotas] = {}
         self.frozen_until_ms: dict[str, int] = {}
@@ -103,14 +103,16 @@
         for key in self.waiting:
             if key[0] == name:
                 self.waiting[key] = []
-        node = self.create(
+        node = quotas.Quotas(
             lambda receiver, message: self._send(name, receiver, message),
             random.Random(self.rng.random()),
+            self.slack,
         )
         node.on_granted = lambda customer, _now_ms: self._ask_again(
             name, customer
         )
         self.nodes[name] = node
+        self.frozen_until_ms.pop(name, None)
         node.configure(self.limits, self.now_ms)
         self.show_owners(name, owners)
 
@@ -139,6 +141,12 @@
         """Let an operation of a customer arrive at a node at a time."""
         self.add(at_ms, 'operate', (name, customer))
 
+    def configure_node(self, name: str, new: dict[str, limits.Limit]) -> None:
+        """Bring new limits into force at one node."""
+        node = self.nodes.get(name)
+        if node is not None:
+            node.configure(new, self.now_ms)
+
     def run(self, duration_ms: int) -> None:
         """Let all happen that is due within a time."""
         end_ms = self.now_ms + duration_ms
@@ -151,7 +159,7 @@
             elif kind == 'call':
                 event()
             elif self._is_awake(event[0], kind, event):
-                getattr(self, f'_on_{kind}')(*event)
+                self._handle(kind, event)
         self.now_ms = end_ms
 
     def _tick(self, end_ms: int) -> None:
@@ -169,6 +177,20 @@
             return False
         return name in self.nodes
 
+    def _handle(self, kind: str, event: typing.Any) -> None:
+        match kind:
+            case 'operate':
+                self._on_operate(*event)
+            case 'again':
+                self._on_again(*event)
+            case 'deliver':
+                name, message = event
+                self.nodes[name].on_message(message, self.now_ms)
+            case 'owners':
+                self.show_owners(*event)
+            case 'limits':
+                self.configure_node(*event)
+
     def _on_operate(self, name: str, customer: str) -> None:
         self.tally.offered[customer] += 1
         self._ask(name, customer, self.now_ms, None)
@@ -179,9 +201,6 @@
             waiting.remove(asked_ms)
             self._ask(name, customer, asked_ms, asked_ms)
 
-    def _on_deliver(self, name: str, message: messages.Message) -> None:
-        self.nodes[name].on_message(message, self.now_ms)
-
     def _ask_again(self, name: str, customer: str) -> None:
         waiting = self.waiting.pop((name, customer), [])
         for asked_ms in waiting:
--- a/jacinthhaven/quotas/owner_views.py
+++ b/jacinthhaven/quotas/owner_views.py
@@ -85,6 +85,12 @@
             for names, replaced_ms in self.former
         )
 
+    def owner_for_ms(self, now_ms: int) -> int:
+        """Return the time for which this node is an owner, or -1."""
+        if self.owner_since_ms is None:
+            return -1
+        return now_ms - self.owner_since_ms
+
     def largest_count(self, now_ms: int) -> int:
         """Return the largest number of owners in any remembered set."""
         self.forget_old(now_ms)
--- a/jacinthhaven/quotas/quotas.py
+++ b/jacinthhaven/quotas/quotas.py
@@ -79,7 +79,6 @@
         self.holders: dict[str, holder.Holder] = {}
         self.retired: dict[str, holder.Holder] = {}
         self.numbers = itertools.count(rng.randrange(_FIRST_NUMBERS))
-        self.started_ms: int | None = None
         self.next_update_ms = 0
 
     def admit(
@@ -116,7 +115,7 @@
           new: Limits by name of the customer; a rate of 0 is no limit.
           now_ms: Current time.
         """
-        self._start(now_ms)
+        self.views.start(now_ms)
         limited = {
             name: limit for name, limit in new.items() if limit.rate_per_s > 0
         }
@@ -140,7 +139,7 @@
           node: Name of this node.
           now_ms: Current time.
         """
-        self._start(now_ms)
+        self.views.start(now_ms)
         if self.views.update(tuple(sorted(set(names))), node, now_ms):
             self._update_holders(now_ms)
             self.quorum.on_owners_changed(now_ms)
@@ -255,19 +254,11 @@
             known.unmet = 0
             self.on_granted(grant.customer, now_ms)
 
-    def _start(self, now_ms: int) -> None:
-        if self.started_ms is None:
-            self.started_ms = now_ms
-        self.views.start(now_ms)
-
     def _holder(self, name: str, limit: limits.Limit) -> holder.Holder:
         """Return the holder of a customer, which may have had a limit."""
         known = self.holders.get(name) or self.retired.pop(name, None)
         if known is None:
-            window_ms = self.slack.window_ms
-            reserve = buckets.Reserve(
-                window_ms, (self.started_ms or 0) + window_ms
-            )
+            reserve = buckets.Reserve(self.slack.window_ms)
             known = holder.Holder(name, limit, reserve)
         self.holders[name] = known
         return known
@@ -282,18 +273,17 @@
     def _update_reserves(self, now_ms: int) -> None:
         """Divide the reserves by the largest number of owners.
 
-        A node that has become an owner gets none before all nodes know it.
+        A node that has become an owner gets none before all nodes know it, and
+        before the reserve that an earlier process used is over.
         """
         self.next_update_ms = now_ms + _UPDATE_INTERVAL_MS
         count = max(self.views.largest_count(now_ms), 1)
-        since_ms = self.views.owner_since_ms
-        owner = since_ms is not None and (
-            now_ms - since_ms >= owner_views.MEMORY_MS
-        )
+        needed_ms = max(owner_views.MEMORY_MS, self.slack.window_ms)
+        is_owner = self.views.owner_for_ms(now_ms) >= needed_ms
         for known in self.holders.values():
             known.owner_count = count
             known.reserve_size = (
-                self.slack.reserve(known.limit, count) if owner else 0
+                self.slack.reserve(known.limit, count) if is_owner else 0
             )
 
 
