Replace a silent accountant before the list of owners changes

While an accountant was dead, its customers had the reserves only until its lease in the store ended. Owners now leave owners that they have not heard for 1.2 s out of the ranking; the majority still counts all owners of the list.

--- a/jacinthhaven/quotas/messages.py
+++ b/jacinthhaven/quotas/messages.py
@@ -48,10 +48,12 @@
 
     Attributes:
       names: Names of the owners, sorted.
+      candidates: Those that the node considered as accountants.
       age_ms: Time since the node replaced them.
     """
 
     names: tuple[str, ...]
+    candidates: tuple[str, ...]
     age_ms: int
 
 
@@ -70,12 +72,13 @@
 class PledgeReply(msgspec.Struct, frozen=True, array_like=True, tag='v'):
     """Says which accountants an owner knows.
 
-    The owners determine the accountant of each customer.
+    The candidates determine the accountant of each customer.
 
     Attributes:
       sender: Name of the replying owner.
       number: Number of the request.
       owners: Names of the owners that it knows, sorted.
+      candidates: Those that it considers as accountants, since it hears them.
       former: Owners that it knew before, the newest first.
       replied: Milliseconds since it last replied to each other node, by name;
         only recent ones.
@@ -85,6 +88,7 @@
     sender: str
     number: int
     owners: tuple[str, ...]
+    candidates: tuple[str, ...]
     former: tuple[FormerOwners, ...]
     replied: dict[str, int]
     memory_ms: int
--- a/jacinthhaven/quotas/quorum.py
+++ b/jacinthhaven/quotas/quorum.py
@@ -23,11 +23,11 @@
 
 # Interval of the questions to each owner, while this node acts for all customers
 # that it should act for, and while it does not.
-_ASK_INTERVAL_MS = 500
+_ASK_INTERVAL_MS = 400
 _ASK_RETRY_MS = 100
 # Validity of a pledge from the sending of the question: two questions or
 # replies in a row may be lost.
-PLEDGE_VALID_MS = 1500
+PLEDGE_VALID_MS = 1200
 # Time after the last reply to a node, after which its pledge and the tokens
 # that it granted have expired.
 RELEASE_MS = PLEDGE_VALID_MS + limits.TOKEN_LIFETIME_MS
@@ -52,7 +52,7 @@
         if reply.memory_ms < RELEASE_MS:
             return True
         for former in reply.former:
-            other = owner_views.accountant(customer, former.names)
+            other = owner_views.accountant(customer, former.candidates)
             if other == node or former.age_ms >= RELEASE_MS:
                 continue
             if other == reply.sender or other in reply.replied:
@@ -113,6 +113,11 @@
         self.next_ask_ms = 0
         self.lacks_term = False
 
+    @property
+    def is_owner(self) -> bool:
+        """Return whether this node is an owner as far as it knows."""
+        return self.views.node in self.views.owners.names
+
     def begin_ms(self, customer: str, now_ms: int) -> int | None:
         """Return since when this node acts as the accountant.
 
@@ -150,7 +155,7 @@
 
     def tick(self, now_ms: int) -> None:
         """Ask the other owners if it is due."""
-        if now_ms < self.next_ask_ms or not self._is_candidate():
+        if now_ms < self.next_ask_ms or not self.is_owner:
             return
         self._forget_old(now_ms)
         number = next(self.numbers)
@@ -164,7 +169,7 @@
     def update_terms(self, now_ms: int) -> None:
         """Extend, begin and end the terms of this node."""
         node = self.views.node
-        if node not in self.views.owners:
+        if not self.is_owner:
             self.terms.clear()
             return
         fresh = {
@@ -176,9 +181,13 @@
             now_ms + PLEDGE_VALID_MS, self._statement(0, now_ms)
         )
         sets = _known_sets(pledge.reply for pledge in fresh.values())
+        if self._may_miss_owners(sets, now_ms):
+            self.terms.clear()
+            return
         self.lacks_term = False
+        candidates = self.views.owners.candidates
         for customer in self.customers:
-            if owner_views.accountant(customer, self.views.owners) == node:
+            if owner_views.accountant(customer, candidates) == node:
                 self._update_term(customer, fresh, sets, now_ms)
             else:
                 self.terms.pop(customer, None)
@@ -194,7 +203,7 @@
         pledged = {
             name: pledge.until_ms
             for name, pledge in fresh.items()
-            if owner_views.accountant(customer, pledge.reply.owners) == node
+            if owner_views.accountant(customer, pledge.reply.candidates) == node
         }
         free = {
             name: until_ms
@@ -228,20 +237,25 @@
         return messages.PledgeReply(
             views.node,
             number,
-            views.owners,
+            views.owners.names,
+            views.owners.candidates,
             views.described(now_ms),
             replied,
             views.memory_ms(now_ms),
         )
 
-    def _is_candidate(self) -> bool:
-        """Return whether this node may be the accountant of a customer."""
-        owners = self.views.owners
-        node = self.views.node
-        return node in owners and any(
-            owner_views.accountant(customer, owners) == node
-            for customer in self.customers
-        )
+    def _may_miss_owners(
+        self, sets: set[owner_views.Names], now_ms: int
+    ) -> bool:
+        """Return whether this node replaces owners that it does not know.
+
+        A node that has just started and is the only owner, although there are
+        other nodes, cannot know which owners some of them still follow.
+        """
+        alone = sets == {(self.views.node,)}
+        if not alone or len(self.views.heard_ms) == 1:
+            return False
+        return self.views.memory_ms(now_ms) < owner_views.MEMORY_MS
 
     def _others(self, now_ms: int) -> list[str]:
         """Return all owners in the remembered sets, but not this node."""
--- a/jacinthhaven/quotas/quotas.py
+++ b/jacinthhaven/quotas/quotas.py
@@ -18,8 +18,8 @@
 Send = typing.Callable[[str, messages.Message], None]
 # Range of the first numbers of a process.
 _FIRST_NUMBERS = 1_000_000_000_000
-# Interval at which the reserves follow the remembered owners.
-_UPDATE_INTERVAL_MS = 1000
+# Interval at which silent owners are looked for.
+_UPDATE_INTERVAL_MS = 100
 
 
 class State(typing.NamedTuple):
@@ -53,7 +53,7 @@
       holders: Stock of this node by customer, for those with a limit.
       retired: Stock of customers that have no limit any more, so that a limit
         that returns starts with what was used before.
-      next_update_ms: When the reserves are computed again.
+      next_update_ms: When silent owners are looked for again.
       granting: Whether `on_granted` is being called.
     """
 
@@ -150,6 +150,7 @@
 
     def on_message(self, message: messages.Message, now_ms: int) -> None:
         """Handle a message of another node."""
+        self.views.heard_ms[message.sender] = now_ms
         match message:
             case messages.QuotaGrant():
                 self._on_grant(message, now_ms)
@@ -165,7 +166,7 @@
         if self.holders:
             self.quorum.tick(now_ms)
             if now_ms >= self.next_update_ms:
-                self._update_reserves(now_ms)
+                self._update(now_ms)
 
     def state(self, customer: str, now_ms: int) -> State | None:
         """Return the state of a customer, or None if it has no limit."""
@@ -272,10 +273,19 @@
 
     def _update_holders(self, now_ms: int) -> None:
         """Apply the owners to the accountants and reserves of customers."""
-        owners = self.views.owners
+        candidates = self.views.owners.candidates
         self._update_reserves(now_ms)
         for known in self.holders.values():
-            known.follow(owner_views.accountant(known.customer, owners))
+            known.follow(owner_views.accountant(known.customer, candidates))
+
+    def _update(self, now_ms: int) -> None:
+        """Find silent owners, and follow the remembered sets of owners."""
+        self.next_update_ms = now_ms + _UPDATE_INTERVAL_MS
+        if self.views.update_silent(now_ms):
+            self._update_holders(now_ms)
+            self.quorum.on_owners_changed(now_ms)
+        else:
+            self._update_reserves(now_ms)
 
     def _update_reserves(self, now_ms: int) -> None:
         """Divide the reserves by the largest number of owners.
@@ -283,7 +293,6 @@
         A node that has become an owner gets none before all nodes know it, and
         before the reserve that an earlier process used is over.
         """
-        self.next_update_ms = now_ms + _UPDATE_INTERVAL_MS
         count = max(self.views.largest_count(now_ms), 1)
         needed_ms = max(owner_views.MEMORY_MS, self.slack.window_ms)
         is_owner = self.views.owner_for_ms(now_ms) >= needed_ms
--- a/jacinthhaven/quotas/scripted_builders.py
+++ b/jacinthhaven/quotas/scripted_builders.py
@@ -10,7 +10,7 @@
 # So little that 1.5 s of a second accountant exceed it.
 _LITTLE_SLACK = limits.Slack(overage=0, extra=6)
 _SETTLED_MS = 12_000
-_OFFERED_PER_MS = 0.5
+_OFFERED_PER_MS = 1
 _ACCOUNTANT = owner_views.accountant(CUSTOMER, _OWNERS)
 
 
@@ -57,7 +57,7 @@
         fleet.start(name, _OWNERS)
     fleet.run(_SETTLED_MS)
     rng = random.Random(2)
-    for _ in range(round(10_000 * _OFFERED_PER_MS)):
+    for _ in range(10_000 * _OFFERED_PER_MS):
         at_ms = fleet.now_ms + rng.randrange(10_000)
         fleet.operate(rng.choice(_OWNERS), CUSTOMER, at_ms)
     return fleet
