Compute the terms of an accountant once per round of questions

Each reply of an owner computed the terms of all customers: 190 us for 87 customers, 12.5 times a second.

--- a/jacinthhaven/quotas/quorum.py
+++ b/jacinthhaven/quotas/quorum.py
@@ -46,6 +46,14 @@
     until_ms: int
     reply: messages.PledgeReply
 
+    def differs(self, reply: messages.PledgeReply) -> bool:
+        """Return whether a newer statement names other owners."""
+        known = self.reply
+        return (known.owners, known.candidates) != (
+            reply.owners,
+            reply.candidates,
+        )
+
     def blocks(self, customer: str, node: str) -> bool:
         """Return whether another accountant may still act with its pledge."""
         reply = self.reply
@@ -149,8 +157,11 @@
             return
         until_ms = asked_ms + PLEDGE_VALID_MS
         known = self.pledges.get(reply.sender)
-        if known is None or known.until_ms < until_ms:
-            self.pledges[reply.sender] = Pledge(until_ms, reply)
+        if known is not None and known.until_ms >= until_ms:
+            return
+        self.pledges[reply.sender] = Pledge(until_ms, reply)
+        # What only extends the terms waits for the next question.
+        if self.lacks_term or known is None or known.differs(reply):
             self.update_terms(now_ms)
 
     def tick(self, now_ms: int) -> None:
--- a/jacinthhaven/quotas/quotas.py
+++ b/jacinthhaven/quotas/quotas.py
@@ -54,6 +54,8 @@
       retired: Stock of customers that have no limit any more, so that a limit
         that returns starts with what was used before.
       next_update_ms: When silent owners are looked for again.
+      share: Number of nodes that share the limits, and whether this node has
+        reserves.
       granting: Whether `on_granted` is being called.
     """
 
@@ -83,6 +85,7 @@
         self.retired: dict[str, holder.Holder] = {}
         self.numbers = itertools.count(rng.randrange(_FIRST_NUMBERS))
         self.next_update_ms = 0
+        self.share = (1, False)
         self.granting = False
 
     def admit(
@@ -284,18 +287,25 @@
         if self.views.update_silent(now_ms):
             self._update_holders(now_ms)
             self.quorum.on_owners_changed(now_ms)
-        else:
+        elif self._share(now_ms) != self.share:
             self._update_reserves(now_ms)
 
-    def _update_reserves(self, now_ms: int) -> None:
-        """Divide the reserves by the largest number of owners.
+    def _share(self, now_ms: int) -> tuple[int, bool]:
+        """Return by how many the reserves are divided, and whether it has one.
 
         A node that has become an owner gets none before all nodes know it, and
         before the reserve that an earlier process used is over.
         """
-        count = max(self.views.largest_count(now_ms), 1)
         needed_ms = max(owner_views.MEMORY_MS, self.slack.window_ms)
-        is_owner = self.views.owner_for_ms(now_ms) >= needed_ms
+        return (
+            max(self.views.largest_count(now_ms), 1),
+            self.views.owner_for_ms(now_ms) >= needed_ms,
+        )
+
+    def _update_reserves(self, now_ms: int) -> None:
+        """Divide the reserves by the largest number of owners."""
+        self.share = self._share(now_ms)
+        count, is_owner = self.share
         for known in self.holders.values():
             known.owner_count = count
             known.reserve_size = (
