Begin the term of an accountant 400 ms after the last possible grant

A node to which all owners are pledged waited 400 ms from then on. It now counts from the start of the youngest process, or from the time at which a former accountant learned of its successor.

--- a/jacinthhaven/quotas/quorum.py
+++ b/jacinthhaven/quotas/quorum.py
@@ -8,8 +8,9 @@
 - A majority of each set of owners that it or a pledged owner remembers is
   pledged to it, and these owners know that the pledges to any other accountant,
   and the tokens that it granted, have expired.
-- All owners in these sets are pledged to it, so that no other node acts. Then
-  it waits until all tokens have expired that were granted before.
+- All owners in these sets are pledged to it, so that no other node acts, and the
+  tokens have expired that one of them granted by a former set of owners, or
+  before its process started.
 
 Any two majorities of a set of owners share an owner, so no two nodes act at the
 same time, unless their sets of owners differ for more than the memory of former
@@ -67,6 +68,21 @@
                 return True
         return False
 
+    def granted_ms(self, customer: str, now_ms: int) -> int:
+        """Return the latest time at which the owner may have granted tokens.
+
+        That is before its process started, or while it was the accountant by a
+        former set of owners.
+        """
+        reply = self.reply
+        ages_ms = [
+            former.age_ms
+            for former in reply.former
+            if owner_views.accountant(customer, former.candidates)
+            == reply.sender
+        ]
+        return now_ms - min([reply.memory_ms, *ages_ms])
+
 
 class Term(typing.NamedTuple):
     """Time for which a node acts as the accountant of a customer.
@@ -210,32 +226,49 @@
         sets: set[owner_views.Names],
         now_ms: int,
     ) -> None:
-        node = self.views.node
-        pledged = {
-            name: pledge.until_ms
-            for name, pledge in fresh.items()
-            if owner_views.accountant(customer, pledge.reply.candidates) == node
-        }
-        free = {
-            name: until_ms
-            for name, until_ms in pledged.items()
-            if not fresh[name].blocks(customer, node)
-        }
-        begin_ms = now_ms
-        until_ms = min(_majority_until_ms(names, free) for names in sets)
+        granters = {self.views.node}
+        until_ms = self._majority_until_ms(customer, fresh, sets)
         if until_ms <= now_ms:
-            begin_ms = now_ms + limits.TOKEN_LIFETIME_MS
-            until_ms = min(
-                _unanimous_until_ms(names, pledged) for names in sets
-            )
+            granters.update(*sets)
+            pledged = self._pledged(customer, fresh)
+            until_ms = min(pledged.get(name, 0) for name in granters)
         if until_ms <= now_ms:
             self.terms.pop(customer, None)
             self.lacks_term = True
             return
         term = self.terms.get(customer)
-        if term is not None and now_ms < term.until_ms:
-            begin_ms = term.begin_ms
-        self.terms[customer] = Term(begin_ms, until_ms)
+        if term is None or now_ms >= term.until_ms:
+            granted_ms = max(
+                fresh[name].granted_ms(customer, now_ms) for name in granters
+            )
+            free_ms = granted_ms + limits.TOKEN_LIFETIME_MS
+            term = Term(max(now_ms, free_ms), until_ms)
+        self.terms[customer] = term._replace(until_ms=until_ms)
+
+    def _pledged(
+        self, customer: str, fresh: dict[str, Pledge]
+    ) -> dict[str, int]:
+        """Return the pledges for a customer and until when they count."""
+        return {
+            name: pledge.until_ms
+            for name, pledge in fresh.items()
+            if owner_views.accountant(customer, pledge.reply.candidates)
+            == self.views.node
+        }
+
+    def _majority_until_ms(
+        self,
+        customer: str,
+        fresh: dict[str, Pledge],
+        sets: set[owner_views.Names],
+    ) -> int:
+        """Return until when a majority of each set of owners is pledged."""
+        free = {
+            name: until_ms
+            for name, until_ms in self._pledged(customer, fresh).items()
+            if not fresh[name].blocks(customer, self.views.node)
+        }
+        return min(_majority_until_ms(names, free) for names in sets)
 
     def _statement(self, number: int, now_ms: int) -> messages.PledgeReply:
         """Return what this node knows, as the reply to a question."""
@@ -314,10 +347,3 @@
     )
     needed = len(names) // 2 + 1
     return times[needed - 1] if len(times) >= needed else 0
-
-
-def _unanimous_until_ms(
-    names: owner_views.Names, pledged: dict[str, int]
-) -> int:
-    """Return until when all of a set of owners are pledged."""
-    return min(pledged.get(name, 0) for name in names)
