--- a/jacinthhaven/quotas/quotas.py
+++ b/jacinthhaven/quotas/quotas.py
@@ -184,6 +184,10 @@
             self.quorum.begin_ms(customer, now_ms) is not None,
         )
 
+    def states(self, now_ms: int) -> dict[str, State]:
+        """Return the states of all customers with a limit, by name."""
+        return {name: self.state(name, now_ms) for name in sorted(self.holders)}
+
     def _take(self, known: holder.Holder, now_ms: int) -> bool:
         """Take a token of this node, and order more ahead."""
         account = self._own_account(known, now_ms)
--- a/jacinthhaven/quotas/quotas_test.py
+++ b/jacinthhaven/quotas/quotas_test.py
@@ -7,6 +7,7 @@
     builders,
     limits,
     messages,
+    metric_lines,
     owner_views,
     quotas,
 )
@@ -133,6 +134,21 @@
     assert bucket.level < 2
 
 
+def test_metrics_show_who_limits_a_customer():
+    """Guards against a customer whose refusals nobody can explain."""
+    fleet = _settled_fleet()
+    name = owner_views.accountant('c20', _OWNERS)
+    node = fleet.nodes[name]
+    node.admit('c20', fleet.now_ms)
+    states = node.states(fleet.now_ms)
+    lines = list(metric_lines.format_states(states))
+    prefix = 'jacinthhaven_customer_'
+    assert f'{prefix}rate_per_s{{customer="c20"}} 32' in lines
+    assert f'{prefix}admitted_total{{customer="c20"}} 1' in lines
+    shown = f'customer="c20",accountant="{name}"'
+    assert f'{prefix}accountant_here{{{shown}}} 1' in lines
+
+
 def test_refused_operations_are_told_when_to_retry():
     """Guards against refused clients that all come back at the same time."""
     fleet = _settled_fleet()
