Let started nodes learn which owners other nodes still follow

An accountant asks the recent holders of its tokens too, and its questions name its owners, which count as a former list at the receiver.

--- a/jacinthhaven/quotas/accountant.py
+++ b/jacinthhaven/quotas/accountant.py
@@ -100,6 +100,7 @@
         if request.customer in self.accounts:
             account = self.acting(request.customer, now_ms)
             if account is not None:
+                self.quorum.followers_ms[request.sender] = now_ms
                 until_ms = now_ms + limits.TOKEN_LIFETIME_MS
                 tokens = account.bucket.grant(request.wanted, until_ms, now_ms)
                 self._update_proof(account, now_ms)
--- a/jacinthhaven/quotas/messages.py
+++ b/jacinthhaven/quotas/messages.py
@@ -63,10 +63,14 @@
     Attributes:
       sender: Name of the asking node.
       number: Number of the request, which the reply repeats.
+      owners: Names of the owners that it knows, sorted.
+      candidates: Those that it considers as accountants.
     """
 
     sender: str
     number: int
+    owners: tuple[str, ...]
+    candidates: tuple[str, ...]
 
 
 class PledgeReply(msgspec.Struct, frozen=True, array_like=True, tag='v'):
--- a/jacinthhaven/quotas/owner_views.py
+++ b/jacinthhaven/quotas/owner_views.py
@@ -20,6 +20,9 @@
 # After a longer time between two checks, this node stood still itself, and must
 # not take the others for silent.
 _MAX_CHECK_GAP_MS = 300
+# Age at which owners that another node still knows are remembered anew. Pledges
+# by what this node itself knew then are over.
+_REFRESH_MS = 2000
 _CACHED_RANKS = 4096
 
 Names = tuple[str, ...]
@@ -107,6 +110,26 @@
             self.owner_since_ms = now_ms
         return self._replace(names, now_ms)
 
+    def learn(self, owners: Owners, now_ms: int) -> bool:
+        """Remember owners that another node knows.
+
+        A node that has just started remembers none; the accountant of others
+        that it does not know may still act.
+
+        Returns:
+          Whether they were not known.
+        """
+        if not owners.names or owners.names == self.owners.names:
+            return False
+        for index, (known, replaced_ms) in enumerate(self.former):
+            if known.names == owners.names:
+                if now_ms - replaced_ms > _REFRESH_MS:
+                    self.former.pop(index)
+                    self._remember(owners, now_ms)
+                return False
+        self._remember(owners, now_ms)
+        return True
+
     def update_silent(self, now_ms: int) -> bool:
         """Find the silent owners; return whether they have changed."""
         gap_ms = now_ms - self.checked_ms
@@ -157,12 +180,15 @@
         if owners == self.owners:
             return False
         if self.owners.names:
-            self.former.insert(0, (self.owners, now_ms))
+            self._remember(self.owners, now_ms)
+        self.owners = owners
+        return True
+
+    def _remember(self, owners: Owners, now_ms: int) -> None:
+        self.former.insert(0, (owners, now_ms))
         if len(self.former) > _MAX_FORMER:
             self.former.pop()
             self.since_ms = now_ms
-        self.owners = owners
-        return True
 
     def _forget_old(self, now_ms: int) -> None:
         """Forget the sets of owners that no node uses any more."""
--- a/jacinthhaven/quotas/quorum.py
+++ b/jacinthhaven/quotas/quorum.py
@@ -104,6 +104,8 @@
       send: Sends a message to a node.
       pledges: Last statement of each owner.
       replied_ms: When this node last replied to each other node.
+      followers_ms: When each node last requested tokens. They are asked too, so
+        that they know of this node even if they have restarted.
       terms: Terms of this node by customer.
       customers: Names of all customers with a limit.
       asked_ms: When each of the last questions was sent, by number.
@@ -130,6 +132,7 @@
         self.send = send
         self.pledges: dict[str, Pledge] = {}
         self.replied_ms: dict[str, int] = {}
+        self.followers_ms: dict[str, int] = {}
         self.terms: dict[str, Term] = {}
         self.customers: tuple[str, ...] = ()
         self.numbers = itertools.count(first_number)
@@ -163,6 +166,9 @@
         """Reply to a question of another node."""
         if not self.views.node:
             return
+        known = owner_views.Owners(request.owners, request.candidates)
+        if self.views.learn(known, now_ms):
+            self.update_terms(now_ms)
         self.replied_ms[request.sender] = now_ms
         self.send(request.sender, self._statement(request.number, now_ms))
 
@@ -187,12 +193,22 @@
         self._forget_old(now_ms)
         number = next(self.numbers)
         self.asked_ms[number] = now_ms
-        for name in self._others(now_ms):
-            self.send(name, messages.PledgeRequest(self.views.node, number))
+        request = messages.PledgeRequest(
+            self.views.node, number, *self.views.owners
+        )
+        for name in self.asked(now_ms):
+            self.send(name, request)
         self.update_terms(now_ms)
         interval_ms = _ASK_RETRY_MS if self.lacks_term else _ASK_INTERVAL_MS
         self.next_ask_ms = now_ms + interval_ms
 
+    def asked(self, now_ms: int) -> list[str]:
+        """Return all owners in the remembered sets, and the recent holders."""
+        replies = [pledge.reply for pledge in self.pledges.values()]
+        replies.append(self._statement(0, now_ms))
+        names = set(self.followers_ms).union(*_known_sets(replies))
+        return sorted(names - {self.views.node})
+
     def update_terms(self, now_ms: int) -> None:
         """Extend, begin and end the terms of this node."""
         node = self.views.node
@@ -301,13 +317,6 @@
             return False
         return self.views.memory_ms(now_ms) < owner_views.MEMORY_MS
 
-    def _others(self, now_ms: int) -> list[str]:
-        """Return all owners in the remembered sets, but not this node."""
-        replies = [pledge.reply for pledge in self.pledges.values()]
-        replies.append(self._statement(0, now_ms))
-        names = set().union(*_known_sets(replies))
-        return sorted(names - {self.views.node})
-
     def _forget_old(self, now_ms: int) -> None:
         expired = [
             number
@@ -317,12 +326,18 @@
         for number in expired:
             self.asked_ms.pop(number)
         gone = [
-            name
-            for name, pledge in self.pledges.items()
+            sender
+            for sender, pledge in self.pledges.items()
             if pledge.until_ms <= now_ms
         ]
-        for name in gone:
-            self.pledges.pop(name)
+        for sender in gone:
+            self.pledges.pop(sender)
+        oldest_ms = now_ms - owner_views.MEMORY_MS
+        self.followers_ms = {
+            name: followed_ms
+            for name, followed_ms in self.followers_ms.items()
+            if followed_ms > oldest_ms
+        }
 
 
 def _known_sets(
--- a/jacinthhaven/quotas/scripted_builders.py
+++ b/jacinthhaven/quotas/scripted_builders.py
@@ -50,7 +50,7 @@
 
 
 def replaced_by_started_owners() -> float:
-    """Replace all owners by nodes that have just started; see KNOWN-RED.txt.
+    """Replace all owners by nodes that have just started.
 
     Returns:
       The most operations beyond the bound in any window.
--- a/jacinthhaven/quotas/search_test.py
+++ b/jacinthhaven/quotas/search_test.py
@@ -35,6 +35,11 @@
     return False
 
 
+def ask_listed_owners(self: quorum.Quorum, _now_ms: int) -> list[str]:
+    """Broken variant: an accountant asks only the owners of its own list."""
+    return [name for name in self.views.owners.names if name != self.views.node]
+
+
 def refill(
     self: accountant.Accountant,
     customer: str,
@@ -70,6 +75,10 @@
     yield scripted_builders.restarted_holders()
 
 
+def _replaced_by_started_owners() -> typing.Iterator[float]:
+    yield scripted_builders.replaced_by_started_owners()
+
+
 # The histories in which each variant is found.
 _VARIANTS = types.MappingProxyType(
     {
@@ -77,6 +86,11 @@
             lambda: _random_histories(_SEEDS, ('change_owners', 'cut'))
         ),
         (quorum.Pledge, 'blocks', forget_pledges): _replaced_accountants,
+        (
+            quorum.Quorum,
+            'asked',
+            ask_listed_owners,
+        ): _replaced_by_started_owners,
         (accountant.Accountant, 'configure', refill): (
             lambda: _random_histories(_SEEDS, ('change_limit',))
         ),
