--- a/jacinthhaven/quotas/quorum.py
+++ b/jacinthhaven/quotas/quorum.py
@@ -8,8 +8,9 @@
 - A majority of each set of owners that it or a pledged owner remembers is
   pledged to it, and these owners know that the pledges to any other accountant,
   and the tokens that it granted, have expired.
-- All owners in these sets are pledged to it, so that no other node acts. Then
-  it waits until all tokens have expired that were granted before.
+- All owners in these sets are pledged to it, so that no other node acts, and the
+  tokens have expired that one of them granted by a former set of owners, or
+  before its process started.
 
 Any two majorities of a set of owners share an owner, so no two nodes act at the
 same time, unless their sets of owners differ for more than the memory of former
@@ -23,11 +24,11 @@
 
 # Interval of the questions to each owner, while this node acts for all customers
 # that it should act for, and while it does not.
-_ASK_INTERVAL_MS = 500
+_ASK_INTERVAL_MS = 400
 _ASK_RETRY_MS = 100
 # Validity of a pledge from the sending of the question: two questions or
 # replies in a row may be lost.
-PLEDGE_VALID_MS = 1500
+PLEDGE_VALID_MS = 1200
 # Time after the last reply to a node, after which its pledge and the tokens
 # that it granted have expired.
 RELEASE_MS = PLEDGE_VALID_MS + limits.TOKEN_LIFETIME_MS
@@ -46,19 +47,42 @@
     until_ms: int
     reply: messages.PledgeReply
 
+    def differs(self, reply: messages.PledgeReply) -> bool:
+        """Return whether a newer statement names other owners."""
+        known = self.reply
+        return (known.owners, known.candidates) != (
+            reply.owners,
+            reply.candidates,
+        )
+
     def blocks(self, customer: str, node: str) -> bool:
         """Return whether another accountant may still act with its pledge."""
         reply = self.reply
         if reply.memory_ms < RELEASE_MS:
             return True
         for former in reply.former:
-            other = owner_views.accountant(customer, former.names)
+            other = owner_views.accountant(customer, former.candidates)
             if other == node or former.age_ms >= RELEASE_MS:
                 continue
             if other == reply.sender or other in reply.replied:
                 return True
         return False
 
+    def granted_ms(self, customer: str, now_ms: int) -> int:
+        """Return the latest time at which the owner may have granted tokens.
+
+        That is before its process started, or while it was the accountant by a
+        former set of owners.
+        """
+        reply = self.reply
+        ages_ms = [
+            former.age_ms
+            for former in reply.former
+            if owner_views.accountant(customer, former.candidates)
+            == reply.sender
+        ]
+        return now_ms - min([reply.memory_ms, *ages_ms])
+
 
 class Term(typing.NamedTuple):
     """Time for which a node acts as the accountant of a customer.
@@ -80,6 +104,8 @@
       send: Sends a message to a node.
       pledges: Last statement of each owner.
       replied_ms: When this node last replied to each other node.
+      followers_ms: When each node last requested tokens. They are asked too, so
+        that they know of this node even if they have restarted.
       terms: Terms of this node by customer.
       customers: Names of all customers with a limit.
       asked_ms: When each of the last questions was sent, by number.
@@ -106,6 +132,7 @@
         self.send = send
         self.pledges: dict[str, Pledge] = {}
         self.replied_ms: dict[str, int] = {}
+        self.followers_ms: dict[str, int] = {}
         self.terms: dict[str, Term] = {}
         self.customers: tuple[str, ...] = ()
         self.numbers = itertools.count(first_number)
@@ -113,6 +140,11 @@
         self.next_ask_ms = 0
         self.lacks_term = False
 
+    @property
+    def is_owner(self) -> bool:
+        """Return whether this node is an owner as far as it knows."""
+        return self.views.node in self.views.owners.names
+
     def begin_ms(self, customer: str, now_ms: int) -> int | None:
         """Return since when this node acts as the accountant.
 
@@ -134,6 +166,9 @@
         """Reply to a question of another node."""
         if not self.views.node:
             return
+        known = owner_views.Owners(request.owners, request.candidates)
+        if self.views.learn(known, now_ms):
+            self.update_terms(now_ms)
         self.replied_ms[request.sender] = now_ms
         self.send(request.sender, self._statement(request.number, now_ms))
 
@@ -144,27 +179,40 @@
             return
         until_ms = asked_ms + PLEDGE_VALID_MS
         known = self.pledges.get(reply.sender)
-        if known is None or known.until_ms < until_ms:
-            self.pledges[reply.sender] = Pledge(until_ms, reply)
+        if known is not None and known.until_ms >= until_ms:
+            return
+        self.pledges[reply.sender] = Pledge(until_ms, reply)
+        # What only extends the terms waits for the next question.
+        if self.lacks_term or known is None or known.differs(reply):
             self.update_terms(now_ms)
 
     def tick(self, now_ms: int) -> None:
         """Ask the other owners if it is due."""
-        if now_ms < self.next_ask_ms or not self._is_candidate():
+        if now_ms < self.next_ask_ms or not self.is_owner:
             return
         self._forget_old(now_ms)
         number = next(self.numbers)
         self.asked_ms[number] = now_ms
-        for name in self._others(now_ms):
-            self.send(name, messages.PledgeRequest(self.views.node, number))
+        request = messages.PledgeRequest(
+            self.views.node, number, *self.views.owners
+        )
+        for name in self.asked(now_ms):
+            self.send(name, request)
         self.update_terms(now_ms)
         interval_ms = _ASK_RETRY_MS if self.lacks_term else _ASK_INTERVAL_MS
         self.next_ask_ms = now_ms + interval_ms
 
+    def asked(self, now_ms: int) -> list[str]:
+        """Return all owners in the remembered sets, and the recent holders."""
+        replies = [pledge.reply for pledge in self.pledges.values()]
+        replies.append(self._statement(0, now_ms))
+        names = set(self.followers_ms).union(*_known_sets(replies))
+        return sorted(names - {self.views.node})
+
     def update_terms(self, now_ms: int) -> None:
         """Extend, begin and end the terms of this node."""
         node = self.views.node
-        if node not in self.views.owners:
+        if not self.is_owner:
             self.terms.clear()
             return
         fresh = {
@@ -176,9 +224,13 @@
             now_ms + PLEDGE_VALID_MS, self._statement(0, now_ms)
         )
         sets = _known_sets(pledge.reply for pledge in fresh.values())
+        if self._may_miss_owners(sets, now_ms):
+            self.terms.clear()
+            return
         self.lacks_term = False
+        candidates = self.views.owners.candidates
         for customer in self.customers:
-            if owner_views.accountant(customer, self.views.owners) == node:
+            if owner_views.accountant(customer, candidates) == node:
                 self._update_term(customer, fresh, sets, now_ms)
             else:
                 self.terms.pop(customer, None)
@@ -190,32 +242,49 @@
         sets: set[owner_views.Names],
         now_ms: int,
     ) -> None:
-        node = self.views.node
-        pledged = {
-            name: pledge.until_ms
-            for name, pledge in fresh.items()
-            if owner_views.accountant(customer, pledge.reply.owners) == node
-        }
-        free = {
-            name: until_ms
-            for name, until_ms in pledged.items()
-            if not fresh[name].blocks(customer, node)
-        }
-        begin_ms = now_ms
-        until_ms = min(_majority_until_ms(names, free) for names in sets)
+        granters = {self.views.node}
+        until_ms = self._majority_until_ms(customer, fresh, sets)
         if until_ms <= now_ms:
-            begin_ms = now_ms + limits.TOKEN_LIFETIME_MS
-            until_ms = min(
-                _unanimous_until_ms(names, pledged) for names in sets
-            )
+            granters.update(*sets)
+            pledged = self._pledged(customer, fresh)
+            until_ms = min(pledged.get(name, 0) for name in granters)
         if until_ms <= now_ms:
             self.terms.pop(customer, None)
             self.lacks_term = True
             return
         term = self.terms.get(customer)
-        if term is not None and now_ms < term.until_ms:
-            begin_ms = term.begin_ms
-        self.terms[customer] = Term(begin_ms, until_ms)
+        if term is None or now_ms >= term.until_ms:
+            granted_ms = max(
+                fresh[name].granted_ms(customer, now_ms) for name in granters
+            )
+            free_ms = granted_ms + limits.TOKEN_LIFETIME_MS
+            term = Term(max(now_ms, free_ms), until_ms)
+        self.terms[customer] = term._replace(until_ms=until_ms)
+
+    def _pledged(
+        self, customer: str, fresh: dict[str, Pledge]
+    ) -> dict[str, int]:
+        """Return the pledges for a customer and until when they count."""
+        return {
+            name: pledge.until_ms
+            for name, pledge in fresh.items()
+            if owner_views.accountant(customer, pledge.reply.candidates)
+            == self.views.node
+        }
+
+    def _majority_until_ms(
+        self,
+        customer: str,
+        fresh: dict[str, Pledge],
+        sets: set[owner_views.Names],
+    ) -> int:
+        """Return until when a majority of each set of owners is pledged."""
+        free = {
+            name: until_ms
+            for name, until_ms in self._pledged(customer, fresh).items()
+            if not fresh[name].blocks(customer, self.views.node)
+        }
+        return min(_majority_until_ms(names, free) for names in sets)
 
     def _statement(self, number: int, now_ms: int) -> messages.PledgeReply:
         """Return what this node knows, as the reply to a question."""
@@ -228,27 +297,25 @@
         return messages.PledgeReply(
             views.node,
             number,
-            views.owners,
+            views.owners.names,
+            views.owners.candidates,
             views.described(now_ms),
             replied,
             views.memory_ms(now_ms),
         )
 
-    def _is_candidate(self) -> bool:
-        """Return whether this node may be the accountant of a customer."""
-        owners = self.views.owners
-        node = self.views.node
-        return node in owners and any(
-            owner_views.accountant(customer, owners) == node
-            for customer in self.customers
-        )
+    def _may_miss_owners(
+        self, sets: set[owner_views.Names], now_ms: int
+    ) -> bool:
+        """Return whether this node replaces owners that it does not know.
 
-    def _others(self, now_ms: int) -> list[str]:
-        """Return all owners in the remembered sets, but not this node."""
-        replies = [pledge.reply for pledge in self.pledges.values()]
-        replies.append(self._statement(0, now_ms))
-        names = set().union(*_known_sets(replies))
-        return sorted(names - {self.views.node})
+        A node that has just started and is the only owner, although there are
+        other nodes, cannot know which owners some of them still follow.
+        """
+        alone = sets == {(self.views.node,)}
+        if not alone or len(self.views.heard_ms) == 1:
+            return False
+        return self.views.memory_ms(now_ms) < owner_views.MEMORY_MS
 
     def _forget_old(self, now_ms: int) -> None:
         expired = [
@@ -259,12 +326,18 @@
         for number in expired:
             self.asked_ms.pop(number)
         gone = [
-            name
-            for name, pledge in self.pledges.items()
+            sender
+            for sender, pledge in self.pledges.items()
             if pledge.until_ms <= now_ms
         ]
-        for name in gone:
-            self.pledges.pop(name)
+        for sender in gone:
+            self.pledges.pop(sender)
+        oldest_ms = now_ms - owner_views.MEMORY_MS
+        self.followers_ms = {
+            name: followed_ms
+            for name, followed_ms in self.followers_ms.items()
+            if followed_ms > oldest_ms
+        }
 
 
 def _known_sets(
@@ -289,10 +362,3 @@
     )
     needed = len(names) // 2 + 1
     return times[needed - 1] if len(times) >= needed else 0
-
-
-def _unanimous_until_ms(
-    names: owner_views.Names, pledged: dict[str, int]
-) -> int:
-    """Return until when all of a set of owners are pledged."""
-    return min(pledged.get(name, 0) for name in names)
--- a/jacinthhaven/quotas/quotas.py
+++ b/jacinthhaven/quotas/quotas.py
@@ -11,14 +11,15 @@
     limits,
     messages,
     owner_views,
+    pending,
     quorum,
 )
 
 Send = typing.Callable[[str, messages.Message], None]
 # Range of the first numbers of a process.
 _FIRST_NUMBERS = 1_000_000_000_000
-# Interval at which the reserves follow the remembered owners.
-_UPDATE_INTERVAL_MS = 1000
+# Interval at which silent owners are looked for.
+_UPDATE_INTERVAL_MS = 100
 
 
 class State(typing.NamedTuple):
@@ -52,6 +53,10 @@
       holders: Stock of this node by customer, for those with a limit.
       retired: Stock of customers that have no limit any more, so that a limit
         that returns starts with what was used before.
+      next_update_ms: When silent owners are looked for again.
+      share: Number of nodes that share the limits, and whether this node has
+        reserves.
+      granting: Whether `on_granted` is being called.
     """
 
     def __init__(
@@ -79,8 +84,9 @@
         self.holders: dict[str, holder.Holder] = {}
         self.retired: dict[str, holder.Holder] = {}
         self.numbers = itertools.count(rng.randrange(_FIRST_NUMBERS))
-        self.started_ms: int | None = None
         self.next_update_ms = 0
+        self.share = (1, False)
+        self.granting = False
 
     def admit(
         self, customer: str, now_ms: int, asked_ms: int | None = None
@@ -116,7 +122,7 @@
           new: Limits by name of the customer; a rate of 0 is no limit.
           now_ms: Current time.
         """
-        self._start(now_ms)
+        self.views.start(now_ms)
         limited = {
             name: limit for name, limit in new.items() if limit.rate_per_s > 0
         }
@@ -140,13 +146,14 @@
           node: Name of this node.
           now_ms: Current time.
         """
-        self._start(now_ms)
+        self.views.start(now_ms)
         if self.views.update(tuple(sorted(set(names))), node, now_ms):
             self._update_holders(now_ms)
             self.quorum.on_owners_changed(now_ms)
 
     def on_message(self, message: messages.Message, now_ms: int) -> None:
         """Handle a message of another node."""
+        self.views.heard_ms[message.sender] = now_ms
         match message:
             case messages.QuotaGrant():
                 self._on_grant(message, now_ms)
@@ -162,7 +169,7 @@
         if self.holders:
             self.quorum.tick(now_ms)
             if now_ms >= self.next_update_ms:
-                self._update_reserves(now_ms)
+                self._update(now_ms)
 
     def state(self, customer: str, now_ms: int) -> State | None:
         """Return the state of a customer, or None if it has no limit."""
@@ -177,6 +184,10 @@
             self.quorum.begin_ms(customer, now_ms) is not None,
         )
 
+    def states(self, now_ms: int) -> dict[str, State]:
+        """Return the states of all customers with a limit, by name."""
+        return {name: self.state(name, now_ms) for name in sorted(self.holders)}
+
     def _take(self, known: holder.Holder, now_ms: int) -> bool:
         """Take a token of this node, and order more ahead."""
         account = self._own_account(known, now_ms)
@@ -212,24 +223,25 @@
         self, known: holder.Holder, asked_ms: int, now_ms: int
     ) -> holder.Admission:
         """Use the reserve, let an operation wait for tokens, or refuse it."""
-        if now_ms < known.blocked_until_ms:
-            wait_ms = known.blocked_until_ms - now_ms
+        wait_ms = known.requests.blocked_until_ms - now_ms
+        if wait_ms > 0:
             return known.refuse(wait_ms, self.slack.window_ms, self.rng)
         if known.take_reserve(True, now_ms):
             self._request(known, now_ms)
             known.admitted += 1
             return holder.ADMITTED
-        known.unmet += 1
+        # An operation that asks again was counted before, unless a grant came.
+        counts = asked_ms == now_ms or self.granting or not known.unmet
+        known.unmet += counts
         self._request(known, now_ms)
-        wait_until_ms = asked_ms + holder.WAIT_MS
-        waits = known.pending_ms is not None and not known.silent
-        if waits and now_ms < wait_until_ms:
+        wait_until_ms = known.requests.wait_until_ms(asked_ms, now_ms)
+        if wait_until_ms is not None:
             return holder.Admission(False, wait_until_ms)
         known.unmet -= 1
         if known.take_reserve(False, now_ms):
             known.admitted += 1
             return holder.ADMITTED
-        return known.refuse(holder.WAIT_MS, self.slack.window_ms, self.rng)
+        return known.refuse(pending.WAIT_MS, self.slack.window_ms, self.rng)
 
     def _request(self, known: holder.Holder, now_ms: int) -> None:
         """Request tokens from the accountant if it is due."""
@@ -239,7 +251,7 @@
         wanted = known.wanted(now_ms)
         if wanted:
             number = next(self.numbers)
-            known.note_request(number, now_ms)
+            known.requests.on_sent(number, now_ms)
             self.send(
                 name,
                 messages.QuotaRequest(
@@ -253,47 +265,55 @@
             return
         if known.unmet:
             known.unmet = 0
+            self.granting = True
             self.on_granted(grant.customer, now_ms)
-
-    def _start(self, now_ms: int) -> None:
-        if self.started_ms is None:
-            self.started_ms = now_ms
-        self.views.start(now_ms)
+            self.granting = False
 
     def _holder(self, name: str, limit: limits.Limit) -> holder.Holder:
         """Return the holder of a customer, which may have had a limit."""
         known = self.holders.get(name) or self.retired.pop(name, None)
         if known is None:
-            window_ms = self.slack.window_ms
-            reserve = buckets.Reserve(
-                window_ms, (self.started_ms or 0) + window_ms
-            )
+            reserve = buckets.Reserve(self.slack.window_ms)
             known = holder.Holder(name, limit, reserve)
         self.holders[name] = known
         return known
 
     def _update_holders(self, now_ms: int) -> None:
         """Apply the owners to the accountants and reserves of customers."""
-        owners = self.views.owners
+        candidates = self.views.owners.candidates
         self._update_reserves(now_ms)
         for known in self.holders.values():
-            known.follow(owner_views.accountant(known.customer, owners))
+            known.follow(owner_views.accountant(known.customer, candidates))
 
-    def _update_reserves(self, now_ms: int) -> None:
-        """Divide the reserves by the largest number of owners.
+    def _update(self, now_ms: int) -> None:
+        """Find silent owners, and follow the remembered sets of owners."""
+        self.next_update_ms = now_ms + _UPDATE_INTERVAL_MS
+        if self.views.update_silent(now_ms):
+            self._update_holders(now_ms)
+            self.quorum.on_owners_changed(now_ms)
+        elif self._share(now_ms) != self.share:
+            self._update_reserves(now_ms)
+
+    def _share(self, now_ms: int) -> tuple[int, bool]:
+        """Return by how many the reserves are divided, and whether it has one.
 
-        A node that has become an owner gets none before all nodes know it.
+        A node that has become an owner gets none before all nodes know it, and
+        before the reserve that an earlier process used is over.
         """
-        self.next_update_ms = now_ms + _UPDATE_INTERVAL_MS
-        count = max(self.views.largest_count(now_ms), 1)
-        since_ms = self.views.owner_since_ms
-        owner = since_ms is not None and (
-            now_ms - since_ms >= owner_views.MEMORY_MS
+        needed_ms = max(owner_views.MEMORY_MS, self.slack.window_ms)
+        return (
+            max(self.views.largest_count(now_ms), 1),
+            self.views.owner_for_ms(now_ms) >= needed_ms,
         )
+
+    def _update_reserves(self, now_ms: int) -> None:
+        """Divide the reserves by the largest number of owners."""
+        self.share = self._share(now_ms)
+        count, is_owner = self.share
         for known in self.holders.values():
             known.owner_count = count
             known.reserve_size = (
-                self.slack.reserve(known.limit, count) if owner else 0
+                self.slack.reserve(known.limit, count) if is_owner else 0
             )
 
 
