Check an operator's configuration before it is sent

Cause: nodes report the first error of a configuration after it was sent, and serve what contradicts itself without a word: of two routes of a name the last one counts, a key of two tenants belongs to the last, an older version is ignored. Change: jacinthhaven check-routes FILE [--in-force FILE] prints errors with their lines, entries without effect, contradictions of limits, and differences to the version in force.

--- a/jacinthhaven/cli/main.py
+++ b/jacinthhaven/cli/main.py
@@ -16,6 +16,7 @@
     lab_commands,
     operator_commands,
     output,
+    route_commands,
 )
 
 _HELP = """
@@ -47,6 +48,7 @@
 app.add_typer(lab_commands.lab_app, name='lab')
 app.command()(connection.connected(operator_commands.status))
 app.command()(connection.connected(operator_commands.drain))
+app.command(name='check-routes')(route_commands.check_routes)
 
 
 def _print_version(chosen: bool) -> None:
