Let circuits print its components without multiprocessing

Cause: the placeholder of current_process returned nothing, so that printing a component failed; circuits does that when it reports errors. Change: it returns an object with the process ID. The test of the start prints the proxy.

--- a/jacinthhaven/process/light_imports.py
+++ b/jacinthhaven/process/light_imports.py
@@ -6,6 +6,7 @@
 """
 
 import importlib
+import os
 import sys
 import types
 import typing
@@ -16,7 +17,7 @@
         # Only used to declare a namespace package; circuits is installed as an
         # ordinary one. Without this module it reads all package metadata.
         'pkg_resources': ('declare_namespace',),
-        # The manager starts other processes with it, and shows its process ID.
+        # The manager can start other processes with it, and prints its own.
         'multiprocessing': ('Process', 'current_process'),
         'circuits.core.bridge': ('Bridge', 'ipc'),
         'circuits.core.debugger': ('Debugger',),
@@ -30,10 +31,19 @@
 _LIBRARIES = ('msgspec', 'hashlib', 'circuits')
 
 
+def _current_process() -> types.SimpleNamespace:
+    """Return what the manager shows of its process when it is printed."""
+    return types.SimpleNamespace(pid=os.getpid())
+
+
 def _placeholder(*_args: typing.Any) -> None:
     """Stand for a part of circuits that must not be used."""
 
 
+# Parts that have to work.
+_USED = types.MappingProxyType({'current_process': _current_process})
+
+
 def import_libraries() -> None:
     """Import the libraries, without unused parts unless these are loaded.
 
@@ -56,5 +66,5 @@
 def _stub(name: str, parts: tuple[str, ...]) -> types.ModuleType:
     module = types.ModuleType(name)
     for part in parts:
-        setattr(module, part, _placeholder)
+        setattr(module, part, _USED.get(part, _placeholder))
     return module
--- a/jacinthhaven/process/start_test.py
+++ b/jacinthhaven/process/start_test.py
@@ -43,6 +43,8 @@
 )
 proxy.started(None)
 assert proxy.exit_code is None
+# The libraries print their components in reports of errors.
+assert 'SqlProxy' in repr(proxy)
 sys.stderr.write(' '.join(sys.modules))
 """
 _SETTINGS = """# As the platform fills in the template.
