Let late statements wait behind those in time, and share by customer

Owners and the dispatcher refused what had missed its target, and a customer that sends more than usual filled the queue of all. Late statements now wait while they are expected to meet their timeout, and customers of a priority share slots by virtual time.

--- a/jacinthhaven/lab/operations.py
+++ b/jacinthhaven/lab/operations.py
@@ -32,6 +32,7 @@
       attempts: How often it was sent.
       done: Number of statements that have succeeded in this attempt.
       paused_ms: Time that the client has spent between statements.
+      customer: Name of the customer that the client belongs to, or ''.
       request_ids: Identifiers of all statements that were sent.
     """
 
@@ -43,6 +44,7 @@
         'attempts',
         'done',
         'paused_ms',
+        'customer',
         'request_ids',
     )
 
@@ -61,6 +63,7 @@
         self.attempts = 0
         self.done = 0
         self.paused_ms = 0
+        self.customer = ''
         self.request_ids: list[str] = []
 
 
--- /dev/null
+++ b/jacinthhaven/scheduling/admission.py
@@ -0,0 +1,189 @@
+"""Admission of new statements to the queue of all owners.
+
+A statement that is expected to get a slot soon is admitted in time. Others
+are deferred: they get the slots that those in time leave free. A deferred
+statement that is not expected to be answered before its timeout is refused.
+"""
+
+import collections
+import math
+import typing
+
+from jacinthhaven.scheduling import queue_order
+
+# Maximum expected wait of a statement that is admitted in time, as a fraction
+# of the shortest target among the routes of its priority. A longer queue would
+# not serve more statements in time but make all of them wait longer.
+_ADMISSION_SHARE = 0.3
+# Statements are deferred only where the timeout is at least this multiple of
+# the target. Elsewhere, what has to wait too long has no time left.
+_DEFERRAL_RATIO = 2
+# Time constant of the measured load. It is short against timeouts, so that the
+# end of a burst is noticed while its last statements can still be served.
+_LOAD_MS = 250
+
+Limits = typing.Mapping[int, int]
+Added = typing.Container[tuple[str, int]]
+Capacity = typing.Callable[[queue_order.Entry], int]
+
+
+class InTimeLoad:
+    """Slots that the statements arriving now need, as a moving average.
+
+    It counts those that are refused, too: they show that statements in time will
+    take all slots, so that none is left for deferred ones.
+
+    Attributes:
+      slots: Slots that were needed at `at_ms`.
+      at_ms: Time of the last statement.
+    """
+
+    __slots__ = ('slots', 'at_ms')
+
+    def __init__(self) -> None:
+        """Start without load."""
+        self.slots: float = 0
+        self.at_ms = 0
+
+    def add(self, service_ms: float, now_ms: int) -> None:
+        """Add a new statement that may be served in time."""
+        self.slots = self.slots_at(now_ms) + service_ms / _LOAD_MS
+        self.at_ms = now_ms
+
+    def slots_at(self, now_ms: int) -> float:
+        """Return the slots that are needed at a time."""
+        return self.slots * math.exp((self.at_ms - now_ms) / _LOAD_MS)
+
+
+class Decision(typing.NamedTuple):
+    """What becomes of a statement that is not admitted in time.
+
+    Attributes:
+      entry: The statement.
+      wait_ms: Its expected wait.
+      refused: Whether it is refused; otherwise it is deferred.
+    """
+
+    entry: queue_order.Entry
+    wait_ms: float
+    refused: bool
+
+
+class Ahead:
+    """Work that is ahead of a statement while the queue is walked.
+
+    Attributes:
+      added: Owners and numbers of the new statements.
+      capacity: Returns the number of slots that a statement can wait for.
+      work_ms: Work so far, by whether it needs the primary.
+    """
+
+    __slots__ = ('added', 'capacity', 'work_ms')
+
+    def __init__(self, added: Added, capacity: Capacity) -> None:
+        """Start at the head of the queue."""
+        self.added = added
+        self.capacity = capacity
+        self.work_ms: collections.Counter[bool] = collections.Counter()
+
+    def is_new(self, entry: queue_order.Entry) -> bool:
+        """Return whether a statement is decided on now."""
+        return (entry.owner, entry.number) in self.added
+
+    def wait_ms(self, entry: queue_order.Entry) -> float:
+        """Return the wait of a statement if nothing overtakes it."""
+        return self.work_ms[entry.needs_primary] / self.capacity(entry)
+
+    def add(self, entry: queue_order.Entry) -> None:
+        """Add a statement to the work ahead of the next ones."""
+        self.work_ms[entry.needs_primary] += entry.waiting.service_ms
+
+
+class Admission:
+    """Decides on new statements by the expected waits.
+
+    Attributes:
+      load: Load of new statements, by whether they need the primary.
+      limits_ms: Shortest target of the routes of each priority.
+    """
+
+    def __init__(self) -> None:
+        """Start without load and limits."""
+        self.load = {True: InTimeLoad(), False: InTimeLoad()}
+        self.limits_ms: Limits = {}
+
+    def decide(
+        self,
+        queue: list[queue_order.Entry],
+        added: Added,
+        capacity: Capacity,
+        now_ms: int,
+    ) -> list[Decision]:
+        """Return which statements are deferred or refused.
+
+        New statements are deferred if they are expected to be answered before
+        their timeout. Late ones are refused once they are not any more.
+
+        Args:
+          queue: All waiting statements in their order.
+          added: Owners and numbers of the new ones.
+          capacity: Returns the number of slots that a statement can wait for.
+          now_ms: Current time.
+        """
+        ahead = Ahead(added, capacity)
+        behind = []
+        decisions = []
+        for entry in queue:
+            if entry.standing is not queue_order.Standing.IN_TIME:
+                behind.append(entry)
+                continue
+            if ahead.is_new(entry):
+                load = self.load[entry.needs_primary]
+                load.add(entry.waiting.service_ms, now_ms)
+            wait_ms = ahead.wait_ms(entry)
+            if not ahead.is_new(entry) or self._is_in_time(entry, wait_ms):
+                ahead.add(entry)
+            elif _is_deferrable(entry):
+                behind.append(entry)
+            else:
+                decisions.append(Decision(entry, wait_ms, refused=True))
+        return decisions + self._defer(behind, ahead, now_ms)
+
+    def _defer(
+        self, behind: list[queue_order.Entry], ahead: Ahead, now_ms: int
+    ) -> list[Decision]:
+        """Return the decisions on statements that wait behind others."""
+        decisions = []
+        for entry in behind:
+            wait_ms = ahead.wait_ms(entry)
+            load = self.load[entry.needs_primary]
+            spare = 1 - load.slots_at(now_ms) / ahead.capacity(entry)
+            late = entry.standing is queue_order.Standing.LATE
+            refused = (late or ahead.is_new(entry)) and (
+                wait_ms > spare * _longest_wait_ms(entry)
+            )
+            if refused or ahead.is_new(entry):
+                decisions.append(Decision(entry, wait_ms, refused))
+            if not refused:
+                ahead.add(entry)
+        return decisions
+
+    def _is_in_time(self, entry: queue_order.Entry, wait_ms: float) -> bool:
+        limit_ms = self.limits_ms.get(entry.priority)
+        return limit_ms is None or wait_ms <= limit_ms * _ADMISSION_SHARE
+
+
+def _longest_wait_ms(entry: queue_order.Entry) -> float:
+    """Return how long a statement may wait to be answered in its timeout."""
+    return entry.waiting.left_ms - entry.waiting.service_ms
+
+
+def _is_deferrable(entry: queue_order.Entry) -> bool:
+    """Return whether the timeout of a statement is several times its target.
+
+    Owners that report no timeout run a build that refuses late statements.
+    """
+    waiting = entry.waiting
+    timeout_ms = waiting.left_ms + waiting.waited_ms
+    target_ms = waiting.in_time_ms + waiting.waited_ms
+    return waiting.left_ms >= 0 and timeout_ms >= target_ms * _DEFERRAL_RATIO
--- a/jacinthhaven/scheduling/dispatcher.py
+++ b/jacinthhaven/scheduling/dispatcher.py
@@ -5,8 +5,10 @@
 owners sent statements on their own account, a queue without priorities would
 grow at the instances until all statements are late. Therefore one owner, the
 dispatcher, hands out permits: a statement is sent once a slot is about to be
-free, in the order of priority and arrival over all owners. A statement that
-would have to wait too long is refused on arrival.
+free, in the order
+of `queue_order` over all owners. A statement that
+would have to wait too long to be in time is deferred or refused on arrival
+(`admission`).
 
 Statements of transactions that have begun need no permit, since their work
 would otherwise be lost; the dispatcher counts them as reported.
@@ -15,13 +17,14 @@
 import dataclasses
 import typing
 
-from jacinthhaven.scheduling import slot_table
+from jacinthhaven.scheduling import (
+    admission,
+    queue_order,
+    shares,
+    slot_table,
+)
 from jacinthhaven.sql import peer_messages
 
-# Maximum expected wait of an accepted statement, as a fraction of the shortest
-# target among the routes of its priority. A longer queue would not serve more
-# statements but make all of them wait longer.
-_ADMISSION_SHARE = 0.3
 # Time without a report after which an owner is not expected to run anything.
 _SILENT_MS = 300
 # Time in which no statement has to wait after which permits are not required
@@ -55,7 +58,8 @@
       number: Number of its last report.
       heard_ms: When that arrived.
       load: Load in that report.
-      arrived_ms: When its waiting statements arrived, by number.
+      times: Times of its waiting statements, by number.
+      deferred: Numbers of those that were not admitted in time.
       grants: Permits that the last report does not reflect, by statement.
       refused: Milliseconds after which refused statements may be repeated, by
         number of the statement.
@@ -68,7 +72,8 @@
         'number',
         'heard_ms',
         'load',
-        'arrived_ms',
+        'times',
+        'deferred',
         'grants',
         'refused',
         'sent',
@@ -81,7 +86,8 @@
         self.number = 0
         self.heard_ms = 0
         self.load = peer_messages.Load({}, ())
-        self.arrived_ms: dict[int, int] = {}
+        self.times: dict[int, queue_order.Times] = {}
+        self.deferred: set[int] = set()
         self.grants: dict[int, Grant] = {}
         self.refused: dict[int, int] = {}
         self.sent = 0
@@ -92,16 +98,16 @@
         self, request: peer_messages.PermitRequest, now_ms: int
     ) -> list[peer_messages.Waiting]:
         """Take a report and return the statements that are new in it."""
-        known = self.arrived_ms
+        known = self.times
         self.number = request.number
         self.heard_ms = now_ms
         self.load = request.load
-        self.arrived_ms = {
-            waiting.number: known.get(
-                waiting.number, now_ms - waiting.waited_ms
-            )
+        self.times = {
+            waiting.number: known.get(waiting.number)
+            or queue_order.times_at(waiting, now_ms)
             for waiting in request.load.waiting
         }
+        self.deferred.intersection_update(self.times)
         self.grants = {
             number: grant
             for number, grant in self.grants.items()
@@ -110,7 +116,7 @@
         self.refused = {
             number: retry_ms
             for number, retry_ms in self.refused.items()
-            if number in self.arrived_ms
+            if number in self.times
         }
         return [
             waiting
@@ -125,29 +131,6 @@
         self.sent = sent
 
 
-class Entry(typing.NamedTuple):
-    """Waiting statement in the order of the queue.
-
-    Attributes:
-      priority: Priority; 0 is the highest.
-      arrived_ms: When it arrived at its owner.
-      owner: Name of the owner.
-      number: Number of the statement at its owner.
-      waiting: Statement as reported.
-    """
-
-    priority: int
-    arrived_ms: int
-    owner: str
-    number: int
-    waiting: peer_messages.Waiting
-
-    @property
-    def key(self) -> tuple[int, int, str, int]:
-        """Return the place in the queue."""
-        return self[:4]
-
-
 class Dispatcher:
     """Queue of all owners of one service.
 
@@ -157,7 +140,8 @@
       owners: States of all owners by name.
       slots: Number of execution slots by instance.
       leader: Name of the primary, or ''.
-      limits_ms: Shortest target of the routes of each priority.
+      admission: Decides which new statements are deferred or refused.
+      shares: Shares of the customers while permits are required.
       short_ms: When a statement last had to wait for a slot, or None.
       required: Whether permits were required at the last reply.
     """
@@ -169,10 +153,20 @@
         self.owners: dict[str, Owner] = {}
         self.slots: typing.Mapping[str, int] = {}
         self.leader = ''
-        self.limits_ms: typing.Mapping[int, int] = {}
+        self.admission = admission.Admission()
+        self.shares = shares.SharesByPriority()
         self.short_ms: int | None = None
         self.required = False
 
+    @property
+    def limits_ms(self) -> admission.Limits:
+        """Return the shortest target of the routes of each priority."""
+        return self.admission.limits_ms
+
+    @limits_ms.setter
+    def limits_ms(self, limits_ms: admission.Limits) -> None:
+        self.admission.limits_ms = limits_ms
+
     def required_at(self, now_ms: int) -> bool:
         """Return whether owners need permits."""
         return self.short_ms is not None and now_ms - self.short_ms < _CALM_MS
@@ -196,8 +190,9 @@
         if request.load.waiting and not self.required_at(now_ms):
             # The others have not reported their load yet.
             self.short_ms = now_ms
-        for waiting in owner.update(request, now_ms):
-            self._admit(request.sender, waiting)
+        new = owner.update(request, now_ms)
+        if new:
+            self._admit(request.sender, new, now_ms)
 
     def replies(self, now_ms: int) -> Replies:
         """Grant permits and return the messages that are due to owners."""
@@ -206,6 +201,8 @@
         required = self.required_at(now_ms)
         changed = required != self.required
         self.required = required
+        if changed:
+            self.shares = shares.SharesByPriority()
         return [
             (name, self._reply(owner, now_ms))
             for name, owner in self.owners.items()
@@ -233,36 +230,39 @@
             dict(owner.refused),
         )
 
-    def _queue(self) -> list[Entry]:
+    def _queue(self, now_ms: int) -> list[queue_order.Entry]:
         entries = [
-            self._entry(name, waiting)
+            self._entry(name, waiting, now_ms)
             for name, owner in self.owners.items()
             for waiting in owner.load.waiting
             if waiting.number not in owner.grants
             and waiting.number not in owner.refused
         ]
-        entries.sort(key=lambda entry: entry.key)
-        return entries
+        return queue_order.in_order(entries, self.shares)
 
     def _grant(self, now_ms: int) -> None:
-        queue = self._queue()
+        queue = self._queue(now_ms)
         if not queue:
             return
         table = self._table()
-        urgent = min(self.limits_ms, default=0)
-        primary_is_wanted = any(
-            table.needs_primary(entry.waiting) for entry in queue
+        wanted_from = min(
+            (entry.standing for entry in queue if entry.needs_primary),
+            default=None,
         )
         for entry in queue:
             instance = table.choose(
                 entry.waiting,
-                is_urgent=entry.priority <= urgent,
-                primary_is_wanted=primary_is_wanted,
+                is_urgent=entry.priority <= min(self.limits_ms, default=0),
+                primary_is_wanted=wanted_from is not None
+                and wanted_from <= entry.standing,
+                may_queue=entry.standing is queue_order.Standing.IN_TIME,
             )
             if instance is None:
                 self.short_ms = now_ms
                 continue
             table.busy[instance] += 1
+            service_ms = entry.waiting.service_ms
+            self.shares.serve(entry.group, entry.waiting.customer, service_ms)
             owner = self.owners[entry.owner]
             owner.sent += 1
             owner.reply_due = True
@@ -276,32 +276,43 @@
             table.busy.update(grant.instance for grant in owner.grants.values())
         return table
 
-    def _admit(self, name: str, waiting: peer_messages.Waiting) -> None:
-        """Refuse a new statement that would have to wait too long."""
-        wait_ms = self._expected_wait_ms(self._entry(name, waiting))
-        limit_ms = self.limits_ms.get(waiting.priority)
-        if limit_ms is not None and wait_ms > limit_ms * _ADMISSION_SHARE:
-            owner = self.owners[name]
-            owner.refused[waiting.number] = int(wait_ms)
-            owner.reply_due = True
-
-    def _entry(self, name: str, waiting: peer_messages.Waiting) -> Entry:
-        return Entry(
+    def _admit(
+        self, name: str, new: list[peer_messages.Waiting], now_ms: int
+    ) -> None:
+        """Defer or refuse the new statements that would wait too long."""
+        table = slot_table.SlotTable(self.slots, self.leader)
+        owner = self.owners[name]
+        decisions = self.admission.decide(
+            self._queue(now_ms),
+            {(name, waiting.number) for waiting in new},
+            lambda entry: table.capacity(entry.waiting),
+            now_ms,
+        )
+        for decision in decisions:
+            if decision.refused:
+                number = decision.entry.number
+                owner.refused[number] = int(decision.wait_ms)
+                owner.reply_due = True
+            else:
+                owner.deferred.add(decision.entry.number)
+
+    def _entry(
+        self, name: str, waiting: peer_messages.Waiting, now_ms: int
+    ) -> queue_order.Entry:
+        owner = self.owners[name]
+        times = owner.times[waiting.number]
+        return queue_order.Entry(
+            queue_order.standing_at(
+                waiting,
+                times,
+                now_ms,
+                deferred=waiting.number in owner.deferred,
+            ),
             waiting.priority,
-            self.owners[name].arrived_ms[waiting.number],
+            0,
+            times.arrived_ms,
             name,
             waiting.number,
+            waiting.instances == (self.leader,),
             waiting,
         )
-
-    def _expected_wait_ms(self, entry: Entry) -> float:
-        """Return the expected wait of a statement for a slot."""
-        table = slot_table.SlotTable(self.slots, self.leader)
-        needs_primary = table.needs_primary(entry.waiting)
-        ahead_ms = sum(
-            other.waiting.service_ms
-            for other in self._queue()
-            if other.key < entry.key
-            and table.needs_primary(other.waiting) == needs_primary
-        )
-        return ahead_ms / table.capacity(entry.waiting)
--- a/jacinthhaven/scheduling/scheduler.py
+++ b/jacinthhaven/scheduling/scheduler.py
@@ -67,6 +67,9 @@
     def refuse_expired(self, now_ms: int) -> None:
         """Refuse the statements that cannot be executed in time."""
         service = self.service
+        self.backlog.defer_late(
+            now_ms, lambda work: service.can_serve(work, now_ms)
+        )
         expired = self.backlog.expired(
             now_ms,
             service.primary_expected_ms(now_ms),
@@ -105,7 +108,7 @@
         choice: placement.Choice,
         now_ms: int,
     ) -> None:
-        self.backlog.remove(work)
+        self.backlog.place(work)
         self.service.place(work, choice, now_ms)
 
     def _load(self, now_ms: int) -> peer_messages.Load:
@@ -139,6 +142,9 @@
             work.permit_number,
             work.route.priority,
             tuple(names),
-            round(work.service_ms),
+            round(work.turn.service_ms),
             waited_ms,
+            work.customer,
+            max(work.deadline_ms - view.now_ms, 0),
+            work.route.target_ms - waited_ms,
         )
--- a/jacinthhaven/scheduling/slot_table.py
+++ b/jacinthhaven/scheduling/slot_table.py
@@ -37,6 +37,7 @@
         *,
         is_urgent: bool,
         primary_is_wanted: bool,
+        may_queue: bool,
     ) -> str | None:
         """Return the instance that should execute a statement now.
 
@@ -45,6 +46,7 @@
           is_urgent: Whether it has the highest priority of the service.
           primary_is_wanted: Whether statements wait that only the primary can
             execute. Reads do not use its slots then.
+          may_queue: Whether it may be sent ahead while no slot is free.
 
         Returns:
           Name of the instance, or None if the statement has to wait.
@@ -58,6 +60,8 @@
         for name in names:
             if self.busy[name] < self.slots.get(name, 1):
                 return name
+        if not may_queue:
+            return None
         for name in names:
             # What queues at the primary would delay urgent statements.
             ahead = name != self.leader or needs_primary and is_urgent
--- a/jacinthhaven/sql/execution.py
+++ b/jacinthhaven/sql/execution.py
@@ -376,7 +376,7 @@
                 # Statements that need the primary are shorter than reads, so
                 # they would make it look faster than its replicas.
                 state.latency.sample(spent_ms, now_ms)
-            group.backlog.sample(work.route.mode, spent_ms)
+            group.backlog.sample(work.route.database, spent_ms)
             self._succeed(group, link, reply, now_ms)
             return
         self._run_failed(group, link, reply, now_ms)
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -113,6 +113,7 @@
             service_group.limits_ms = records.shortest_targets_ms(
                 configuration, service_group.name
             )
+            service_group.backlog.retain(configuration.routes)
         self.set_link_shares(self.owner_count, self.owned)
         self.register(self.entries, now_ms)
         for start in self.pending_starts:
--- a/jacinthhaven/sql/peer_messages.py
+++ b/jacinthhaven/sql/peer_messages.py
@@ -104,6 +104,10 @@
       instances: Instances that can execute it, the best first.
       service_ms: Expected execution time.
       waited_ms: Time since its arrival.
+      customer: Name of the customer that it runs for, or ''.
+      left_ms: Time until its timeout; -1 from a build that does not send it.
+      in_time_ms: Time until its target latency, negative once it is late.
+        Without `left_ms` it is not known.
     """
 
     number: int
@@ -111,6 +115,9 @@
     instances: tuple[str, ...]
     service_ms: int
     waited_ms: int
+    customer: str = ''
+    left_ms: int = -1
+    in_time_ms: int = 0
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
--- a/jacinthhaven/sql/sessions.py
+++ b/jacinthhaven/sql/sessions.py
@@ -148,7 +148,7 @@
       repeatable: Whether it may run again after an unknown outcome.
       arrived_ms: Time of arrival.
       deadline_ms: Time by which it must be answered.
-      service_ms: Execution time that was expected when it was queued.
+      turn: Its place in the queue (`backlog.Turn`), or None before it waits.
       link: Link that executes it, if any.
       lead: Lead under which it was last placed.
       started_ms: Time at which the statement, not its setup, was sent.
@@ -168,7 +168,7 @@
         'repeatable',
         'arrived_ms',
         'deadline_ms',
-        'service_ms',
+        'turn',
         'link',
         'lead',
         'started_ms',
@@ -199,7 +199,7 @@
         self.repeatable = transaction is None and not writes
         self.arrived_ms = now_ms
         self.deadline_ms = now_ms + route.timeout_ms
-        self.service_ms: float = 0
+        self.turn: typing.Any = None
         self.link: typing.Any = None
         self.lead: leadership.Lead | None = None
         self.started_ms = 0
