Report statements that wait for a link, and share links by customer

Reports name the instances that could execute a statement, and those with a free link. A customer with many statements closed the links of the others, whose handshakes took a fifth of the slots.

--- a/jacinthhaven/lab/builders.py
+++ b/jacinthhaven/lab/builders.py
@@ -101,3 +101,107 @@
         },
     }
     return described(**(fields | changes))
+
+
+def records_pool(share: float, **changes: typing.Any) -> experiment.Experiment:
+    """Return one service of the records pool.
+
+    Args:
+      share: Rate of the requests, as a multiple of what its slots can execute.
+      changes: Fields of the experiment to change.
+    """
+    # Rates of the four services together; they need 18.9 of 72 slots.
+    factor = share * 18 / 18.9
+    fields: Fields = {
+        'group': _service(slots=6, lag_ms=30),
+        'load': {
+            'custody': kind(
+                per_s=72 * factor,
+                writes=0.35,
+                work_ms=11,
+                deadline_ms=4000,
+                timeout_ms=1000,
+                retries=2,
+            ),
+            'lookup': kind(
+                mode='bounded',
+                per_s=126 * factor,
+                writes=0,
+                work_ms=55,
+                target_ms=1500,
+                deadline_ms=12_000,
+                timeout_ms=3000,
+                priority=2,
+                max_age_ms=1500,
+                retries=2,
+            ),
+            'intake': kind(
+                mode='own_writes',
+                per_s=340 * factor,
+                writes=0.12,
+                work_ms=33,
+                target_ms=400,
+                deadline_ms=4000,
+                timeout_ms=1000,
+                priority=2,
+                max_age_ms=2500,
+                retries=2,
+            ),
+        },
+    }
+    return described(**(fields | changes))
+
+
+def expense_claims(
+    share: float, **changes: typing.Any
+) -> experiment.Experiment:
+    """Return one service of the expense claims; see `records_pool`."""
+    # Rates of the four services together; they need 10.1 of 48 slots.
+    factor = share * 12 / 10.1
+    fields: Fields = {
+        'group': _service(slots=4, lag_ms=150),
+        'load': {
+            'filing': kind(
+                per_s=129 * factor,
+                writes=0.35,
+                work_ms=3.8,
+                target_ms=155,
+                deadline_ms=1034,
+                retries=1,
+            ),
+            'lookup': kind(
+                mode='bounded',
+                per_s=129 * factor,
+                writes=0,
+                work_ms=19,
+                target_ms=405,
+                deadline_ms=2532,
+                priority=2,
+                max_age_ms=1500,
+                retries=1,
+            ),
+            'approval': kind(
+                mode='own_writes',
+                per_s=600 * factor,
+                writes=0.12,
+                work_ms=12,
+                target_ms=255,
+                deadline_ms=1020,
+                priority=2,
+                max_age_ms=2500,
+                retries=1,
+            ),
+        },
+    }
+    return described(**(fields | changes))
+
+
+def _service(slots: int, lag_ms: int) -> Fields:
+    """Return a service with two owners in each of three zones."""
+    return {
+        'instances': ['db-a', 'db-b', 'db-c'],
+        'slots': slots,
+        'connections': 72,
+        'lag_ms': lag_ms,
+        'proxies': 6,
+    }
--- a/jacinthhaven/scheduling/admission.py
+++ b/jacinthhaven/scheduling/admission.py
@@ -137,11 +137,8 @@
             if entry.standing is not queue_order.Standing.IN_TIME:
                 behind.append(entry)
                 continue
-            if ahead.is_new(entry):
-                load = self.load[entry.needs_primary]
-                load.add(entry.waiting.service_ms, now_ms)
             wait_ms = ahead.wait_ms(entry)
-            if not ahead.is_new(entry) or self._is_in_time(entry, wait_ms):
+            if self._is_in_time(entry, ahead, now_ms):
                 ahead.add(entry)
             elif _is_deferrable(entry):
                 behind.append(entry)
@@ -168,9 +165,18 @@
                 ahead.add(entry)
         return decisions
 
-    def _is_in_time(self, entry: queue_order.Entry, wait_ms: float) -> bool:
+    def _is_in_time(
+        self, entry: queue_order.Entry, ahead: Ahead, now_ms: int
+    ) -> bool:
+        """Return whether a statement is admitted in time, or was before."""
+        if not ahead.is_new(entry):
+            return True
+        load = self.load[entry.needs_primary]
+        load.add(entry.waiting.service_ms, now_ms)
         limit_ms = self.limits_ms.get(entry.priority)
-        return limit_ms is None or wait_ms <= limit_ms * _ADMISSION_SHARE
+        if limit_ms is None:
+            return True
+        return ahead.wait_ms(entry) <= limit_ms * _ADMISSION_SHARE
 
 
 def _longest_wait_ms(entry: queue_order.Entry) -> float:
--- a/jacinthhaven/scheduling/dispatcher.py
+++ b/jacinthhaven/scheduling/dispatcher.py
@@ -245,20 +245,26 @@
         if not queue:
             return
         table = self._table()
+        urgent = min(self.limits_ms, default=0)
         wanted_from = min(
-            (entry.standing for entry in queue if entry.needs_primary),
+            (
+                entry.standing
+                for entry in queue
+                if entry.needs_primary and entry.has_link
+            ),
             default=None,
         )
         for entry in queue:
             instance = table.choose(
                 entry.waiting,
-                is_urgent=entry.priority <= min(self.limits_ms, default=0),
+                is_urgent=entry.priority <= urgent,
                 primary_is_wanted=wanted_from is not None
                 and wanted_from <= entry.standing,
                 may_queue=entry.standing is queue_order.Standing.IN_TIME,
             )
             if instance is None:
-                self.short_ms = now_ms
+                if entry.has_link:
+                    self.short_ms = now_ms
                 continue
             table.busy[instance] += 1
             service_ms = entry.waiting.service_ms
--- a/jacinthhaven/scheduling/permits.py
+++ b/jacinthhaven/scheduling/permits.py
@@ -137,8 +137,15 @@
 def _is_same(load: peer_messages.Load, other: peer_messages.Load) -> bool:
     """Return whether two loads differ in waiting times at most."""
     return load.running == other.running and [
-        (waiting.number, set(waiting.instances)) for waiting in load.waiting
-    ] == [(waiting.number, set(waiting.instances)) for waiting in other.waiting]
+        _choices(waiting) for waiting in load.waiting
+    ] == [_choices(waiting) for waiting in other.waiting]
+
+
+def _choices(
+    waiting: peer_messages.Waiting,
+) -> tuple[int, set[str], set[str] | None]:
+    linked = None if waiting.linked is None else set(waiting.linked)
+    return (waiting.number, set(waiting.instances), linked)
 
 
 def _ignore(_name: str, _request: peer_messages.PermitRequest) -> None:
--- a/jacinthhaven/scheduling/placement.py
+++ b/jacinthhaven/scheduling/placement.py
@@ -85,6 +85,15 @@
     Each of them has a free link. Limits of the statements in flight are not
     considered.
     """
+    return [
+        name
+        for name in suitable(work, view)
+        if view.states[name].free_for(work.customer)
+    ]
+
+
+def suitable(work: sessions.Work, view: View) -> list[str]:
+    """Return the instances that could execute a statement with a free link."""
     proof = _required_proof(work, view)
     if proof is None:
         return _primary_candidate(work, view)
@@ -151,8 +160,6 @@
         return []
     if not state.reachable_at(view.now_ms):
         return []
-    if not state.free_for(work.customer):
-        return []
     return [state.entry.name]
 
 
@@ -165,8 +172,6 @@
     """Return whether an instance can take a read of bounded age now."""
     if not state.usable_at(view.now_ms):
         return False
-    if not state.free_for(work.customer):
-        return False
     if _has_failed_at(work, state) and state.window.shrunk_at(view.now_ms):
         return False
     if state.entry.name == view.leader:
--- a/jacinthhaven/scheduling/queue_order.py
+++ b/jacinthhaven/scheduling/queue_order.py
@@ -65,6 +65,11 @@
         """Return the key of the shares: customers compete for the same slots."""
         return (self.priority, self.needs_primary)
 
+    @property
+    def has_link(self) -> bool:
+        """Return whether its owner has a free link for it."""
+        return self.waiting.linked is None or bool(self.waiting.linked)
+
 
 def times_at(waiting: peer_messages.Waiting, now_ms: int) -> Times:
     """Return the times of a statement from its first report."""
--- a/jacinthhaven/scheduling/scheduler.py
+++ b/jacinthhaven/scheduling/scheduler.py
@@ -1,5 +1,6 @@
 """Queue of one owner for one service, from arrival to placement."""
 
+import collections
 import typing
 
 from jacinthhaven.scheduling import backlog, permits, placement
@@ -11,6 +12,10 @@
 _QUEUE_TOO_LONG = 'queue too long'
 
 
+# Numbers of free links by instance and customer that no report counts on yet.
+FreeLinks = typing.Mapping[str, collections.Counter[str]]
+
+
 class Service(typing.Protocol):
     """The part of a service that the scheduler uses."""
 
@@ -116,20 +121,32 @@
         states = self.service.pool.states
         running = {name: state.in_flight() for name, state in states.items()}
         view = self.service.view(now_ms)
-        waiting = [self._waiting(work, view) for work in self.backlog.waiting]
+        free = {
+            name: collections.Counter(
+                link.customer for link in state.free_links
+            )
+            for name, state in states.items()
+        }
+        waiting = [
+            self._waiting(work, view, free) for work in self.backlog.waiting
+        ]
         return peer_messages.Load(
             {name: count for name, count in running.items() if count},
             tuple(report for report in waiting if report is not None),
         )
 
     def _waiting(
-        self, work: sessions.Work, view: placement.View
+        self,
+        work: sessions.Work,
+        view: placement.View,
+        free: FreeLinks,
     ) -> peer_messages.Waiting | None:
         """Return the report on a statement, or None if it needs no slot.
 
-        A statement without candidates waits for a link or for the primary.
+        A statement that no instance could execute waits for the primary. One
+        that waits for a link is reported: it has a place in the queue, too.
         """
-        names = placement.candidates(work, view)
+        names = placement.suitable(work, view)
         waited_ms = view.now_ms - work.arrived_ms
         if not names:
             return None
@@ -147,4 +164,19 @@
             work.customer,
             max(work.deadline_ms - view.now_ms, 0),
             work.route.target_ms - waited_ms,
+            _take_link(free, names, work.customer),
         )
+
+
+def _take_link(
+    free: FreeLinks, names: list[str], customer: str
+) -> tuple[str, ...] | None:
+    """Return the instances with a link for a statement, and count the first.
+
+    Returns:
+      The names, or None if all have one.
+    """
+    linked = [name for name in names if free[name][customer] > 0]
+    if linked:
+        free[linked[0]][customer] -= 1
+    return None if len(linked) == len(names) else tuple(linked)
--- a/jacinthhaven/scheduling/slot_table.py
+++ b/jacinthhaven/scheduling/slot_table.py
@@ -54,7 +54,7 @@
         needs_primary = self.needs_primary(waiting)
         names = [
             name
-            for name in waiting.instances
+            for name in linked_to(waiting)
             if needs_primary or name != self.leader or not primary_is_wanted
         ]
         for name in names:
@@ -79,3 +79,8 @@
     def _limit(self, name: str) -> float:
         slots = self.slots.get(name, 1)
         return slots + max(int(slots * _SENT_AHEAD_PER_SLOT), 1)
+
+
+def linked_to(waiting: peer_messages.Waiting) -> tuple[str, ...]:
+    """Return the instances to which the owner of a statement has a link."""
+    return waiting.instances if waiting.linked is None else waiting.linked
--- a/jacinthhaven/sql/peer_messages.py
+++ b/jacinthhaven/sql/peer_messages.py
@@ -108,6 +108,8 @@
       left_ms: Time until its timeout; -1 from a build that does not send it.
       in_time_ms: Time until its target latency, negative once it is late.
         Without `left_ms` it is not known.
+      linked: Those of the instances to which the owner has a free link, or None for
+        all. A permit for another one would keep a slot idle.
     """
 
     number: int
@@ -118,6 +120,7 @@
     customer: str = ''
     left_ms: int = -1
     in_time_ms: int = 0
+    linked: tuple[str, ...] | None = None
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
--- a/jacinthhaven/sql/pool.py
+++ b/jacinthhaven/sql/pool.py
@@ -40,6 +40,9 @@
 # customer cannot use another one.
 _CUSTOMER_IDLE_TIMEOUT_MS = 20_000
 
+# Time after which an idle link of a customer gives way to any other customer.
+_RECENT_MS = 500
+
 # Time for which links are borrowed after an own one could not be opened.
 _BORROW_PERIOD_MS = 2000
 # Delay before the next attempt after a node had no link to lend.
@@ -309,7 +312,9 @@
         for customer in self._missing_customers(state, own, now_ms):
             if opening >= _MAX_OPENING_BY_CUSTOMER:
                 return
-            if len(own) >= self.max_links and not self._make_room(state, own):
+            if len(own) >= self.max_links and not self._make_room(
+                state, own, customer, now_ms
+            ):
                 return
             opening += 1
             own.append(self._open_link(state, None, now_ms, customer))
@@ -320,7 +325,12 @@
         own: list[links.Link],
         now_ms: int,
     ) -> list[str]:
-        """Return the customer of each own link that should be opened."""
+        """Return the customer of each own link that should be opened.
+
+        A customer gets no more links than the window allows statements in
+        flight: each further one would close a link of another customer, which
+        has to be opened again.
+        """
         name = state.entry.name
         if self.control_requests.get(name):
             # A control command must not wait until a transaction ends.
@@ -328,31 +338,45 @@
         if state.departure.leaving_ms is not None:
             if not state.reachable_at(now_ms):
                 return []
-        missing = collections.Counter(self.wanted.get(name, ()))
-        if not missing or not state.has_room():
+        wanted = self.wanted.get(name, ())
+        if not wanted or not state.has_room():
             return [''] if self.min_links and not own else []
-        for link in own:
-            if link.free or not link.ready:
-                missing[link.customer] -= 1
+        missing = _count_missing(own, wanted, state.window.limit)
         return [
             customer
-            for customer in dict.fromkeys(self.wanted[name])
+            for customer in dict.fromkeys(wanted)
             if missing[customer] > 0
         ]
 
     def _make_room(
-        self, state: instances.InstanceState, own: list[links.Link]
+        self,
+        state: instances.InstanceState,
+        own: list[links.Link],
+        customer: str,
+        now_ms: int,
     ) -> bool:
         """Close the least recently used link that no waiting statement needs.
 
+        A link that was used recently, or that is needed, is closed only if its
+        customer has more links than the other one keeps. Otherwise a customer
+        with many statements would keep all links, or the links of customers
+        that take turns would be opened again and again.
+
         Returns:
           Whether there was one.
         """
         needed = self.wanted.get(state.entry.name, ())
+        count = collections.Counter(link.customer for link in own)
+        free = [link for link in own if link.free and link.unused]
         unused = [
             link
-            for link in own
-            if link.free and link.unused and link.customer not in needed
+            for link in free
+            if (
+                link.customer not in needed
+                and now_ms - link.idle_since_ms >= _RECENT_MS
+            )
+            or count[link.customer]
+            > count[customer] + (link.customer in needed)
         ]
         if not unused:
             return False
@@ -428,6 +452,27 @@
     return BORROW_TIMEOUT_MS if link.borrowed else OPEN_TIMEOUT_MS
 
 
+def _count_missing(
+    own: list[links.Link], wanted: typing.Iterable[str], limit: int
+) -> collections.Counter[str]:
+    """Return the number of links that each customer lacks.
+
+    Args:
+      own: Own links to an instance.
+      wanted: Customers of the statements that need a link to it.
+      limit: Statements that may be in flight; no customer can use more links.
+    """
+    usable = [link for link in own if link.pinned is None]
+    count = collections.Counter(link.customer for link in usable)
+    missing = collections.Counter(wanted)
+    for link in usable:
+        if link.free or not link.ready:
+            missing[link.customer] -= 1
+    for customer in missing:
+        missing[customer] = min(missing[customer], limit - count[customer])
+    return missing
+
+
 def _idle_too_long(link: links.Link, now_ms: int) -> bool:
     timeout_ms = _IDLE_TIMEOUT_MS
     if link.borrowed:
