--- a/jacinthhaven/lab/player.py
+++ b/jacinthhaven/lab/player.py
@@ -217,18 +217,22 @@
         rng = self.arrivals[name]
         weights = self._weights(elapsed_ms, name)
         operation = operations.draw(name, kind, now_ms, rng)
-        if self.described.customers:
-            numbers = range(self.described.customers)
-            number = self.customers.choices(numbers, weights)[0]
-            operation.customer = _customer_name(number)
+        operation.customer = self._draw_customer(weights)
         self._start(operation)
-        factor = sum(weights) / len(weights)
-        per_ms = kind.per_s * factor / _MS_PER_S
+        per_s = kind.per_s * sum(weights) / len(weights)
+        per_ms = per_s / _MS_PER_S
         self.plan.at(
             now_ms + rng.expovariate(per_ms),
             functools.partial(self._arrive, name, start_ms),
         )
 
+    def _draw_customer(self, weights: list[float]) -> str:
+        """Return the customer of an operation, or '' without customers."""
+        numbers = range(self.described.customers)
+        if not numbers:
+            return ''
+        return _customer_name(self.customers.choices(numbers, weights)[0])
+
     def _weights(self, elapsed_ms: int, kind: str) -> list[float]:
         """Return how many times as much as usual each customer sends."""
         return [
--- a/jacinthhaven/scheduling/admission.py
+++ b/jacinthhaven/scheduling/admission.py
@@ -192,4 +192,9 @@
     waiting = entry.waiting
     timeout_ms = waiting.left_ms + waiting.waited_ms
     target_ms = waiting.in_time_ms + waiting.waited_ms
-    return waiting.left_ms >= 0 and timeout_ms >= target_ms * _DEFERRAL_RATIO
+    return waiting.left_ms >= 0 and may_wait(target_ms, timeout_ms)
+
+
+def may_wait(target_ms: int, timeout_ms: int) -> bool:
+    """Return whether statements of a route may wait beyond their target."""
+    return timeout_ms >= target_ms * _DEFERRAL_RATIO
--- a/jacinthhaven/scheduling/scheduler.py
+++ b/jacinthhaven/scheduling/scheduler.py
@@ -3,13 +3,14 @@
 import collections
 import typing
 
-from jacinthhaven.scheduling import backlog, permits, placement
+from jacinthhaven.scheduling import admission, backlog, permits, placement
 from jacinthhaven.sql import peer_messages, sessions
 
 # Time that a statement waits for the window of an instance before the owner
 # asks for permits. Most statements in flight end sooner under light load.
 _ASK_AFTER_MS = 15
 _QUEUE_TOO_LONG = 'queue too long'
+_MISSES_TIMEOUT = 'timeout would be missed'
 
 
 # Numbers of free links by instance and customer that no report counts on yet.
@@ -82,8 +83,10 @@
         )
         for work in expired:
             self.backlog.remove(work)
-            missing = 'slot' if service.can_serve(work, now_ms) else 'instance'
-            service.executor.refuse(work, f'no {missing} in time', now_ms)
+            reason = _MISSES_TIMEOUT
+            if not service.can_serve(work, now_ms):
+                reason = 'no instance in time'
+            service.executor.refuse(work, reason, now_ms)
 
     def _fill_windows(self, now_ms: int) -> None:
         """Send statements without permits."""
@@ -99,7 +102,12 @@
             if number in self.permits.refused:
                 self.backlog.remove(work)
                 self.backlog.overloaded_ms = now_ms
-                self.service.executor.refuse(work, _QUEUE_TOO_LONG, now_ms)
+                reason = _QUEUE_TOO_LONG
+                if admission.may_wait(
+                    work.route.target_ms, work.route.timeout_ms
+                ):
+                    reason = _MISSES_TIMEOUT
+                self.service.executor.refuse(work, reason, now_ms)
                 continue
             instance = self.permits.granted.get(number)
             view = self.service.view(now_ms)
--- a/jacinthhaven/sql/execution.py
+++ b/jacinthhaven/sql/execution.py
@@ -224,6 +224,7 @@
         transaction = work.session.transaction
         if transaction is not None:
             transaction.failed = True
+        self.journal.count('refused', reason.replace(' ', '_'))
         self.fail(work, statements.Code.BUSY, reason, now_ms)
 
     def fail(
