--- a/jacinthhaven/scheduling/admission.py
+++ b/jacinthhaven/scheduling/admission.py
@@ -18,6 +18,13 @@
 # Statements are deferred only where the timeout is at least this multiple of
 # the target. Elsewhere, what has to wait too long has no time left.
 _DEFERRAL_RATIO = 2
+# Expected rest of an overload, as a multiple of the time that it has lasted. Until
+# it ends, statements in time take all slots.
+_OVERLOAD_FACTOR = 1.5
+# Longest queue of deferred statements, in the time that all slots need for it.
+# Each report has all waiting statements, so that a longer queue would cost the
+# dispatcher more processor time than it has.
+_LONGEST_QUEUE_MS = 250
 # Time constant of the measured load. It is short against timeouts, so that the
 # end of a burst is noticed while its last statements can still be served.
 _LOAD_MS = 250
@@ -36,20 +43,31 @@
     Attributes:
       slots: Slots that were needed at `at_ms`.
       at_ms: Time of the last statement.
+      exceeds_ms: Time since which they are more than there are, or None.
     """
 
-    __slots__ = ('slots', 'at_ms')
+    __slots__ = ('slots', 'at_ms', 'exceeds_ms')
 
     def __init__(self) -> None:
         """Start without load."""
         self.slots: float = 0
         self.at_ms = 0
+        self.exceeds_ms: int | None = None
 
     def add(self, service_ms: float, now_ms: int) -> None:
         """Add a new statement that may be served in time."""
         self.slots = self.slots_at(now_ms) + service_ms / _LOAD_MS
         self.at_ms = now_ms
 
+    def exceeds_for(self, slots: int, now_ms: int) -> int:
+        """Return for how long more than the given slots have been needed."""
+        if self.slots_at(now_ms) < slots:
+            self.exceeds_ms = None
+            return 0
+        if self.exceeds_ms is None:
+            self.exceeds_ms = now_ms
+        return now_ms - self.exceeds_ms
+
     def slots_at(self, now_ms: int) -> float:
         """Return the slots that are needed at a time."""
         return self.slots * math.exp((self.at_ms - now_ms) / _LOAD_MS)
@@ -122,7 +140,7 @@
         """Return which statements are deferred or refused.
 
         New statements are deferred if they are expected to be answered before
-        their timeout. Late ones are refused once they are not any more.
+        their timeout, and refused once they are not any more.
 
         Args:
           queue: All waiting statements in their order.
@@ -151,15 +169,18 @@
     ) -> list[Decision]:
         """Return the decisions on statements that wait behind others."""
         decisions = []
+        in_time_ms = dict(ahead.work_ms)
         for entry in behind:
+            slots = ahead.capacity(entry)
+            overload = self.load[entry.needs_primary]
             wait_ms = ahead.wait_ms(entry)
-            load = self.load[entry.needs_primary]
-            spare = 1 - load.slots_at(now_ms) / ahead.capacity(entry)
-            late = entry.standing is queue_order.Standing.LATE
-            refused = (late or ahead.is_new(entry)) and (
-                wait_ms > spare * _longest_wait_ms(entry)
+            behind_ms = wait_ms - in_time_ms.get(entry.needs_primary, 0) / slots
+            over_ms = overload.exceeds_for(slots, now_ms) * _OVERLOAD_FACTOR
+            is_new = ahead.is_new(entry)
+            refused = wait_ms + over_ms > _longest_wait_ms(entry) or (
+                is_new and behind_ms > _LONGEST_QUEUE_MS
             )
-            if refused or ahead.is_new(entry):
+            if refused or is_new:
                 decisions.append(Decision(entry, wait_ms, refused))
             if not refused:
                 ahead.add(entry)
