--- a/jacinthhaven/scheduling/scheduler.py
+++ b/jacinthhaven/scheduling/scheduler.py
@@ -1,14 +1,20 @@
 """Queue of one owner for one service, from arrival to placement."""
 
+import collections
 import typing
 
-from jacinthhaven.scheduling import backlog, permits, placement
+from jacinthhaven.scheduling import admission, backlog, permits, placement
 from jacinthhaven.sql import peer_messages, sessions
 
 # Time that a statement waits for the window of an instance before the owner
 # asks for permits. Most statements in flight end sooner under light load.
 _ASK_AFTER_MS = 15
 _QUEUE_TOO_LONG = 'queue too long'
+_MISSES_TIMEOUT = 'timeout would be missed'
+
+
+# Numbers of free links by instance and customer that no report counts on yet.
+FreeLinks = typing.Mapping[str, collections.Counter[str]]
 
 
 class Service(typing.Protocol):
@@ -67,6 +73,9 @@
     def refuse_expired(self, now_ms: int) -> None:
         """Refuse the statements that cannot be executed in time."""
         service = self.service
+        self.backlog.defer_late(
+            now_ms, lambda work: service.can_serve(work, now_ms)
+        )
         expired = self.backlog.expired(
             now_ms,
             service.primary_expected_ms(now_ms),
@@ -74,8 +83,10 @@
         )
         for work in expired:
             self.backlog.remove(work)
-            missing = 'slot' if service.can_serve(work, now_ms) else 'instance'
-            service.executor.refuse(work, f'no {missing} in time', now_ms)
+            reason = _MISSES_TIMEOUT
+            if not service.can_serve(work, now_ms):
+                reason = 'no instance in time'
+            service.executor.refuse(work, reason, now_ms)
 
     def _fill_windows(self, now_ms: int) -> None:
         """Send statements without permits."""
@@ -91,7 +102,12 @@
             if number in self.permits.refused:
                 self.backlog.remove(work)
                 self.backlog.overloaded_ms = now_ms
-                self.service.executor.refuse(work, _QUEUE_TOO_LONG, now_ms)
+                reason = _QUEUE_TOO_LONG
+                if admission.may_wait(
+                    work.route.target_ms, work.route.timeout_ms
+                ):
+                    reason = _MISSES_TIMEOUT
+                self.service.executor.refuse(work, reason, now_ms)
                 continue
             instance = self.permits.granted.get(number)
             view = self.service.view(now_ms)
@@ -105,7 +121,7 @@
         choice: placement.Choice,
         now_ms: int,
     ) -> None:
-        self.backlog.remove(work)
+        self.backlog.place(work)
         self.service.place(work, choice, now_ms)
 
     def _load(self, now_ms: int) -> peer_messages.Load:
@@ -113,20 +129,32 @@
         states = self.service.pool.states
         running = {name: state.in_flight() for name, state in states.items()}
         view = self.service.view(now_ms)
-        waiting = [self._waiting(work, view) for work in self.backlog.waiting]
+        free = {
+            name: collections.Counter(
+                link.customer for link in state.free_links
+            )
+            for name, state in states.items()
+        }
+        waiting = [
+            self._waiting(work, view, free) for work in self.backlog.waiting
+        ]
         return peer_messages.Load(
             {name: count for name, count in running.items() if count},
             tuple(report for report in waiting if report is not None),
         )
 
     def _waiting(
-        self, work: sessions.Work, view: placement.View
+        self,
+        work: sessions.Work,
+        view: placement.View,
+        free: FreeLinks,
     ) -> peer_messages.Waiting | None:
         """Return the report on a statement, or None if it needs no slot.
 
-        A statement without candidates waits for a link or for the primary.
+        A statement that no instance could execute waits for the primary. One
+        that waits for a link is reported: it has a place in the queue, too.
         """
-        names = placement.candidates(work, view)
+        names = placement.suitable(work, view)
         waited_ms = view.now_ms - work.arrived_ms
         if not names:
             return None
@@ -139,6 +167,24 @@
             work.permit_number,
             work.route.priority,
             tuple(names),
-            round(work.service_ms),
+            round(work.turn.service_ms),
             waited_ms,
+            work.customer,
+            max(work.deadline_ms - view.now_ms, 0),
+            work.route.target_ms - waited_ms,
+            _take_link(free, names, work.customer),
         )
+
+
+def _take_link(
+    free: FreeLinks, names: list[str], customer: str
+) -> tuple[str, ...] | None:
+    """Return the instances with a link for a statement, and count the first.
+
+    Returns:
+      The names, or None if all have one.
+    """
+    linked = [name for name in names if free[name][customer] > 0]
+    if linked:
+        free[linked[0]][customer] -= 1
+    return None if len(linked) == len(names) else tuple(linked)
--- a/jacinthhaven/scheduling/slot_table.py
+++ b/jacinthhaven/scheduling/slot_table.py
@@ -37,6 +37,7 @@
         *,
         is_urgent: bool,
         primary_is_wanted: bool,
+        may_queue: bool,
     ) -> str | None:
         """Return the instance that should execute a statement now.
 
@@ -45,6 +46,7 @@
           is_urgent: Whether it has the highest priority of the service.
           primary_is_wanted: Whether statements wait that only the primary can
             execute. Reads do not use its slots then.
+          may_queue: Whether it may be sent ahead while no slot is free.
 
         Returns:
           Name of the instance, or None if the statement has to wait.
@@ -52,12 +54,14 @@
         needs_primary = self.needs_primary(waiting)
         names = [
             name
-            for name in waiting.instances
+            for name in linked_to(waiting)
             if needs_primary or name != self.leader or not primary_is_wanted
         ]
         for name in names:
             if self.busy[name] < self.slots.get(name, 1):
                 return name
+        if not may_queue:
+            return None
         for name in names:
             # What queues at the primary would delay urgent statements.
             ahead = name != self.leader or needs_primary and is_urgent
@@ -75,3 +79,8 @@
     def _limit(self, name: str) -> float:
         slots = self.slots.get(name, 1)
         return slots + max(int(slots * _SENT_AHEAD_PER_SLOT), 1)
+
+
+def linked_to(waiting: peer_messages.Waiting) -> tuple[str, ...]:
+    """Return the instances to which the owner of a statement has a link."""
+    return waiting.instances if waiting.linked is None else waiting.linked
--- a/jacinthhaven/sql/customer_links.py
+++ b/jacinthhaven/sql/customer_links.py
@@ -11,37 +11,61 @@
 from jacinthhaven.sql import links
 
 
-def missing(
-    wanted: typing.Sequence[str], own: typing.Iterable[links.Link]
-) -> list[str]:
+# Time after which an idle link of a customer gives way to any other customer.
+_RECENT_MS = 500
+
+Links = typing.Iterable[links.Link]
+
+
+def missing(wanted: typing.Sequence[str], own: Links, limit: int) -> list[str]:
     """Return the customers that need one more link, first come first.
 
     Args:
       wanted: Customer of each statement that waits for a link, in the order of
         the queue.
       own: Links to the instance that this node has opened.
+      limit: Statements that may be in flight; no customer can use more links.
     """
+    usable = [link for link in own if link.pinned is None]
+    count = collections.Counter(link.customer for link in usable)
     needed = collections.Counter(wanted)
-    for link in own:
+    for link in usable:
         if link.free or not link.ready:
             needed[link.customer] -= 1
     return [
-        customer for customer in dict.fromkeys(wanted) if needed[customer] > 0
+        customer
+        for customer in dict.fromkeys(wanted)
+        if needed[customer] > 0 and count[customer] < limit
     ]
 
 
-def least_recently_used(
-    own: typing.Iterable[links.Link], wanted: typing.Container[str]
+def removable(
+    own: Links, customer: str, wanted: typing.Container[str], now_ms: int
 ) -> links.Link | None:
-    """Return the idle link that may be closed to make room, if any.
+    """Return the least recently used link that may make room for a customer.
+
+    A link that was used recently, or that is needed, is closed only if its
+    customer has more links than the other one keeps. Otherwise a customer with
+    many statements would keep all links, or the links of customers that take
+    turns would be opened again and again.
 
     Args:
       own: Links to the instance that this node has opened.
+      customer: Customer that needs a link.
       wanted: Customers whose statements wait for a link.
+      now_ms: Current time.
     """
-    idle = [
-        link
-        for link in own
-        if link.free and link.unused and link.customer not in wanted
-    ]
-    return min(idle, key=lambda link: link.idle_since_ms, default=None)
+    count = collections.Counter(link.customer for link in own)
+
+    def may_go(link: links.Link) -> bool:  # noqa: WPS430
+        needed = link.customer in wanted
+        if count[link.customer] > count[customer] + needed:
+            return True
+        return not needed and now_ms - link.idle_since_ms >= _RECENT_MS
+
+    idle = (link for link in own if link.free and link.unused)
+    return min(
+        filter(may_go, idle),
+        key=lambda link: link.idle_since_ms,
+        default=None,
+    )
--- a/jacinthhaven/sql/execution.py
+++ b/jacinthhaven/sql/execution.py
@@ -224,6 +224,7 @@
         transaction = work.session.transaction
         if transaction is not None:
             transaction.failed = True
+        self.journal.count('refused', reason.replace(' ', '_'))
         self.fail(work, statements.Code.BUSY, reason, now_ms)
 
     def fail(
@@ -376,7 +377,7 @@
                 # Statements that need the primary are shorter than reads, so
                 # they would make it look faster than its replicas.
                 state.latency.sample(spent_ms, now_ms)
-            group.backlog.sample(work.route.mode, spent_ms)
+            group.backlog.sample(work.route.database, spent_ms)
             self._succeed(group, link, reply, now_ms)
             return
         self._run_failed(group, link, reply, now_ms)
--- a/jacinthhaven/sql/pool.py
+++ b/jacinthhaven/sql/pool.py
@@ -42,6 +42,7 @@
 # customer cannot use another one.
 _CUSTOMER_IDLE_TIMEOUT_MS = 20_000
 
+
 # Time for which links are borrowed after an own one could not be opened.
 _BORROW_PERIOD_MS = 2000
 # Delay before the next attempt after a node had no link to lend.
@@ -311,8 +312,11 @@
             if opening >= _MAX_OPENING_BY_CUSTOMER:
                 return
             if len(own) >= self.max_links:
-                unused = customer_links.least_recently_used(
-                    own, self.wanted.get(state.entry.name, ())
+                unused = customer_links.removable(
+                    own,
+                    customer,
+                    self.wanted.get(state.entry.name, ()),
+                    now_ms,
                 )
                 if unused is None:
                     return
@@ -327,7 +331,12 @@
         own: list[links.Link],
         now_ms: int,
     ) -> list[str]:
-        """Return the customer of each own link that should be opened."""
+        """Return the customer of each own link that should be opened.
+
+        A customer gets no more links than the window allows statements in
+        flight: each further one would close a link of another customer, which
+        has to be opened again.
+        """
         name = state.entry.name
         if self.control_requests.get(name):
             # A control command must not wait until a transaction ends.
@@ -337,7 +346,7 @@
             return []
         wanted = self.wanted.get(name, [])
         if wanted and state.has_room():
-            return customer_links.missing(wanted, own)
+            return customer_links.missing(wanted, own, state.window.limit)
         return [''] if self.min_links and not own else []
 
     def _borrow(self, state: instances.InstanceState, now_ms: int) -> None:
