Leave a server at which reads fail while its health check passes

Cause: a failed read did not count in the average latency, so that an instance that fails reads looked as fast as before and got its share of them. Slow and silent instances were left already: within 0.5 s, with single reads as probes.

Change: `balancing/server_health` compares the share of failed reads within the group. An instance far above the others gets one read as a probe after 1 to 4 s and is used again when it succeeds; at most one of three is left, and it is used if no other one can read.

--- a/jacinthhaven/scheduling/placement.py
+++ b/jacinthhaven/scheduling/placement.py
@@ -97,6 +97,8 @@
     states = [
         state for state in states if not _has_failed_at(work, state)
     ] or states
+    if any(state.health.left for state in states):
+        states = _without_failing(work, view, proof, states)
     states.sort(key=lambda state: _cost_ms(state, view))
     return [state.entry.name for state in states]
 
@@ -156,6 +158,25 @@
     return [state.entry.name]
 
 
+def _without_failing(
+    work: sessions.Work,
+    view: View,
+    proof: proofs.Proof,
+    states: list[instances.InstanceState],
+) -> list[instances.InstanceState]:
+    """Leave out instances at which reads fail, but for one probe at a time.
+
+    A read waits while the links of the others are busy. If no other instance can
+    read at all, it is sent to one at which reads fail.
+    """
+    allowed = [state for state in states if state.health.allows(view.now_ms)]
+    others = any(
+        not state.health.left and _can_read(work, view, state, proof)
+        for state in view.states.values()
+    )
+    return allowed if allowed or others else states
+
+
 def _may_read(
     work: sessions.Work,
     view: View,
@@ -163,10 +184,20 @@
     proof: proofs.Proof,
 ) -> bool:
     """Return whether an instance can take a read of bounded age now."""
-    if not state.usable_at(view.now_ms):
-        return False
     if not state.free_for(work.customer):
         return False
+    return _can_read(work, view, state, proof)
+
+
+def _can_read(
+    work: sessions.Work,
+    view: View,
+    state: instances.InstanceState,
+    proof: proofs.Proof,
+) -> bool:
+    """Return whether an instance can take a read once a link to it is free."""
+    if not state.usable_at(view.now_ms):
+        return False
     if _has_failed_at(work, state) and state.window.shrunk_at(view.now_ms):
         return False
     if state.entry.name == view.leader:
--- a/jacinthhaven/sql/execution.py
+++ b/jacinthhaven/sql/execution.py
@@ -13,6 +13,7 @@
     links,
     outcomes,
     ports,
+    read_failures,
     records,
     sessions,
     statements,
@@ -120,6 +121,8 @@
             work.route.mode.value,
             now_ms - work.arrived_ms,
         )
+        if not work.needs_primary:
+            read_failures.note_sent(group, choice.link, now_ms)
         transaction = work.session.transaction
         if transaction is not None:
             choice.link.pinned = work.session
@@ -376,6 +379,7 @@
                 # Statements that need the primary are shorter than reads, so
                 # they would make it look faster than its replicas.
                 state.latency.sample(spent_ms, now_ms)
+                read_failures.note_success(self.journal, group, link)
             group.backlog.sample(work.route.mode, spent_ms)
             self._succeed(group, link, reply, now_ms)
             return
@@ -459,6 +463,8 @@
         work = link.work
         if reply.code is statements.Code.UNKNOWN_STATEMENT:
             link.prepared.clear()
+        if reply.code is statements.Code.FAILED and not work.needs_primary:
+            read_failures.note_failure(self.journal, group, link, now_ms)
         if work.session.transaction is not None:
             self._transaction_failed(group, link, reply, now_ms)
             return
--- a/jacinthhaven/sql/instances.py
+++ b/jacinthhaven/sql/instances.py
@@ -1,5 +1,6 @@
 """State of one instance: links, measured times, load and reachability."""
 
+from jacinthhaven.balancing import server_health
 from jacinthhaven.scheduling import window
 from jacinthhaven.sql import averages, departures, links, records
 
@@ -27,6 +28,7 @@
       entry: Registry entry.
       links: Open and opening links.
       window: Limit of the statements in flight.
+      health: Reads that failed there.
       latency: Moving average of the execution time of a read.
       replication: Moving average of the replication delay.
       applied: Last log position that the instance reported as applied.
@@ -47,6 +49,7 @@
         'entry',
         'links',
         'window',
+        'health',
         'latency',
         'replication',
         'applied',
@@ -66,6 +69,7 @@
         self.entry = entry
         self.links: list[links.Link] = []
         self.window = window.Window()
+        self.health = server_health.ServerHealth()
         self.latency = averages.DecayingAverage(_INITIAL_LATENCY_MS, now_ms)
         self.replication = averages.DecayingAverage(
             _INITIAL_REPLICATION_MS,
