--- a/jacinthhaven/scheduling/placement.py
+++ b/jacinthhaven/scheduling/placement.py
@@ -98,12 +98,14 @@
     states = [
         state
         for state in view.states.values()
-        if _may_read(work, view, state, proof)
+        if _can_read(work, view, state, proof)
     ]
     # Instances that have failed this statement are the last resort.
     states = [
         state for state in states if not _has_failed_at(work, state)
     ] or states
+    if any(state.health.left for state in states):
+        states = _without_failing(work, view, proof, states)
     states.sort(key=lambda state: _cost_ms(state, view))
     return [state.entry.name for state in states]
 
@@ -161,7 +163,26 @@
     return [state.entry.name]
 
 
-def _may_read(
+def _without_failing(
+    work: sessions.Work,
+    view: View,
+    proof: proofs.Proof,
+    states: list[instances.InstanceState],
+) -> list[instances.InstanceState]:
+    """Leave out instances at which reads fail, but for one probe at a time.
+
+    A read waits while the links of the others are busy. If no other instance can
+    read at all, it is sent to one at which reads fail.
+    """
+    allowed = [state for state in states if state.health.allows(view.now_ms)]
+    others = any(
+        not state.health.left and _can_read(work, view, state, proof)
+        for state in view.states.values()
+    )
+    return allowed if allowed or others else states
+
+
+def _can_read(
     work: sessions.Work,
     view: View,
     state: instances.InstanceState,
