--- a/jacinthhaven/scheduling/admission.py
+++ b/jacinthhaven/scheduling/admission.py
@@ -21,10 +21,10 @@
 # Expected rest of an overload, as a multiple of the time that it has lasted. Until
 # it ends, statements in time take all slots.
 _OVERLOAD_FACTOR = 1.5
-# Longest queue of deferred statements, in the time that all slots need for it.
-# Each report has all waiting statements, so that a longer queue would cost the
-# dispatcher more processor time than it has.
-_LONGEST_QUEUE_MS = 250
+# Longest queue of deferred statements, in the time that all slots need for it, as
+# a fraction of the shortest target of their priority. With a longer one they would
+# become late, and each report of an owner has all its waiting statements.
+_DEFERRED_SHARE = 0.5
 # Time constant of the measured load. It is short against timeouts, so that the
 # end of a burst is noticed while its last statements can still be served.
 _LOAD_MS = 250
@@ -94,15 +94,17 @@
       added: Owners and numbers of the new statements.
       capacity: Returns the number of slots that a statement can wait for.
       work_ms: Work so far, by whether it needs the primary.
+      in_time_ms: The part of it that was admitted in time.
     """
 
-    __slots__ = ('added', 'capacity', 'work_ms')
+    __slots__ = ('added', 'capacity', 'work_ms', 'in_time_ms')
 
     def __init__(self, added: Added, capacity: Capacity) -> None:
         """Start at the head of the queue."""
         self.added = added
         self.capacity = capacity
         self.work_ms: collections.Counter[bool] = collections.Counter()
+        self.in_time_ms: dict[bool, int] = {}
 
     def is_new(self, entry: queue_order.Entry) -> bool:
         """Return whether a statement is decided on now."""
@@ -112,6 +114,12 @@
         """Return the wait of a statement if nothing overtakes it."""
         return self.work_ms[entry.needs_primary] / self.capacity(entry)
 
+    def deferred_wait_ms(self, entry: queue_order.Entry) -> float:
+        """Return the part of the wait that is due to deferred statements."""
+        pool = entry.needs_primary
+        work_ms = self.work_ms[pool] - self.in_time_ms.get(pool, 0)
+        return work_ms / self.capacity(entry)
+
     def add(self, entry: queue_order.Entry) -> None:
         """Add a statement to the work ahead of the next ones."""
         self.work_ms[entry.needs_primary] += entry.waiting.service_ms
@@ -169,18 +177,18 @@
     ) -> list[Decision]:
         """Return the decisions on statements that wait behind others."""
         decisions = []
-        in_time_ms = dict(ahead.work_ms)
+        ahead.in_time_ms = dict(ahead.work_ms)
         for entry in behind:
-            slots = ahead.capacity(entry)
-            overload = self.load[entry.needs_primary]
+            load = self.load[entry.needs_primary]
             wait_ms = ahead.wait_ms(entry)
-            behind_ms = wait_ms - in_time_ms.get(entry.needs_primary, 0) / slots
-            over_ms = overload.exceeds_for(slots, now_ms) * _OVERLOAD_FACTOR
-            is_new = ahead.is_new(entry)
-            refused = wait_ms + over_ms > _longest_wait_ms(entry) or (
-                is_new and behind_ms > _LONGEST_QUEUE_MS
-            )
-            if refused or is_new:
+            over_ms = load.exceeds_for(ahead.capacity(entry), now_ms)
+            over_ms *= _OVERLOAD_FACTOR
+            refused = wait_ms + over_ms > _longest_wait_ms(entry)
+            if ahead.is_new(entry):
+                limit_ms = self.limits_ms.get(entry.priority, math.inf)
+                deferred_ms = ahead.deferred_wait_ms(entry)
+                refused |= deferred_ms > limit_ms * _DEFERRED_SHARE
+            if refused or ahead.is_new(entry):
                 decisions.append(Decision(entry, wait_ms, refused))
             if not refused:
                 ahead.add(entry)
