--- a/jacinthhaven/scheduling/placement.py
+++ b/jacinthhaven/scheduling/placement.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import typing
 
 from jacinthhaven.sql import instances, links, proofs, records, sessions
 
@@ -16,6 +17,8 @@
 # Penalty of the primary for reads, since writes need its slots.
 _PRIMARY_MS = 8.0
 
+States = typing.Mapping[str, instances.InstanceState]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
@@ -85,29 +88,17 @@
     Each of them has a free link. Limits of the statements in flight are not
     considered.
     """
-    return [
-        name
-        for name in suitable(work, view)
-        if view.states[name].free_for(work.customer)
-    ]
+    linked = {
+        name: state
+        for name, state in view.states.items()
+        if state.free_for(work.customer)
+    }
+    return _suitable(work, view, linked)
 
 
 def suitable(work: sessions.Work, view: View) -> list[str]:
     """Return the instances that could execute a statement with a free link."""
-    proof = _required_proof(work, view)
-    if proof is None:
-        return _primary_candidate(work, view)
-    states = [
-        state
-        for state in view.states.values()
-        if _may_read(work, view, state, proof)
-    ]
-    # Instances that have failed this statement are the last resort.
-    states = [
-        state for state in states if not _has_failed_at(work, state)
-    ] or states
-    states.sort(key=lambda state: _cost_ms(state, view))
-    return [state.entry.name for state in states]
+    return _suitable(work, view, view.states)
 
 
 def choose_at(work: sessions.Work, view: View, name: str) -> Choice:
@@ -140,6 +131,22 @@
     return best.entry.name
 
 
+def _suitable(work: sessions.Work, view: View, among: States) -> list[str]:
+    """Return those of some instances that could execute a statement."""
+    proof = _required_proof(work, view)
+    if proof is None:
+        return _primary_candidate(view, among)
+    states = [
+        state for state in among.values() if _may_read(work, view, state, proof)
+    ]
+    # Instances that have failed this statement are the last resort.
+    states = [
+        state for state in states if not _has_failed_at(work, state)
+    ] or states
+    states.sort(key=lambda state: _cost_ms(state, view))
+    return [state.entry.name for state in states]
+
+
 def _required_proof(
     work: sessions.Work,
     view: View,
@@ -154,8 +161,8 @@
     )
 
 
-def _primary_candidate(work: sessions.Work, view: View) -> list[str]:
-    state = view.states.get(view.leader or '')
+def _primary_candidate(view: View, among: States) -> list[str]:
+    state = among.get(view.leader or '')
     if state is None or not view.may_use_primary:
         return []
     if not state.reachable_at(view.now_ms):
--- a/jacinthhaven/scheduling/scheduler.py
+++ b/jacinthhaven/scheduling/scheduler.py
@@ -128,16 +128,18 @@
         """Return what this owner executes and what waits for a slot."""
         states = self.service.pool.states
         running = {name: state.in_flight() for name, state in states.items()}
-        view = self.service.view(now_ms)
-        free = {
-            name: collections.Counter(
-                link.customer for link in state.free_links
-            )
-            for name, state in states.items()
-        }
-        waiting = [
-            self._waiting(work, view, free) for work in self.backlog.waiting
-        ]
+        waiting = []
+        if self.backlog.waiting:
+            view = self.service.view(now_ms)
+            free = {
+                name: collections.Counter(
+                    link.customer for link in state.free_links
+                )
+                for name, state in states.items()
+            }
+            waiting = [
+                self._waiting(work, view, free) for work in self.backlog.waiting
+            ]
         return peer_messages.Load(
             {name: count for name, count in running.items() if count},
             tuple(report for report in waiting if report is not None),
