--- a/jacinthhaven/platform/documents.py
+++ b/jacinthhaven/platform/documents.py
@@ -142,7 +142,8 @@
         customer = records.Customer(
             tenant.name, tenant.rate_per_s, tenant.burst
         )
-        for key in tenant.api_keys:
+        # Callers without a key have the digest of an empty one.
+        for key in filter(None, tenant.api_keys):
             found[customer_keys.digest(key)] = customer
     return types.MappingProxyType(found)
 
--- a/jacinthhaven/sql/instances.py
+++ b/jacinthhaven/sql/instances.py
@@ -1,5 +1,7 @@
 """State of one instance: links, measured times, load and reachability."""
 
+import typing
+
 from jacinthhaven.balancing import server_health
 from jacinthhaven.scheduling import window
 from jacinthhaven.sql import averages, departures, links, records
@@ -207,3 +209,6 @@
             return True
         delay_ms = self.replication.expected(now_ms)
         return age_ms >= delay_ms + _REPLICATION_MARGIN_MS
+
+
+States = typing.Mapping[str, InstanceState]
