--- a/jacinthhaven/scheduling/placement.py
+++ b/jacinthhaven/scheduling/placement.py
@@ -138,7 +138,7 @@
     ]
     # Instances that have failed this statement are the last resort.
     states = [
-        state for state in states if not _has_failed_at(work, state)
+        state for state in states if state.entry.name not in work.tried
     ] or states
     if any(state.health.left for state in states):
         states = _without_failing(work, view, proof, states)
@@ -197,7 +197,7 @@
     """Return whether an instance can take a read of bounded age now."""
     if not state.usable_at(view.now_ms):
         return False
-    if _has_failed_at(work, state) and state.window.shrunk_at(view.now_ms):
+    if state.entry.name in work.tried and state.window.shrunk_at(view.now_ms):
         return False
     if state.entry.name == view.leader:
         return True
@@ -205,10 +205,6 @@
     return state.has_applied(proof.position, age_ms, view.now_ms)
 
 
-def _has_failed_at(work: sessions.Work, state: instances.InstanceState) -> bool:
-    return state.entry.name in work.tried
-
-
 def _cost_ms(state: instances.InstanceState, view: View) -> float:
     """Return the expected time of a read with the prices of its instance."""
     cost_ms = zone_outflow.cost_ms(
