--- a/jacinthhaven/scheduling/admission.py
+++ b/jacinthhaven/scheduling/admission.py
@@ -18,9 +18,6 @@
 # Statements are deferred only where the timeout is at least this multiple of
 # the target. Elsewhere, what has to wait too long has no time left.
 _DEFERRAL_RATIO = 2
-# Expected rest of an overload, as a multiple of the time that it has lasted. Until
-# it ends, statements in time take all slots.
-_OVERLOAD_FACTOR = 1.5
 # Longest queue of deferred statements, in the time that all slots need for it, as
 # a fraction of the shortest target of their priority. With a longer one they would
 # become late, and each report of an owner has all its waiting statements.
@@ -59,14 +56,20 @@
         self.slots = self.slots_at(now_ms) + service_ms / _LOAD_MS
         self.at_ms = now_ms
 
-    def exceeds_for(self, slots: int, now_ms: int) -> int:
-        """Return for how long more than the given slots have been needed."""
-        if self.slots_at(now_ms) < slots:
+    def expected_ms(self, slots: int, now_ms: int) -> float:
+        """Return how long more than the given slots are expected to be needed.
+
+        An overload is expected to last as long again as it has lasted, and in
+        proportion longer if it needs several times the slots. Until it ends,
+        statements in time take all slots.
+        """
+        excess = self.slots_at(now_ms) / slots
+        if excess < 1:
             self.exceeds_ms = None
             return 0
         if self.exceeds_ms is None:
             self.exceeds_ms = now_ms
-        return now_ms - self.exceeds_ms
+        return (now_ms - self.exceeds_ms) * excess
 
     def slots_at(self, now_ms: int) -> float:
         """Return the slots that are needed at a time."""
@@ -181,8 +184,7 @@
         for entry in behind:
             load = self.load[entry.needs_primary]
             wait_ms = ahead.wait_ms(entry)
-            over_ms = load.exceeds_for(ahead.capacity(entry), now_ms)
-            over_ms *= _OVERLOAD_FACTOR
+            over_ms = load.expected_ms(ahead.capacity(entry), now_ms)
             refused = wait_ms + over_ms > _longest_wait_ms(entry)
             if ahead.is_new(entry):
                 limit_ms = self.limits_ms.get(entry.priority, math.inf)
