--- a/jacinthhaven/scheduling/admission.py
+++ b/jacinthhaven/scheduling/admission.py
@@ -18,6 +18,11 @@
 # Statements are deferred only where the timeout is at least this multiple of
 # the target. Elsewhere, what has to wait too long has no time left.
 _DEFERRAL_RATIO = 2
+# Expected rest of an overload, as a multiple of the time that it has lasted. With
+# 1.5, refusals at three times the load came too late for their clients to repeat
+# the request; in proportion to the excess of the load, which includes repetitions,
+# lookups were refused that could be served in time after a burst.
+_OVERLOAD_FACTOR = 2
 # Longest queue of deferred statements, in the time that all slots need for it, as
 # a fraction of the shortest target of their priority. With a longer one they would
 # become late, and each report of an owner has all its waiting statements.
@@ -59,17 +64,14 @@
     def expected_ms(self, slots: int, now_ms: int) -> float:
         """Return how long more than the given slots are expected to be needed.
 
-        An overload is expected to last as long again as it has lasted, and in
-        proportion longer if it needs several times the slots. Until it ends,
-        statements in time take all slots.
+        Until then, statements in time take all slots.
         """
-        excess = self.slots_at(now_ms) / slots
-        if excess < 1:
+        if self.slots_at(now_ms) < slots:
             self.exceeds_ms = None
             return 0
         if self.exceeds_ms is None:
             self.exceeds_ms = now_ms
-        return (now_ms - self.exceeds_ms) * excess
+        return (now_ms - self.exceeds_ms) * _OVERLOAD_FACTOR
 
     def slots_at(self, now_ms: int) -> float:
         """Return the slots that are needed at a time."""
