Test misbehaving clients against real processes

Cause: nothing bounds the sum of what clients let a process buffer, nor the number of their connections (docs/hard-load.md, section 2.5).

The limits section is written into the settings as soon as the product knows it; until then unknown keys are refused.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -56,6 +56,7 @@
 
     Attributes:
       port: Port for clients, through a path.
+      ports: Its own ports for clients, health, metrics and other nodes.
       client_path: Path from the clients.
       store_path: Path to the store.
       planned: Whether it was asked to stop.
@@ -68,14 +69,24 @@
         store_port: int,
         *,
         fenced: bool,
+        settings: str = '',
     ) -> None:
-        """Write the settings; nothing runs before `start`."""
+        """Write the settings; nothing runs before `start`.
+
+        Args:
+          number: Number of the proxy in its fleet.
+          folder: Where settings and log go.
+          store_port: Port of the store.
+          fenced: Whether a promotion ends the lead of the old primary.
+          settings: Further lines of the settings file.
+        """
         self.number = number
         self.store_path = loopback.Path(store_port, 'store')
         self.reserved = [reserve_port() for _listener in range(_LISTENERS)]
         ports = [known.getsockname()[1] for known in self.reserved]
         self.client_path = loopback.Path(ports[0], 'clients')
         self.port = self.client_path.port
+        self.ports = ports
         self.health = ports[1]
         self.settings = folder / f'n{number}.yaml'
         self.log = folder / f'n{number}.log'
@@ -90,7 +101,8 @@
                 peers=ports[3],
                 store=self.store_path.port,
                 fenced=str(fenced).lower(),
-            ),
+            )
+            + settings,
         )
 
     @property
@@ -152,6 +164,7 @@
         size: int,
         *,
         fenced: bool = True,
+        settings: str = '',
     ) -> None:
         """Start everything and wait until it is ready.
 
@@ -159,6 +172,7 @@
           folder: Where settings and logs go.
           size: Number of proxies.
           fenced: Whether a promotion ends the lead of the old primary.
+          settings: Further lines of each proxy's settings file.
         """
         standin = [sys.executable, '-m', 'jacinthhaven.standins.sql_platform']
         self.platform = subprocess.Popen(  # noqa: S603
@@ -178,7 +192,13 @@
             },
         )
         self.proxies = [
-            Proxy(number, folder, int(words[1]), fenced=fenced)
+            Proxy(
+                number,
+                folder,
+                int(words[1]),
+                fenced=fenced,
+                settings=settings,
+            )
             for number in range(size)
         ]
         with contextlib.ExitStack() as started:
--- /dev/null
+++ b/soak/misuse/__init__.py
@@ -0,0 +1,1 @@
+"""Misbehaving clients of real proxy processes on loopback."""
