Limit what connections hold, and how many there are

Cause: a line may have 1 MiB and 64 statements wait per session, and nothing bounded the sum, the number of connections or the time of a half-sent message. Texts of closed connections and of cancelled statements stayed in reference cycles until a collection. The line reader copied the whole rest for each piece.

Change: jacinthhaven/limits counts the bytes of each connection and decides which are read and which are closed; reading stops first, then the connection that holds the most is closed. Connections are bounded by the descriptors. An unfinished line is kept in blocks and each byte is searched once. Sessions keep bounded texts (TOOBIG beyond), database connections keep digests of long settings. Statements wait until their session is accepted: those in one packet with the SESSION line were lost. Pings of relaying nodes are answered while statements wait. The misuse builders always write the limits section now; crowds and bounds are unchanged.

--- a/jacinthhaven/adapters/sql_settings_file_test.py
+++ b/jacinthhaven/adapters/sql_settings_file_test.py
@@ -25,6 +25,8 @@
         '{{cloudApi.address|json}}': '"127.0.0.1:9106"',
         '{{limits.cpuShare|json}}': '0.537',
         '{{limits.cores|json}}': '2',
+        '{{limits.memoryMb|json}}': '152',
+        '{{limits.maxFds|json}}': '1605',
         '{{#seeds}}{{.|json}}{{,}}{{/seeds}}': (
             '"127.0.0.1:9107", "127.0.0.2:9107"'
         ),
@@ -52,6 +54,7 @@
     assert loaded.grace_ms == 6000
     assert loaded.store.apply_within_ms == 3000
     assert loaded.processor.capacity == 0.537 * 2
+    assert (loaded.limits.memory_mb, loaded.limits.max_fds) == (152, 1605)
     assert loaded.seed_nodes == (('127.0.0.2', 7455),)
 
 
--- a/jacinthhaven/adapters/streams.py
+++ b/jacinthhaven/adapters/streams.py
@@ -14,7 +14,18 @@
 
 READ_BYTES = 65536
 _BACKLOG = 1024
+# Pause of a listener after an error, such as no free descriptor. Without it,
+# the connection that still waits would cause a busy loop.
+_ACCEPT_PAUSE_MS = 100
+# Time in which the last bytes must be read after `finish`.
+_FINISH_MS = 10_000
+# Bytes of the kernel's buffer that were not yet sent to the peer. Otherwise
+# the kernel would keep up to several MB for each peer that does not read.
+_UNSENT_BYTES = 65_536
 _HANGUP = poller.select.EPOLLHUP | poller.select.EPOLLERR
+_EXHAUSTED = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+)
 _RETRY = (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError)
 
 
@@ -23,6 +34,14 @@
 
     The owner sets `on_bytes(data)`, `on_open()` and `on_close()`.
     `on_close` is called exactly once, unless the owner calls `close`.
+
+    Attributes:
+      queued_bytes: Size of the chunks that are not sent completely.
+      sent_bytes: Number of bytes that were sent so far.
+      read_bytes: Most bytes that one call of `on_bytes` gets.
+      reading: Whether received bytes are read.
+      on_queue: Called after `queued_bytes` or `sent_bytes` has changed, except
+        if a chunk was sent at once.
     """
 
     __slots__ = (
@@ -37,6 +56,11 @@
         'handshaking',
         'closing',
         'mask',
+        'queued_bytes',
+        'sent_bytes',
+        'read_bytes',
+        'reading',
+        'on_queue',
     )
 
     def __init__(
@@ -49,7 +73,14 @@
         self.poller = loop
         self.sock = sock
         self.fd = sock.fileno()
-        self.outgoing: collections.deque[bytes] = collections.deque()
+        self.outgoing: collections.deque[bytes | memoryview] = (
+            collections.deque()
+        )
+        self.queued_bytes = 0
+        self.sent_bytes = 0
+        self.read_bytes = READ_BYTES
+        self.reading = True
+        self.on_queue: typing.Callable[[], None] = _ignore
         self.on_bytes: typing.Callable[[bytes], None] = _ignore
         self.on_open: typing.Callable[[], None] = _ignore
         self.on_close: typing.Callable[[], None] = _ignore
@@ -71,16 +102,41 @@
         if self.closed:
             return
         self.outgoing.append(chunk)
+        self.queued_bytes += len(chunk)
         if len(self.outgoing) == 1 and not (
             self.connecting or self.handshaking
         ):
             self._flush()
+        else:
+            self.on_queue()
+
+    def pause(self) -> None:
+        """Leave received bytes to the kernel, which slows the peer down."""
+        if self.reading:
+            self.reading = False
+            self._update_mask()
+
+    def resume(self) -> None:
+        """Read received bytes again."""
+        if self.reading or self.closing:
+            return
+        self.reading = True
+        self._update_mask()
+        if isinstance(self.sock, ssl.SSLSocket):
+            self.poller.call_soon(self._receive_rest)
 
     def finish(self) -> None:
-        """Close the socket after all queued bytes were written."""
+        """Close the socket after all queued bytes were written.
+
+        Nothing more is read. A peer that does not read the queued bytes in time
+        is disconnected.
+        """
         self.closing = True
         if not self.outgoing:
             self.close()
+        elif not self.closed:
+            self.pause()
+            self.poller.call_later(_FINISH_MS, self.close)
 
     def close(self) -> None:
         """Close the socket now; `on_close` is not called."""
@@ -89,6 +145,8 @@
         self.poller.forget(self.fd)
         self.fd = -1
         self.sock.close()
+        # Callbacks make cycles, so that the stream lives on for a while.
+        self.outgoing.clear()
 
     def fail(self) -> None:
         """Close the socket after an error and call `on_close`."""
@@ -101,7 +159,7 @@
             return
         if self.handshaking and not self._finish_handshake():
             return
-        if mask & poller.READABLE:
+        if mask & poller.READABLE and self.reading:
             self._receive()
         elif mask & _HANGUP:
             self.fail()
@@ -137,14 +195,14 @@
         return not self.closed
 
     def _opened(self) -> None:
-        self._set_mask(poller.READABLE)
+        self._update_mask()
         self.on_open()
         if self.outgoing and not self.closed:
             self._flush()
 
     def _receive(self) -> None:
         try:
-            chunk = self.sock.recv(READ_BYTES)
+            chunk = self.sock.recv(self.read_bytes)
         except _RETRY:
             return
         except OSError:
@@ -160,9 +218,13 @@
     def _receive_pending(self) -> None:
         # epoll does not report bytes that the TLS layer has already
         # decrypted and buffered.
-        if self.sock.pending():
+        if self.reading and self.sock.pending():
             self._receive()
 
+    def _receive_rest(self) -> None:
+        if not self.closed and not self.handshaking:
+            self._receive_pending()
+
     def _flush(self) -> None:
         while self.outgoing:
             chunk = self.outgoing[0]
@@ -173,19 +235,31 @@
             except OSError:
                 self.fail()
                 return
+            self.sent_bytes += sent
             if sent < len(chunk):
-                self.outgoing[0] = chunk[sent:]
+                self.outgoing[0] = memoryview(chunk)[sent:]
                 break
             self.outgoing.popleft()
+            # A chunk occupies its memory until it is sent completely.
+            self.queued_bytes -= _size(chunk)
         self._after_flush()
 
     def _after_flush(self) -> None:
-        if self.outgoing:
-            self._set_mask(poller.READABLE | poller.WRITABLE)
-        elif self.closing:
+        if self.closing and not self.outgoing:
             self.close()
-        else:
-            self._set_mask(poller.READABLE)
+            return
+        waited = self.mask & poller.WRITABLE
+        self._update_mask()
+        if waited or self.outgoing:
+            self.on_queue()
+
+    def _update_mask(self) -> None:
+        if self.closed or self.connecting or self.handshaking:
+            return
+        mask = poller.READABLE if self.reading else 0
+        if self.outgoing:
+            mask |= poller.WRITABLE
+        self._set_mask(mask)
 
     def _set_mask(self, mask: int) -> None:
         if mask != self.mask:
@@ -270,10 +344,15 @@
     def _on_ready(self, mask: int) -> None:
         try:
             accepted, _address = self.sock.accept()
-        except OSError:
+        except OSError as error:
+            if error.errno in _EXHAUSTED:
+                self._pause()
             return
         accepted.setblocking(False)
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        accepted.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _UNSENT_BYTES
+        )
         if self.tls is not None:
             try:
                 accepted = self.tls.wrap_socket(
@@ -287,6 +366,16 @@
                 return
         self.on_stream(Stream(self.poller, accepted))
 
+    def _pause(self) -> None:
+        self.poller.forget(self.sock.fileno())
+        self.poller.call_later(_ACCEPT_PAUSE_MS, self._resume)
+
+    def _resume(self) -> None:
+        if self.sock.fileno() >= 0:
+            self.poller.watch(
+                self.sock.fileno(), poller.READABLE, self._on_ready
+            )
+
 
 def _tcp_socket(host: str) -> socket.socket:
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
@@ -296,5 +385,10 @@
     return sock
 
 
+def _size(chunk: bytes | memoryview) -> int:
+    """Return the size of the whole chunk, of which a part may remain."""
+    return len(chunk.obj) if isinstance(chunk, memoryview) else len(chunk)
+
+
 def _ignore(*_args: typing.Any) -> None:
     """Do nothing; default of an unset callback."""
--- /dev/null
+++ b/jacinthhaven/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Accounting of what connections hold, and decisions on their limits."""
--- a/jacinthhaven/platform/node_sockets.py
+++ b/jacinthhaven/platform/node_sockets.py
@@ -6,7 +6,8 @@
 import typing
 
 from jacinthhaven.adapters import poller, streams
-from jacinthhaven.platform import peer_wire, sockets, words
+from jacinthhaven.limits import guard
+from jacinthhaven.platform import connections, peer_wire, sockets, words
 from jacinthhaven.records import history
 from jacinthhaven.sql import ports, records, statements
 
@@ -16,6 +17,8 @@
 # The store holds values of up to 1 MB, which quoting can make twice as long.
 _MAX_COPY_BYTES = 2_200_000
 
+_TUNNEL = peer_wire.TUNNEL.removesuffix(words.END).decode()
+
 Copy = typing.Callable[[], tuple[int, str]]
 
 
@@ -23,6 +26,7 @@
     """Accepts connections of nodes that borrow a link to an instance.
 
     Attributes:
+      guard: Limits of the connections of this process.
       on_request: Called with the number and the requested service, customer
         and instance.
       on_line: Called with the number and a command for the instance.
@@ -37,11 +41,14 @@
         store, and the bytes that were received for it.
     """
 
-    def __init__(self, loop: poller.Poller) -> None:
+    def __init__(
+        self, loop: poller.Poller, limits: guard.Guard | None = None
+    ) -> None:
         """Create the object without a listener."""
         self.poller = loop
+        self.guard = limits or guard.Guard()
         self.numbers = itertools.count(1)
-        self.connections: dict[int, sockets.ClientConnection] = {}
+        self.connections: dict[int, connections.ClientConnection] = {}
         self.listener: streams.Listener | None = None
         self.on_request: typing.Callable[[int, str, str, str], None] = (
             sockets.ignore
@@ -49,7 +56,7 @@
         self.on_line: typing.Callable[[int, str], None] = sockets.ignore
         self.on_returned: typing.Callable[[int], None] = sockets.ignore
         self.on_relayed: typing.Callable[
-            [streams.Stream, int, str, str],
+            [connections.ClientConnection, int, str, str],
             None,
         ] = sockets.ignore
         self.configuration: Copy = _nothing
@@ -74,7 +81,7 @@
 
     def refuse(self, number: int) -> None:
         """Refuse for lack of a free link and close the connection."""
-        connection = self.connections.pop(number, None)
+        connection = self._remove(number)
         if connection is not None:
             refusal = words.encode_refusal(statements.Code.CONNECTION_LIMIT)
             connection.stream.send(refusal)
@@ -88,57 +95,66 @@
 
     def end(self, number: int) -> None:
         """Close the connection after the link was lost."""
-        connection = self.connections.pop(number, None)
+        connection = self._remove(number)
         if connection is not None:
             connection.stream.finish()
 
     def _on_stream(self, stream: streams.Stream) -> None:
-        sockets.limit_silence(stream)
-        connection = sockets.ClientConnection(stream, next(self.numbers))
+        if not self.guard.admit():
+            stream.close()
+            return
+        connections.limit_silence(stream)
+        account = self.guard.open()
+        connection = connections.ClientConnection(
+            self.guard, stream, account, next(self.numbers)
+        )
         self.connections[connection.number] = connection
-        stream.on_bytes = functools.partial(self._on_bytes, connection)
+        connection.on_line = functools.partial(self._on_text, connection)
+        connection.on_malformed = functools.partial(self._abandon, connection)
         stream.on_close = functools.partial(self._on_close, connection)
+        account.close = connection.on_malformed
 
-    def _on_bytes(
-        self, connection: sockets.ClientConnection, chunk: bytes
+    def _on_text(
+        self, connection: connections.ClientConnection, line: str
     ) -> None:
-        if not connection.started:
-            received = connection.reader.rest + chunk
-            if received.startswith(peer_wire.TUNNEL):
-                self.connections.pop(connection.number)
-                first = received.removeprefix(peer_wire.TUNNEL)
-                self.on_tunnel(connection.stream, first)
-                return
-        try:
-            for line in connection.reader.feed(chunk):
-                self._on_text(connection, line)
-        except words.MalformedLineError:
-            connection.stream.close()
-            self._on_close(connection)
-
-    def _on_text(self, connection: sockets.ClientConnection, line: str) -> None:
-        if connection.number not in self.connections:
-            return
         if connection.started:
             self.on_line(connection.number, line)
             return
-        connection.started = True
+        connection.start()
+        if line == _TUNNEL:
+            rest = connection.pass_on()
+            self._remove(connection.number)
+            self.on_tunnel(connection.stream, rest)
+            return
         if line == peer_wire.COPY:
-            self.connections.pop(connection.number)
-            connection.stream.send(peer_wire.encode_copy(*self.configuration()))
-            connection.stream.finish()
+            self._send_copy(connection)
             return
         relayed = peer_wire.decode_relayed(line)
         if relayed is None:
             self.on_request(connection.number, *peer_wire.decode_loan(line))
             return
         self.connections.pop(connection.number)
-        self.on_relayed(connection.stream, *relayed)
+        self.on_relayed(connection, *relayed)
 
-    def _on_close(self, connection: sockets.ClientConnection) -> None:
-        if self.connections.pop(connection.number, None) is not None:
+    def _send_copy(self, connection: connections.ClientConnection) -> None:
+        self._remove(connection.number)
+        connection.stream.send(peer_wire.encode_copy(*self.configuration()))
+        connection.stream.finish()
+
+    def _abandon(self, connection: connections.ClientConnection) -> None:
+        connection.stream.close()
+        self._on_close(connection)
+
+    def _on_close(self, connection: connections.ClientConnection) -> None:
+        if self._remove(connection.number) is not None:
             self.on_returned(connection.number)
 
+    def _remove(self, number: int) -> connections.ClientConnection | None:
+        connection = self.connections.pop(number, None)
+        if connection is not None:
+            connection.end()
+        return connection
+
 
 class CopySockets(ports.ConfigurationCopies):
     """Connections that fetch the configuration of other nodes."""
@@ -183,21 +199,36 @@
     return history.NONE, ''
 
 
+class _RelayConnection:
+    """Connection to an owner."""
+
+    __slots__ = ('stream', 'reader', 'number')
+
+    def __init__(self, stream: streams.Stream, number: int) -> None:
+        self.stream = stream
+        self.reader = words.LineReader()
+        self.number = number
+
+
 class RelaySockets(ports.Relays):
     """Connections to owners, which execute relayed sessions.
 
     Attributes:
+      guard: Limits of the connections of this process.
       on_line: Called with the number, a line and, if the line ends a reply,
         the transaction state in it.
       on_alive: Called with the number when the owner answers a ping.
       on_lost: Called with the number of a connection that was lost.
     """
 
-    def __init__(self, loop: poller.Poller) -> None:
+    def __init__(
+        self, loop: poller.Poller, limits: guard.Guard | None = None
+    ) -> None:
         """Start without connections."""
         self.poller = loop
+        self.guard = limits or guard.Guard()
         self.numbers = itertools.count(1)
-        self.connections: dict[int, sockets.ClientConnection] = {}
+        self.connections: dict[int, _RelayConnection] = {}
         self.on_line: typing.Callable[
             [int, str, statements.State | None],
             None,
@@ -215,9 +246,10 @@
         """Connect to an owner and ask it to execute a session."""
         number = next(self.numbers)
         stream = streams.connect(self.poller, address)
-        sockets.limit_silence(stream)
-        connection = sockets.ClientConnection(stream, number)
+        connections.limit_silence(stream)
+        connection = _RelayConnection(stream, number)
         self.connections[number] = connection
+        self.guard.ledger.relays += 1
         stream.on_bytes = functools.partial(self._on_bytes, connection)
         stream.on_close = functools.partial(self._on_close, connection)
         stream.send(peer_wire.encode_relayed(database, version, key_digest))
@@ -233,7 +265,7 @@
 
     def close(self, number: int) -> None:
         """Close a connection; no callback is called for it afterwards."""
-        connection = self.connections.pop(number, None)
+        connection = self._remove(number)
         if connection is not None:
             connection.stream.close()
 
@@ -242,9 +274,7 @@
         if connection is not None:
             connection.stream.send(chunk)
 
-    def _on_bytes(
-        self, connection: sockets.ClientConnection, chunk: bytes
-    ) -> None:
+    def _on_bytes(self, connection: _RelayConnection, chunk: bytes) -> None:
         try:
             lines = connection.reader.feed(chunk)
         except words.MalformedLineError:
@@ -259,6 +289,12 @@
             else:
                 self.on_line(connection.number, line, words.ready_state(line))
 
-    def _on_close(self, connection: sockets.ClientConnection) -> None:
-        if self.connections.pop(connection.number, None) is not None:
+    def _on_close(self, connection: _RelayConnection) -> None:
+        if self._remove(connection.number) is not None:
             self.on_lost(connection.number)
+
+    def _remove(self, number: int) -> _RelayConnection | None:
+        connection = self.connections.pop(number, None)
+        if connection is not None:
+            self.guard.ledger.relays -= 1
+        return connection
--- a/jacinthhaven/platform/sockets.py
+++ b/jacinthhaven/platform/sockets.py
@@ -6,8 +6,10 @@
 import typing
 
 from jacinthhaven.adapters import poller, streams
+from jacinthhaven.limits import accounts, guard
 from jacinthhaven.platform import (
     client_wire,
+    connections,
     instance_wire,
     peer_wire,
     reply_reader,
@@ -15,39 +17,14 @@
 )
 from jacinthhaven.sql import commands, ports, records, statements
 
-# A connection fails if sent bytes stay unacknowledged this long, as they do
-# when the host is down.
-_USER_TIMEOUT_MS = 4000
 _OnReply = typing.Callable[[int, statements.Reply | None], None]
 
 
-def limit_silence(stream: streams.Stream) -> None:
-    """Let the kernel end a connection whose peer acknowledges nothing."""
-    stream.sock.setsockopt(
-        socket.IPPROTO_TCP,
-        socket.TCP_USER_TIMEOUT,
-        _USER_TIMEOUT_MS,
-    )
-
-
-class ClientConnection:
-    """Connection of a client or of another node."""
-
-    __slots__ = ('stream', 'reader', 'number', 'started', 'undelivered')
-
-    def __init__(self, stream: streams.Stream, number: int) -> None:
-        self.stream = stream
-        self.reader = words.LineReader()
-        self.number = number
-        self.started = False
-        # Lines of the last chunk that were not passed on yet.
-        self.undelivered = 0
-
-
 class ClientSockets(ports.Clients):
     """Accepts client connections and sends the answers.
 
     Attributes:
+      guard: Limits of the connections of this process.
       on_start: Called with the number and database of a new session, and the
         digest of the client's key.
       on_statement: Called with the number and a statement.
@@ -55,11 +32,14 @@
       on_malformed: Called for each connection that sends malformed input.
     """
 
-    def __init__(self, loop: poller.Poller) -> None:
+    def __init__(
+        self, loop: poller.Poller, limits: guard.Guard | None = None
+    ) -> None:
         """Create the object without a listener."""
         self.poller = loop
+        self.guard = limits or guard.Guard()
         self.numbers = itertools.count(1)
-        self.connections: dict[int, ClientConnection] = {}
+        self.connections: dict[int, connections.ClientConnection] = {}
         self.listener: streams.Listener | None = None
         self.on_start: typing.Callable[[int, str, str], None] = ignore
         self.on_statement: typing.Callable[
@@ -78,22 +58,37 @@
         )
         return self.listener.port
 
-    def adopt(self, stream: streams.Stream) -> int:
+    def adopt(
+        self,
+        stream: streams.Stream,
+        account: accounts.Account | None = None,
+        rest: bytes = b'',
+    ) -> int:
         """Add a session that another node relays.
 
         Args:
           stream: Connection from the node, whose first line was already read.
+          account: What is held for the connection; None for a new account.
+          rest: Received bytes after the first line. They are delivered after
+            the caller has opened the session.
 
         Returns:
           Number of the session.
         """
-        connection = self._add(stream)
-        connection.started = True
+        if account is None:
+            account = self.guard.open()
+        connection = self._add(stream, account)
+        connection.relayed = True
+        connection.start()
+        if rest:
+            connection.reader.add(rest)
+            self.poller.call_soon(connection.deliver)
         return connection.number
 
     def send_line(self, number: int, line: str) -> None:
         """Forward a line of the session's owner to the client."""
-        self._send(number, words.encode([line]))
+        state = words.ready_state(line)
+        self._send(number, words.encode([line]), state)
 
     def stop_accepting(self) -> None:
         """Close the listener."""
@@ -103,21 +98,24 @@
     def accept(self, number: int) -> None:
         """Tell the client that its session is open."""
         self._send(number, words.encode_accept())
+        connection = self.connections.get(number)
+        if connection is not None:
+            connection.open()
 
     def refuse(self, number: int, code: statements.Code) -> None:
         """Refuse the session and close the connection."""
-        connection = self.connections.pop(number, None)
+        connection = self._remove(number)
         if connection is not None:
             connection.stream.send(words.encode_refusal(code))
             connection.stream.finish()
 
     def answer(self, number: int, answer: statements.Answer) -> None:
         """Send the answer to the oldest unanswered statement."""
-        self._send(number, client_wire.encode_answer(answer))
+        self._send(number, client_wire.encode_answer(answer), answer.state)
 
     def close(self, number: int) -> None:
         """Close an idle connection once its last answer has been written."""
-        connection = self.connections.pop(number, None)
+        connection = self._remove(number)
         if connection is not None:
             connection.stream.finish()
 
@@ -126,7 +124,7 @@
         connection = self.connections.get(number)
         if connection is None:
             return False
-        if connection.undelivered or connection.reader.rest:
+        if connection.reader.size:
             return True
         try:
             waiting = connection.stream.sock.recv(1, socket.MSG_PEEK)
@@ -135,43 +133,57 @@
             return False
         return bool(waiting)
 
-    def _send(self, number: int, chunk: bytes) -> None:
+    def set_kept(self, number: int, size: int) -> None:
+        """Record the bytes of settings and prepared statements of a session."""
         connection = self.connections.get(number)
         if connection is not None:
-            connection.stream.send(chunk)
+            connection.account.record_kept(size)
+
+    def _send(
+        self,
+        number: int,
+        chunk: bytes,
+        state: statements.State | None = None,
+    ) -> None:
+        """Send bytes; the state is given if they end an answer."""
+        connection = self.connections.get(number)
+        if connection is not None:
+            connection.send(chunk, state)
 
     def _on_stream(self, stream: streams.Stream) -> None:
-        limit_silence(stream)
-        self._add(stream)
+        if not self.guard.admit():
+            stream.close()
+            return
+        connections.limit_silence(stream)
+        self._add(stream, self.guard.open())
 
-    def _add(self, stream: streams.Stream) -> ClientConnection:
+    def _add(
+        self, stream: streams.Stream, account: accounts.Account
+    ) -> connections.ClientConnection:
         number = next(self.numbers)
-        connection = ClientConnection(stream, number)
+        connection = connections.ClientConnection(
+            self.guard, stream, account, number
+        )
         self.connections[number] = connection
-        stream.on_bytes = functools.partial(self._on_bytes, connection)
+        connection.on_line = functools.partial(self._on_line, connection)
+        connection.on_malformed = functools.partial(
+            self._on_malformed, connection
+        )
         stream.on_close = functools.partial(self._on_close, connection)
+        account.close = functools.partial(self._abandon, connection)
         return connection
 
-    def _on_bytes(self, connection: ClientConnection, chunk: bytes) -> None:
-        try:
-            self._on_lines(connection, connection.reader.feed(chunk))
-        except words.MalformedLineError:
-            self.on_malformed()
-            if not connection.stream.closed:
-                self.refuse(connection.number, statements.Code.MALFORMED)
-                self.on_closed(connection.number)
-
-    def _on_lines(self, connection: ClientConnection, lines: list[str]) -> None:
-        connection.undelivered = len(lines)
-        for line in lines:
-            connection.undelivered -= 1
-            self._on_line(connection, line)
-
-    def _on_line(self, connection: ClientConnection, line: str) -> None:
-        if connection.number not in self.connections:
-            return
+    def _on_malformed(self, connection: connections.ClientConnection) -> None:
+        self.on_malformed()
+        if not connection.stream.closed:
+            self.refuse(connection.number, statements.Code.MALFORMED)
+            self.on_closed(connection.number)
+
+    def _on_line(
+        self, connection: connections.ClientConnection, line: str
+    ) -> None:
         if not connection.started:
-            connection.started = True
+            connection.begin_start()
             self.on_start(connection.number, *client_wire.decode_start(line))
             return
         if line == peer_wire.PING:
@@ -179,15 +191,26 @@
             return
         statement = client_wire.decode_query(line)
         if statement is None:
-            connection.stream.close()
-            self._on_close(connection)
+            self._abandon(connection)
         else:
+            connection.account.add_statement(len(line), self.guard.now_ms)
             self.on_statement(connection.number, statement)
 
-    def _on_close(self, connection: ClientConnection) -> None:
-        if self.connections.pop(connection.number, None) is not None:
+    def _abandon(self, connection: connections.ClientConnection) -> None:
+        """Close a connection now, without its remaining answers."""
+        connection.stream.close()
+        self._on_close(connection)
+
+    def _on_close(self, connection: connections.ClientConnection) -> None:
+        if self._remove(connection.number) is not None:
             self.on_closed(connection.number)
 
+    def _remove(self, number: int) -> connections.ClientConnection | None:
+        connection = self.connections.pop(number, None)
+        if connection is not None:
+            connection.end()
+        return connection
+
 
 class _LinkConnection:
     __slots__ = ('stream', 'lines', 'replies', 'number', 'opened')
@@ -241,7 +264,7 @@
         """
         number = next(self.numbers)
         stream = streams.connect(self.poller, lender or instance.address)
-        limit_silence(stream)
+        connections.limit_silence(stream)
         connection = _LinkConnection(stream, number)
         self.connections[number] = connection
         stream.on_bytes = functools.partial(self._on_bytes, connection)
--- a/jacinthhaven/platform/store_tunnel.py
+++ b/jacinthhaven/platform/store_tunnel.py
@@ -4,7 +4,7 @@
 import typing
 
 from jacinthhaven.adapters import poller, streams
-from jacinthhaven.platform import sockets
+from jacinthhaven.platform import connections
 from jacinthhaven.sql import records
 
 # Longer than a poll of a watch waits, after which bytes pass in both directions.
@@ -86,7 +86,7 @@
             return
         self.opened += 1
         upstream = streams.connect(self.poller, self.store)
-        sockets.limit_silence(upstream)
+        connections.limit_silence(upstream)
         tunnel = _Tunnel(self.poller, node, upstream)
         if first:
             tunnel.forward(upstream, first)
--- a/jacinthhaven/platform/words.py
+++ b/jacinthhaven/platform/words.py
@@ -11,6 +11,8 @@
 END = b'\r\n'
 MAX_LINE_BYTES = 1_048_576
 NONE = '-'
+# Size from which the beginning of an unfinished line becomes a block.
+_BLOCK_BYTES = 16_384
 
 _ENCODING = 'latin-1'
 
@@ -53,13 +55,70 @@
 
 
 class LineReader:
-    """Splits received bytes into lines with a size limit."""
+    """Splits received bytes into lines with a size limit.
 
-    __slots__ = ('rest',)
+    The bytes of an unfinished line are kept in blocks, which are joined once.
+
+    Attributes:
+      blocks: Beginning of an unfinished line, without an end of a line.
+      pending: Bytes after these blocks.
+      scanned: Number of pending bytes that contain no end of a line.
+      blocks_size: Size of all blocks.
+    """
+
+    __slots__ = ('blocks', 'pending', 'scanned', 'blocks_size')
 
     def __init__(self) -> None:
         """Start with an empty buffer."""
-        self.rest = b''
+        self.blocks: list[bytes] = []
+        self.pending = bytearray()
+        self.scanned = 0
+        self.blocks_size = 0
+
+    @property
+    def size(self) -> int:
+        """Return the number of bytes that were not returned as lines."""
+        return self.blocks_size + len(self.pending)
+
+    def add(self, chunk: bytes) -> None:
+        """Add received bytes."""
+        self.pending += chunk
+
+    def next_line(self) -> str | None:
+        """Remove and return the next complete line, or None if there is none.
+
+        The time is linear in the received bytes, whatever their pieces: each
+        byte is searched once and copied a few times.
+
+        Raises:
+          MalformedLineError: If a line is longer than the limit.
+        """
+        end = self.pending.find(END, self.scanned)
+        length = end
+        if end < 0:
+            # The last byte may be the first one of an end.
+            half_ended = self.pending.endswith(END[:1])
+            length = len(self.pending) - half_ended
+        if self.blocks_size + length > MAX_LINE_BYTES:
+            raise MalformedLineError('line exceeds the size limit')
+        if end < 0:
+            self.scanned = length
+            if length >= _BLOCK_BYTES:
+                self._store_block(length)
+            return None
+        return self._take(end)
+
+    def starts_with(self, line: bytes) -> bool:
+        """Return whether the next line is a given one with its end."""
+        return not self.blocks and self.pending.startswith(line)
+
+    def take_rest(self) -> bytes:
+        """Remove and return all bytes that were not returned as lines."""
+        rest = b''.join((*self.blocks, self.pending))
+        self._clear_blocks()
+        self.pending.clear()
+        self.scanned = 0
+        return rest
 
     def feed(self, chunk: bytes) -> list[str]:
         """Add received bytes and return the lines that they complete.
@@ -67,12 +126,35 @@
         Raises:
           MalformedLineError: If a line is longer than the limit.
         """
-        *lines, rest = (self.rest + chunk).split(END)
-        self.rest = rest
-        longest = max(map(len, lines), default=0)
-        if max(longest, len(self.rest)) > MAX_LINE_BYTES:
-            raise MalformedLineError('line exceeds the size limit')
-        return [line.decode(_ENCODING) for line in lines]
+        self.add(chunk)
+        lines = []
+        line = self.next_line()
+        while line is not None:
+            lines.append(line)
+            line = self.next_line()
+        return lines
+
+    def _take(self, end: int) -> str:
+        line = self.pending[:end]
+        if self.blocks:
+            line = b''.join((*self.blocks, line))
+            self._clear_blocks()
+        self._drop(end + len(END))
+        return line.decode(_ENCODING)
+
+    def _store_block(self, length: int) -> None:
+        self.blocks.append(bytes(self.pending[:length]))
+        self.blocks_size += length
+        self._drop(length)
+
+    def _drop(self, length: int) -> None:
+        # This moves the start of the buffer and copies nothing.
+        del self.pending[:length]  # noqa: WPS420
+        self.scanned = 0
+
+    def _clear_blocks(self) -> None:
+        self.blocks = []
+        self.blocks_size = 0
 
 
 def encode(lines: list[str]) -> bytes:
--- a/jacinthhaven/process/sql_proxy.py
+++ b/jacinthhaven/process/sql_proxy.py
@@ -21,17 +21,17 @@
     poller,
     prometheus,
     sql_settings_file,
-    streams,
 )
 from jacinthhaven.decide import messages
 from jacinthhaven.kernel import clock
 from jacinthhaven.platform import (
+    connections,
     node_sockets,
     plugin,
     sockets,
     store_tunnel,
 )
-from jacinthhaven.process import ticker
+from jacinthhaven.process import client_limits, ticker
 from jacinthhaven.records import sql_settings
 from jacinthhaven.sql import (
     node,
@@ -181,10 +181,13 @@
         logging.getLogger().addHandler(self.log.handler)
         self.page = prometheus.MetricsPage(self.poller)
         self.journal = ProcessJournal(self.log, self.page)
-        self.clients = sockets.ClientSockets(self.poller)
+        limits = client_limits.ClientLimits(
+            settings.limits, self.journal, self.page
+        )
+        self.clients = sockets.ClientSockets(self.poller, limits.guard)
         self.databases = sockets.DatabaseSockets(self.poller)
-        self.borrowers = node_sockets.BorrowerSockets(self.poller)
-        self.relays = node_sockets.RelaySockets(self.poller)
+        self.borrowers = node_sockets.BorrowerSockets(self.poller, limits.guard)
+        self.relays = node_sockets.RelaySockets(self.poller, limits.guard)
         self.messenger = NodeMessenger(self.poller, self.journal)
         self.health = http_server.Server(self.poller, self._on_health)
         self.node = node.Node(
@@ -216,6 +219,8 @@
             ),
         )
         self._connect()
+        limits.limit_texts(self.node.gateway, self.clients)
+        limits.start(self.poller)
         self.next_gauge_ms = 0
         self.exit_code: int | None = None
 
@@ -309,12 +314,14 @@
 
     def _on_relayed(
         self,
-        stream: streams.Stream,
+        connection: connections.ClientConnection,
         version: int,
         database: str,
         key_digest: str,
     ) -> None:
-        number = self.clients.adopt(stream)
+        number = self.clients.adopt(
+            connection.stream, connection.account, connection.pass_on()
+        )
         self.node.gateway.on_relayed(number, database, version, key_digest)
 
     def _copy_configuration(self) -> tuple[int, str]:
--- a/jacinthhaven/records/sql_settings.py
+++ b/jacinthhaven/records/sql_settings.py
@@ -42,6 +42,7 @@
 
 Wait = typing.Annotated[int, msgspec.Meta(ge=100, le=30_000)]
 Grace = typing.Annotated[int, msgspec.Meta(ge=1000)]
+Count = typing.Annotated[int, msgspec.Meta(ge=1)]
 Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
 Name = typing.Annotated[str, msgspec.Meta(min_length=1)]
 Addresses = tuple[Address, ...]
@@ -121,6 +122,35 @@
     flush_ms: FlushTime = 200
 
 
+class Limits(_Section, frozen=True):
+    """Limits against clients that misbehave.
+
+    Attributes:
+      memory_mb: Memory of the VM in MB.
+      max_fds: Descriptors that the process may open, if the operating system
+        does not allow fewer.
+      connection_kb: Bytes that one connection may hold, in KiB.
+      queued_kb: Unanswered statements and unsent answers of a connection, in
+        KiB, from which it is not read.
+      kept_kb: Settings and prepared statements of a session, in KiB.
+      pipelined: Unanswered statements of a connection from which it is not
+        read.
+      start_timeout_ms: Time in which a connection must open a session.
+      message_timeout_ms: Time in which a message must be complete.
+      reader_timeout_ms: Time in which a part of queued answers must be read.
+    """
+
+    memory_mb: Count = 512
+    max_fds: Count = 1_048_576
+    connection_kb: Count = 8192
+    queued_kb: Count = 256
+    kept_kb: Count = 2048
+    pipelined: Count = 16
+    start_timeout_ms: Count = 30_000
+    message_timeout_ms: Count = 30_000
+    reader_timeout_ms: Count = 10_000
+
+
 class SqlSettings(_Section, frozen=True):
     """Settings of one process.
 
@@ -134,6 +164,7 @@
       first_start: Whether the whole system starts for the first time.
       log: Destination of the log.
       processor: Processor of the VM.
+      limits: Limits against clients that misbehave.
       seeds: Addresses of nodes through which this one may reach the store
         before it knows any other. Only their hosts count: nodes accept each
         other on the port of `listeners.peers`, which is the same on all VMs.
@@ -148,6 +179,7 @@
     first_start: bool = False
     log: Log = Log()
     processor: Processor = Processor()
+    limits: Limits = Limits()
     seeds: Addresses = ()
 
     @property
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -6,6 +6,7 @@
 
 import typing
 
+from jacinthhaven.limits import kept_texts
 from jacinthhaven.sql import (
     customer_keys,
     execution,
@@ -44,6 +45,7 @@
       draining: Whether inactive sessions are closed.
       close_after_answer: Whether a session is closed once its statement is
         answered, because the process is about to exit.
+      kept: Limit of the settings and prepared statements of sessions.
       refused_verbs: Statements that are refused for the same reason.
     """
 
@@ -69,6 +71,7 @@
         self.pending_starts: list[tuple[int, str, str]] = []
         self.route_check = route_check.RouteCheck()
         self.key_check = customer_keys.KeyCheck()
+        self.kept = kept_texts.KeptTexts()
         self.draining = False
         self.close_after_answer = False
         self.refused_verbs: frozenset[statements.Verb] = frozenset()
@@ -246,6 +249,8 @@
             work.done = True
             service_group = self.groups[work.route.service]
             service_group.cancel(work)
+            # The cycle would keep the statement until a collection.
+            session.work = None
         self.end_transaction(session, now_ms)
 
     def tick(self, now_ms: int) -> None:
--- a/jacinthhaven/sql/links.py
+++ b/jacinthhaven/sql/links.py
@@ -10,6 +10,7 @@
 import hashlib
 import typing
 
+from jacinthhaven.limits import kept_texts
 from jacinthhaven.sql import (
     commands,
     leadership,
@@ -34,7 +35,7 @@
       customer: Name of the customer that the instance was told, or ''. Only
         statements of this customer may run on it.
       ready: Whether the connection is open and the instance accepted it.
-      settings: Session settings in effect on it.
+      settings: Session settings in effect on it, long texts as digests.
       prepared: Names of the statements that are prepared on it.
       steps: Commands that are still to be sent.
       in_flight: Command whose reply is awaited.
@@ -149,9 +150,12 @@
 ) -> list[commands.Command]:
     """Return the commands that set a link up for a session's statement."""
     steps: list[commands.Command] = []
+    wanted = {
+        kept_texts.shortened(name): kept_texts.shortened(text)
+        for name, text in session.settings.items()
+    }
     mismatched = any(
-        session.settings.get(name) != text
-        for name, text in link.settings.items()
+        wanted.get(name) != text for name, text in link.settings.items()
     )
     prepared = session.prepared.get(statement.name)
     if statement.verb is not statements.Verb.EXECUTE:
@@ -162,7 +166,7 @@
     steps.extend(
         commands.SetValue(name, text)
         for name, text in session.settings.items()
-        if current.get(name) != text
+        if current.get(kept_texts.shortened(name)) != kept_texts.shortened(text)
     )
     if prepared is not None:
         name = prepared_name(prepared)
@@ -181,7 +185,8 @@
             link.settings.clear()
             link.prepared.clear()
         case commands.SetValue(name=name, text=text):
-            link.settings[name] = text
+            short_name = kept_texts.shortened(name)
+            link.settings[short_name] = kept_texts.shortened(text)
         case commands.Prepare(name=name):
             link.prepared.add(name)
 
--- a/jacinthhaven/sql/local_statements.py
+++ b/jacinthhaven/sql/local_statements.py
@@ -7,6 +7,7 @@
 import types
 import typing
 
+from jacinthhaven.limits import kept_texts
 from jacinthhaven.sql import records, sessions, statements
 
 
@@ -15,6 +16,7 @@
 
     configuration: records.Configuration
     journal: typing.Any
+    kept: kept_texts.KeptTexts
 
     def execute(
         self,
@@ -101,6 +103,13 @@
     now_ms: int,
 ) -> None:
     """Store a session setting."""
+    known = session.settings.get(statement.name)
+    if known is None and len(session.settings) >= kept_texts.MAX_SETTINGS:
+        _refuse_text(gateway, session)
+        return
+    argument = statement.argument
+    if not _keep(gateway, session, statement.name, argument, known):
+        return
     session.settings[statement.name] = statement.argument
     gateway.answer_success(session)
 
@@ -113,6 +122,11 @@
 ) -> None:
     """Store a prepared statement."""
     kind, _, shape = statement.argument.partition(' ')
+    known = session.prepared.get(statement.name)
+    if not _keep(
+        gateway, session, statement.name, shape, known and known.shape
+    ):
+        return
     session.prepared[statement.name] = statements.Prepared(
         kind == statements.Verb.WRITE.value,
         shape,
@@ -127,16 +141,44 @@
     now_ms: int,
 ) -> None:
     """Forget a prepared statement."""
-    if session.prepared.pop(statement.name, None) is None:
+    known = session.prepared.pop(statement.name, None)
+    if known is None:
         gateway.answer_error(
             session,
             statements.Code.UNKNOWN_STATEMENT,
             statement.name,
         )
     else:
+        size = kept_texts.size(statement.name, known.shape)
+        gateway.kept.replace(session, size, 0)
         gateway.answer_success(session)
 
 
+def _keep(
+    gateway: LocalGateway,
+    session: sessions.Session,
+    name: str,
+    text: str,
+    known: str | None,
+) -> bool:
+    """Count a text in place of the known one of that name, or refuse it.
+
+    Returns:
+      Whether the session may keep the text.
+    """
+    replaced = 0 if known is None else kept_texts.size(name, known)
+    if gateway.kept.replace(session, replaced, kept_texts.size(name, text)):
+        return True
+    _refuse_text(gateway, session)
+    return False
+
+
+def _refuse_text(gateway: LocalGateway, session: sessions.Session) -> None:
+    gateway.answer_error(
+        session, statements.Code.TOO_LARGE, 'session keeps too much'
+    )
+
+
 def refuse_invalid(
     gateway: LocalGateway,
     session: sessions.Session,
--- a/jacinthhaven/sql/sessions.py
+++ b/jacinthhaven/sql/sessions.py
@@ -77,11 +77,13 @@
       work: Statement that is queued or executing, if any.
       waiting: Pipelined statements, received before the previous answer.
       active_ms: Time of the opening, or of the last statement or answer.
+      kept_bytes: Size of the settings and prepared statements.
     """
 
     __slots__ = (
         'number',
         'database',
+        'kept_bytes',
         'key_digest',
         'settings',
         'prepared',
@@ -100,6 +102,7 @@
         self.active_ms = now_ms
         self.number = number
         self.database = database
+        self.kept_bytes = 0
         self.settings: dict[str, str] = {}
         self.prepared: dict[str, statements.Prepared] = {}
         self.position: records.Position | None = None
--- a/soak/misuse/builders.py
+++ b/soak/misuse/builders.py
@@ -9,7 +9,6 @@
 import typing
 from urllib import request as requests
 
-from jacinthhaven.records import sql_settings
 from jacinthhaven.sql import ownership
 from soak import clients, fleet
 
@@ -151,10 +150,15 @@
         return pathlib.Path('/proc', str(self.proxy.process.pid), name)
 
 
+def _parse_row(line: str) -> _Row:
+    fields = line.split()
+    return _Row(*fields[1:5])
+
+
 def _kernel_mb(proxy: fleet.Proxy) -> float:
     """Return the bytes in the buffers of the accepted connections."""
     table = pathlib.Path('/proc/net/tcp').read_text()
-    rows = (_Row(*row.split()[1:5]) for row in table.splitlines()[1:])
+    rows = map(_parse_row, table.splitlines()[1:])
     ports = frozenset(proxy.ports)
     queued = sum(row.queued for row in rows if row.port in ports)
     return queued / _MB
@@ -162,9 +166,6 @@
 
 def settings() -> str:
     """Return the settings lines with the limits of the tests."""
-    if not hasattr(sql_settings, 'Limits'):
-        # Builds without limits refuse unknown keys.
-        return ''
     return '\n'.join(
         ('limits:', f'  memory_mb: {MEMORY_MB}', f'  max_fds: {MAX_FDS}', '')
     )
