--- a/jacinthhaven/adapters/sql_settings_file_test.py
+++ b/jacinthhaven/adapters/sql_settings_file_test.py
@@ -30,6 +30,8 @@
         '"window_ms": {{.}}000': '"window_ms": 7000',
         '{{bounds.quotaOverage|json}}': '0.2',
         '{{bounds.quotaSlack|json}}': '30',
+        '{{limits.memoryMb|json}}': '152',
+        '{{limits.maxFds|json}}': '1605',
         '{{#seeds}}{{.|json}}{{,}}{{/seeds}}': (
             '"127.0.0.1:9107", "127.0.0.2:9107"'
         ),
@@ -59,6 +61,7 @@
     assert loaded.processor.capacity == 0.537 * 2
     assert loaded.quotas == sql_settings.Quotas(7000, 0.2, 30)
     assert loaded.zones.leaving_cost_ms == 2
+    assert (loaded.limits.memory_mb, loaded.limits.max_fds) == (152, 1605)
     assert loaded.seed_nodes == (('127.0.0.2', 7455),)
 
 
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -6,6 +6,7 @@
 
 import typing
 
+from jacinthhaven.limits import kept_texts
 from jacinthhaven.sql import (
     access,
     execution,
@@ -50,6 +51,7 @@
       draining: Whether inactive sessions are closed.
       close_after_answer: Whether a session is closed once its statement is
         answered, because the process is about to exit.
+      kept: Limit of the settings and prepared statements of sessions.
       refused_verbs: Statements that are refused for the same reason.
       quota_gate: Operations that wait for the limit of their customer.
     """
@@ -63,8 +65,6 @@
     ) -> None:
         """Create a gateway without sessions or configuration."""
         self.zone = zone
-        self.clients = clients
-        self.journal = journal
         self.executor = execution.Executor(databases, clients, journal)
         self.executor.on_done = self._on_done
         self.sessions: dict[int, sessions.Session] = {}
@@ -74,6 +74,7 @@
         self.entries: typing.Sequence[records.Instance] = ()
         self.pending_starts: list[tuple[int, str, str]] = []
         self.access = access.Access()
+        self.kept = kept_texts.KeptTexts()
         self.draining = False
         self.close_after_answer = False
         self.refused_verbs: frozenset[statements.Verb] = frozenset()
@@ -82,6 +83,16 @@
         )
         self.now_ms = 0
 
+    @property
+    def clients(self) -> ports.Clients:
+        """Return the connections of the clients."""
+        return self.executor.clients
+
+    @property
+    def journal(self) -> ports.Journal:
+        """Return the log and the metrics."""
+        return self.executor.journal
+
     @property
     def configured(self) -> bool:
         """Return whether a configuration has been loaded."""
@@ -252,6 +263,8 @@
             work.done = True
             service_group = self.groups[work.route.service]
             service_group.cancel(work)
+            # The cycle would keep the statement until a collection.
+            session.work = None
         self.end_transaction(session, now_ms)
 
     def tick(self, now_ms: int) -> None:
