--- a/jacinthhaven/adapters/datagrams_test.py
+++ b/jacinthhaven/adapters/datagrams_test.py
@@ -6,7 +6,7 @@
 import pytest
 
 from jacinthhaven.adapters import datagrams
-from jacinthhaven.process import sql_proxy
+from jacinthhaven.process import node_messenger
 from jacinthhaven.sql import builders, peer_messages
 from jacinthhaven.standins import driver
 
@@ -22,7 +22,7 @@
         self.journal = builders.FakeJournal()
         self.received: list[peer_messages.Message] = []
         loop = self.driver.loop
-        messenger = sql_proxy.NodeMessenger(loop, self.journal)
+        messenger = node_messenger.NodeMessenger(loop, self.journal)
         port = messenger.datagrams.listen(('127.0.0.1', 0))
         messenger.on_message = self.received.append
         self.address = ('127.0.0.1', port)
--- a/jacinthhaven/adapters/prometheus.py
+++ b/jacinthhaven/adapters/prometheus.py
@@ -48,6 +48,7 @@
     Attributes:
       library: Module `prometheus_client`, or None until it is imported.
       early: Updates made before the import.
+      more_lines: Returns lines of the text format that follow the others.
     """
 
     def __init__(self, loop: poller.Poller) -> None:
@@ -58,6 +59,7 @@
         self.counters: dict[str, typing.Any] = {}
         self.histograms: dict[str, typing.Any] = {}
         self.gauges: dict[str, typing.Any] = {}
+        self.more_lines: typing.Callable[[], typing.Iterable[str]] = tuple
         self.server = http_server.Server(loop, self._on_request)
         loop.call_later(_IMPORT_DELAY_MS, self.load)
 
@@ -126,7 +128,8 @@
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         self.load()
-        return self.library.generate_latest(self.registry)
+        lines = ''.join(f'{line}\n' for line in self.more_lines())
+        return self.library.generate_latest(self.registry) + lines.encode()
 
     def _on_request(self, exchange: http_server.Exchange) -> None:
         exchange.respond(http.HTTPStatus.OK, self.render())
--- a/jacinthhaven/process/sql_proxy.py
+++ b/jacinthhaven/process/sql_proxy.py
@@ -9,13 +9,11 @@
 import random
 import signal
 import sys
-import types
 import typing
 
 import circuits
 
 from jacinthhaven.adapters import (
-    datagrams,
     decision_log,
     http_server,
     poller,
@@ -31,17 +29,19 @@
     sockets,
     store_tunnel,
 )
-from jacinthhaven.process import client_limits, ticker
+from jacinthhaven.process import (
+    client_limits,
+    node_messenger,
+    process_journal,
+    ticker,
+)
 from jacinthhaven.quotas import limits as quota_limits
+from jacinthhaven.quotas import metric_lines
 from jacinthhaven.records import sql_settings
 from jacinthhaven.sql import (
     node,
     node_context,
     ownership,
-    peer_messages,
-    peering,
-    ports,
-    records,
     statements,
 )
 
@@ -51,106 +51,6 @@
 # Exit code if a listener cannot be opened, for example because its address is
 # in use; 1 and 2 mean invalid and unreadable settings.
 _EXIT_LISTEN_FAILED = 3
-# Log lines about successful statements per second. Writing a line takes about
-# as much CPU time as all other decision code for a statement.
-_MAX_SUCCESS_LINES = 1000
-# Distinct decoding errors that are logged; every malformed message is counted.
-_MAX_LOGGED_REASONS = 20
-_DONE = 'done'
-_DEFAULT_OUTCOMES = types.MappingProxyType({'place': _DONE})
-
-
-class ProcessJournal(ports.Journal):
-    """Log and metrics of one process."""
-
-    def __init__(
-        self,
-        log: decision_log.DecisionLog,
-        page: prometheus.MetricsPage,
-    ) -> None:
-        """Write to a log and a metrics page."""
-        self.log = log
-        self.page = page
-        self.success_lines = 0
-        self.dropped_lines = 0
-
-    def write(self, event: str, fields: ports.Fields) -> None:
-        """Log a decision and count it.
-
-        Beyond the limit per second, lines about successful statements are
-        dropped. All other lines are always written.
-        """
-        self.page.count('decisions', event)
-        if fields.get('outcome', _DEFAULT_OUTCOMES.get(event)) == _DONE:
-            if self.success_lines >= _MAX_SUCCESS_LINES:
-                self.dropped_lines += 1
-                return
-            self.success_lines += 1
-        self.log.write(messages.DecisionLine(event, fields))
-
-    def start_second(self) -> None:
-        """Log how many lines were dropped and reset the limit."""
-        if self.dropped_lines:
-            self.page.count('log_lines_skipped', '', self.dropped_lines)
-            fields = {'lines': self.dropped_lines}
-            self.log.write(messages.DecisionLine('lines_skipped', fields))
-        self.success_lines = 0
-        self.dropped_lines = 0
-
-    def count(self, name: str, label: str = '') -> None:
-        """Increase a counter."""
-        self.page.count(name, label)
-
-    def observe(self, name: str, label: str, spent_ms: float) -> None:
-        """Add a duration to a histogram."""
-        self.page.observe(name, label, spent_ms)
-
-
-class NodeMessenger(peering.Messenger):
-    """Sends and receives the messages between nodes as UDP datagrams.
-
-    Attributes:
-      on_message: Called with each received message.
-    """
-
-    def __init__(self, loop: poller.Poller, journal: ports.Journal) -> None:
-        """Create the socket."""
-        self.journal = journal
-        self.reasons: set[str] = set()
-        self.datagrams = datagrams.DatagramSocket(loop)
-        self.datagrams.on_datagram = self._on_datagram
-        self.datagrams.on_error = self._on_error
-        self.on_message: typing.Callable[[peer_messages.Message], None] = (
-            _ignore
-        )
-
-    def send(
-        self,
-        address: records.Address,
-        message: peer_messages.Message,
-    ) -> None:
-        """Send one message to a node."""
-        self.datagrams.send(address, peer_messages.encode(message))
-
-    def _on_datagram(self, chunk: bytes) -> None:
-        try:
-            message = peer_messages.decode(chunk)
-        except peer_messages.MALFORMED as error:
-            self._on_malformed(str(error))
-            return
-        self.journal.count('node_messages', type(message).__name__)
-        self.on_message(message)
-
-    def _on_malformed(self, reason: str) -> None:
-        """Count a malformed message, and log each decoding error once."""
-        self.journal.count('node_messages', 'malformed')
-        if reason in self.reasons or len(self.reasons) >= _MAX_LOGGED_REASONS:
-            return
-        self.reasons.add(reason)
-        self.journal.write('message_malformed', {'reason': reason})
-
-    def _on_error(self, _reason: str) -> None:
-        self.journal.count('node_messages', 'not_sent')
 
 
 class SqlProxy(circuits.Component):
@@ -181,7 +81,8 @@
         )
         logging.getLogger().addHandler(self.log.handler)
         self.page = prometheus.MetricsPage(self.poller)
-        self.journal = ProcessJournal(self.log, self.page)
+        self.page.more_lines = self._customer_lines
+        self.journal = process_journal.ProcessJournal(self.log, self.page)
         limits = client_limits.ClientLimits(
             settings.limits, self.journal, self.page
         )
@@ -189,7 +90,7 @@
         self.databases = sockets.DatabaseSockets(self.poller)
         self.borrowers = node_sockets.BorrowerSockets(self.poller, limits.guard)
         self.relays = node_sockets.RelaySockets(self.poller, limits.guard)
-        self.messenger = NodeMessenger(self.poller, self.journal)
+        self.messenger = node_messenger.NodeMessenger(self.poller, self.journal)
         self.health = http_server.Server(self.poller, self._on_health)
         self.node = node.Node(
             node_context.Identity(
@@ -408,6 +309,11 @@
         ]
         self.page.gauge('primary_missing_ms', max(missing, default=0))
 
+    def _customer_lines(self) -> typing.Iterable[str]:
+        """Return the state of the customers as lines of the metrics page."""
+        states = self.node.protocols.quotas.states(self.clock.now_ms())
+        return metric_lines.format_states(states)
+
     def _revoke_lease(self) -> None:
         # If the store does not respond, the lease expires by itself.
         self.poller.call_later(_REVOKE_TIMEOUT_MS, self._exit)
@@ -423,10 +329,6 @@
 _REVOKE_TIMEOUT_MS = 300
 
 
-def _ignore(_subject: typing.Any) -> None:
-    """Do nothing; default of an unset callback."""
-
-
 def run(settings: sql_settings.SqlSettings, source: str) -> int:
     """Run a proxy until it is stopped and return the exit code."""
     proxy = SqlProxy(settings, source)
--- a/jacinthhaven/process/sql_proxy_test.py
+++ b/jacinthhaven/process/sql_proxy_test.py
@@ -3,7 +3,7 @@
 import socket
 
 from jacinthhaven.adapters import prometheus
-from jacinthhaven.process import sql_proxy, start
+from jacinthhaven.process import process_journal, start
 from jacinthhaven.standins import driver
 
 
@@ -18,10 +18,10 @@
         self.events.append(line.event)
 
 
-def _journal() -> tuple[sql_proxy.ProcessJournal, _Log]:
+def _journal() -> tuple[process_journal.ProcessJournal, _Log]:
     log = _Log()
     page = prometheus.MetricsPage(driver.Driver().loop)
-    return sql_proxy.ProcessJournal(log, page), log
+    return process_journal.ProcessJournal(log, page), log
 
 
 def test_lines_about_successful_statements_are_limited():
