Send the sessions of a customer to one owner

Change: where callers have keys, a relaying node ranks the owners by customer, so that an owner serves a sixth of the customers, and grants their tokens without messages.

--- a/jacinthhaven/sql/access.py
+++ b/jacinthhaven/sql/access.py
@@ -43,6 +43,16 @@
         )
         return found is not None
 
+    def customer_of(self, database: str, key_digest: str) -> str:
+        """Return the name of the customer of an allowed caller, or ''."""
+        route = self.configuration.routes.get(database)
+        if route is None:
+            return ''
+        return (
+            customer_keys.find_customer(self.configuration, route, key_digest)
+            or ''
+        )
+
     def is_in_doubt(self, database: str, key_digest: str) -> bool:
         """Return whether a caller that is not allowed may be so meanwhile."""
         return not self.allows(database, key_digest) and not self.is_certain()
--- a/jacinthhaven/sql/owner_choice.py
+++ b/jacinthhaven/sql/owner_choice.py
@@ -3,11 +3,16 @@
 Owners that cannot be reached are left out first. Of the others, those of the own
 zone come first, except for the share of the sessions that leaves the zone because
 its owners are slow.
+
+Sessions of a customer all go to the same owner, which grants its tokens. Each link
+belongs to one customer, so that owners which served all customers would have to
+close and open links all the time.
 """
 
 import random
 
 from jacinthhaven.balancing import owner_times, zone_outflow
+from jacinthhaven.kernel import ranking
 from jacinthhaven.sql import ownership, ports, relayed_sessions
 
 # How long new sessions skip an owner that did not answer: after the first
@@ -85,13 +90,20 @@
             if self.backoff_until_ms.get(name, 0) <= now_ms
         ]
 
-    def order(self, service: str, now_ms: int) -> list[str]:
+    def order(self, service: str, now_ms: int, customer: str = '') -> list[str]:
         """Return the owners that a new session tries, in order.
 
         Owners of the own zone come first. A session of the share that leaves
         begins with one of another zone.
+
+        Args:
+          service: Name of the service.
+          now_ms: Current time.
+          customer: Name of the session's customer; '' if it has none.
         """
         names = self.reachable(service, now_ms)
+        if customer:
+            return ranking.ranked(customer, names)
         nearest = self.owners(service).near
         near = [name for name in names if name in nearest]
         far = names[len(near) :]
--- a/jacinthhaven/sql/relaying.py
+++ b/jacinthhaven/sql/relaying.py
@@ -275,7 +275,11 @@
         route = self.local.configuration.routes.get(database)
         owners = []
         if self.local.access.allows(database, key_digest):
-            owners = self.choice.order(route.service, now_ms)
+            customer = self.local.access.customer_of(database, key_digest)
+            owners = self.choice.order(route.service, now_ms, customer)
+            if customer and self.node in owners:
+                # The owners before this one serve the customer rather.
+                owners = owners[: owners.index(self.node)]
         if not owners or self.node in owners:
             self.local.on_start(number, database, key_digest)
             return
--- a/jacinthhaven/sql/relaying_test.py
+++ b/jacinthhaven/sql/relaying_test.py
@@ -5,7 +5,14 @@
 import pytest
 
 from jacinthhaven.platform import client_wire
-from jacinthhaven.sql import builders, ownership, relaying, statements
+from jacinthhaven.sql import (
+    builders,
+    customer_keys,
+    ownership,
+    records,
+    relaying,
+    statements,
+)
 
 _CLIENT = 5
 _NOW_MS = 2000
@@ -234,6 +241,25 @@
     assert counts == [5, 5]
 
 
+def test_sessions_of_a_customer_go_to_one_owner():
+    """Guards against links that each owner opens again for each customer."""
+    keys = [f'k{number}' for number in range(12)]
+    tried: dict[str, set] = {}
+    for setup in (_Setup(), _Setup()):
+        customers = {
+            customer_keys.digest(key): records.Customer(key) for key in keys
+        }
+        setup.rig.gateway.configure(
+            builders.configuration(2, customers=customers), setup.now_ms
+        )
+        for number, key in enumerate(keys * 2):
+            digest = customer_keys.digest(key)
+            setup.relay.on_start(number, builders.OWN, setup.now_ms, digest)
+            tried.setdefault(key, set()).add(setup.relays.opened[-1][0])
+    assert all(len(addresses) == 1 for addresses in tried.values())
+    assert len(set.union(*tried.values())) > 2
+
+
 def _measure(setup: _Setup, spent_ms: dict[str, float]) -> None:
     """Let the node measure the owners of each zone."""
     setup.relay.choice.may_leave = True
