Let operations wait while the accountant of their customer has just started

Change: in the first two seconds of a node, operations of customers whose accountant it is or should be wait for up to 600 ms. Nothing is admitted that was not before.

--- a/jacinthhaven/quotas/quotas.py
+++ b/jacinthhaven/quotas/quotas.py
@@ -18,6 +18,12 @@
 Send = typing.Callable[[str, messages.Message], None]
 # Range of the first numbers of a process.
 _FIRST_NUMBERS = 1_000_000_000_000
+# Time after the start in which the operations of this node's own customers wait,
+# instead of being refused, until it may act as their accountant; how long each
+# of them waits at most; and when it is asked for again.
+_START_MS = 2000
+_START_WAIT_MS = 600
+_START_POLL_MS = 15
 # Interval at which silent owners are looked for.
 _UPDATE_INTERVAL_MS = 100
 
@@ -108,6 +114,8 @@
         if self._take(known, now_ms):
             known.admitted += 1
             return holder.ADMITTED
+        if self._waits_for_start(known, asked_ms, now_ms):
+            return holder.Admission(False, now_ms + _START_POLL_MS)
         account = self._own_account(known, now_ms)
         if account is not None:
             return self._admit_at_accountant(known, account, now_ms)
@@ -188,6 +196,20 @@
         """Return the states of all customers with a limit, by name."""
         return {name: self.state(name, now_ms) for name in sorted(self.holders)}
 
+    def _waits_for_start(
+        self, known: holder.Holder, asked_ms: int, now_ms: int
+    ) -> bool:
+        """Return whether an operation waits because this node has just started.
+
+        After a power loss, all nodes start with empty buckets, and no node acts
+        as an accountant before the owners have answered each other.
+        """
+        if known.accountant not in {'', self.views.node}:
+            return False
+        if self.views.memory_ms(now_ms) >= _START_MS:
+            return False
+        return now_ms - asked_ms < _START_WAIT_MS
+
     def _take(self, known: holder.Holder, now_ms: int) -> bool:
         """Take a token of this node, and order more ahead."""
         account = self._own_account(known, now_ms)
--- a/jacinthhaven/quotas/quotas_test.py
+++ b/jacinthhaven/quotas/quotas_test.py
@@ -1,5 +1,7 @@
 """What callers below their limit lose, and how single parts behave."""
 
+import random
+
 import pytest
 
 from jacinthhaven.quotas import (
@@ -157,3 +159,21 @@
     retries = [answer.retry_ms for answer in answers if not answer.admitted]
     assert len(retries) > 10
     assert max(retries) - min(retries) > 100
+
+
+def test_operations_wait_while_the_accountant_has_just_started():
+    """Guards against refusing all limited customers after a power loss."""
+    started = quotas.Quotas(
+        lambda _name, _message: None,  # noqa: WPS601
+        random.Random(1),
+    )
+    started.configure({'ann': limits.Limit(10, 10)}, 1000)
+    started.update_owners(['n1'], 'n1', 1000)
+    started.tick(1000)
+    assert started.admit('ann', 1000).wait_until_ms == 1015
+    decisions = []
+    for now_ms in range(1015, 1600, 15):
+        started.tick(now_ms)
+        decisions.append(started.admit('ann', now_ms, 1000))
+    assert any(admission.admitted for admission in decisions)
+    assert all(admission.retry_ms is None for admission in decisions)
