Log refused customers, and let operations wait for a new accountant

Change: quota_refused once a second for each customer, access_refused_total; an operation of a customer that asks for no more than its limit waits up to 600 ms for the next token of an accountant that is new. One that asks for more is refused at once.

--- a/jacinthhaven/quotas/quotas.py
+++ b/jacinthhaven/quotas/quotas.py
@@ -19,11 +19,12 @@
 # Range of the first numbers of a process.
 _FIRST_NUMBERS = 1_000_000_000_000
 # Time after the start in which the operations of this node's own customers wait,
-# instead of being refused, until it may act as their accountant; how long each
-# of them waits at most; and when it is asked for again.
+# instead of being refused, until it may act as their accountant.
 _START_MS = 2000
-_START_WAIT_MS = 600
-_START_POLL_MS = 15
+# How long an operation waits at most for an accountant that is new, and when it
+# is asked for again.
+_NEW_WAIT_MS = 600
+_NEW_POLL_MS = 15
 # Interval at which silent owners are looked for.
 _UPDATE_INTERVAL_MS = 100
 
@@ -103,7 +104,8 @@
           customer: Name of the customer, or ''.
           now_ms: Current time.
           asked_ms: When the operation was asked for first, if it has waited;
-            it waits for at most 60 ms after that.
+            it waits for at most 60 ms after that, or 600 ms for an accountant
+            that is new.
         """
         known = self.holders.get(customer)
         if known is None:
@@ -115,10 +117,10 @@
             known.admitted += 1
             return holder.ADMITTED
         if self._waits_for_start(known, asked_ms, now_ms):
-            return holder.Admission(False, now_ms + _START_POLL_MS)
+            return holder.Admission(False, now_ms + _NEW_POLL_MS)
         account = self._own_account(known, now_ms)
         if account is not None:
-            return self._admit_at_accountant(known, account, now_ms)
+            return self._admit_at_accountant(known, account, asked_ms, now_ms)
         return self._admit_without_token(known, asked_ms, now_ms)
 
     def configure(
@@ -208,7 +210,7 @@
             return False
         if self.views.memory_ms(now_ms) >= _START_MS:
             return False
-        return now_ms - asked_ms < _START_WAIT_MS
+        return now_ms - asked_ms < _NEW_WAIT_MS
 
     def _take(self, known: holder.Holder, now_ms: int) -> bool:
         """Take a token of this node, and order more ahead."""
@@ -232,13 +234,24 @@
         self,
         known: holder.Holder,
         account: accountant.Account,
+        asked_ms: int,
         now_ms: int,
     ) -> holder.Admission:
+        """Use the reserve, let an operation wait, or refuse it.
+
+        The bucket of a new accountant may be empty although the customer is
+        below its limit. An operation of a customer that asks for no more than
+        its limit waits for the next token then.
+        """
         retry_ms = self.accountant.retry_ms(account)
         if retry_ms == accountant.UNKNOWN_RETRY_MS:
             if known.take_reserve(False, now_ms):
                 known.admitted += 1
                 return holder.ADMITTED
+            token_ms = now_ms + account.bucket.next_token_ms()
+            is_below = known.rate.per_s <= known.limit.rate_per_s
+            if is_below and token_ms < asked_ms + _NEW_WAIT_MS:
+                return holder.Admission(False, now_ms + _NEW_POLL_MS)
         return known.refuse(retry_ms, self.slack.window_ms, self.rng)
 
     def _admit_without_token(
--- a/jacinthhaven/quotas/quotas_test.py
+++ b/jacinthhaven/quotas/quotas_test.py
@@ -7,6 +7,7 @@
 from jacinthhaven.quotas import (
     buckets,
     builders,
+    holder,
     limits,
     messages,
     metric_lines,
@@ -161,19 +162,56 @@
     assert max(retries) - min(retries) > 100
 
 
-def test_operations_wait_while_the_accountant_has_just_started():
-    """Guards against refusing all limited customers after a power loss."""
-    started = quotas.Quotas(
-        lambda _name, _message: None,  # noqa: WPS601
-        random.Random(1),
-    )
-    started.configure({'ann': limits.Limit(10, 10)}, 1000)
+def _only_owner(limit: limits.Limit) -> quotas.Quotas:
+    """Return the limits at a node that has just started as the only owner."""
+    started = quotas.Quotas(_no_message, random.Random(1))
+    started.configure({'ann': limit}, 1000)
     started.update_owners(['n1'], 'n1', 1000)
     started.tick(1000)
-    assert started.admit('ann', 1000).wait_until_ms == 1015
-    decisions = []
-    for now_ms in range(1015, 1600, 15):
-        started.tick(now_ms)
-        decisions.append(started.admit('ann', now_ms, 1000))
-    assert any(admission.admitted for admission in decisions)
-    assert all(admission.retry_ms is None for admission in decisions)
+    return started
+
+
+def _no_message(_name: str, _message: object) -> None:
+    raise AssertionError('the only owner needs no message')
+
+
+def _decide(
+    known: quotas.Quotas, asked_ms: int, until_ms: int
+) -> list[holder.Admission]:
+    """Ask for one operation again and again until it is decided."""
+    decisions = [known.admit('ann', asked_ms)]
+    for now_ms in range(asked_ms + 15, until_ms, 15):
+        known.tick(now_ms)
+        if decisions[-1].wait_until_ms is None:
+            return decisions
+        decisions.append(known.admit('ann', now_ms, asked_ms))
+    return decisions
+
+
+def test_operations_wait_while_the_accountant_has_just_started():
+    """Guards against refusing all limited customers after a power loss."""
+    decisions = _decide(_only_owner(limits.Limit(10, 10)), 1000, 2000)
+    assert len(decisions) > 1
+    assert decisions[-1].admitted
+
+
+def test_operations_below_the_limit_wait_for_a_new_accountant():
+    """Guards against refusals where an owner has replaced another one."""
+    known = _only_owner(limits.Limit(4, 40))
+    for now_ms in range(1000, 4000, 100):
+        known.tick(now_ms)
+    known.accountant.acting('ann', 4000).bucket.empty(4000)
+    decisions = _decide(known, 4000, 5000)
+    assert len(decisions) > 1
+    assert decisions[-1].admitted
+
+
+def test_operations_beyond_the_limit_do_not_wait_for_a_new_accountant():
+    """Guards against requests that are held although they cannot be served."""
+    known = _only_owner(limits.Limit(4, 40))
+    for now_ms in range(1000, 4000, 100):
+        known.tick(now_ms)
+    known.accountant.acting('ann', 4000).bucket.empty(4000)
+    decisions = [known.admit('ann', 4000) for _ in range(20)]
+    assert sum(found.wait_until_ms is not None for found in decisions) <= 4
+    assert decisions[-1].retry_ms
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -194,6 +194,7 @@
             return
         code = self.access.refusal_code(database, key_digest)
         if code is not None:
+            self.journal.count('access_refused', code.value)
             self.journal.write(
                 'session_refused',
                 {
@@ -333,15 +334,18 @@
                 return
         routing = sessions.find_routing(session, self.configuration)
         if routing is None or routing.route.service not in self.groups:
+            code = self.refusal_code(session)
+            self.journal.count('access_refused', code.value)
             self.journal.write(
                 'no_route',
                 {
                     'request': statement.request_id,
                     'database': session.database,
                     'version': self.configuration.version,
+                    'code': code.value,
                 },
             )
-            self.answer_error(session, self.refusal_code(session), '')
+            self.answer_error(session, code, '')
             return
         work = sessions.Work(session, statement, routing, now_ms)
         session.work = work
--- a/jacinthhaven/sql/quota_gate.py
+++ b/jacinthhaven/sql/quota_gate.py
@@ -4,12 +4,15 @@
 counts with the first of its statements that needs an instance.
 """
 
+import collections
 import typing
 
 from jacinthhaven.quotas import quotas
 from jacinthhaven.sql import execution, ports, sessions
 
 Submit = typing.Callable[[sessions.Work, int], None]
+# Shortest interval between two log lines about the refusals of one customer.
+_LOG_INTERVAL_MS = 1000
 
 
 class QuotaGate:
@@ -18,6 +21,8 @@
     Attributes:
       quotas: Limits of the customers, or None before the node has set them.
       waiting: Statements that wait for tokens, by customer, oldest first.
+      refused: Refusals that were not logged yet, by customer.
+      logged_ms: When the refusals of each customer were logged last.
     """
 
     def __init__(
@@ -38,6 +43,8 @@
         self.submit = submit
         self.quotas: quotas.Quotas | None = None
         self.waiting: dict[str, list[sessions.Work]] = {}
+        self.refused: collections.Counter[str] = collections.Counter()
+        self.logged_ms: dict[str, int] = {}
 
     def connect(self, known: quotas.Quotas) -> None:
         """Let the limits of the customers decide from now on."""
@@ -80,10 +87,27 @@
         elif admission.retry_ms is None:
             self.waiting.setdefault(work.customer, []).append(work)
         else:
-            self.journal.count('quota', 'refused')
+            self._note_refusal(work.customer, admission.retry_ms, now_ms)
             reason = f'quota, retry in {admission.retry_ms} ms'
             self.executor.refuse(work, reason, now_ms)
 
+    def _note_refusal(self, customer: str, retry_ms: int, now_ms: int) -> None:
+        """Count a refusal, and log those of a customer once a second."""
+        self.journal.count('quota', 'refused')
+        self.refused[customer] += 1
+        logged_ms = self.logged_ms.get(customer)
+        if logged_ms is not None and now_ms - logged_ms < _LOG_INTERVAL_MS:
+            return
+        self.logged_ms[customer] = now_ms
+        self.journal.write(
+            'quota_refused',
+            {
+                'customer': customer,
+                'refused': self.refused.pop(customer),
+                'retry_ms': retry_ms,
+            },
+        )
+
 
 def _has_counted(work: sessions.Work) -> bool:
     """Return whether a statement belongs to a transaction that was admitted."""
--- a/jacinthhaven/sql/relaying.py
+++ b/jacinthhaven/sql/relaying.py
@@ -106,6 +106,7 @@
             session.database, session.key_digest
         )
         if session.idle and refusal is not None:
+            self.journal.count('access_refused', refusal.value)
             answer = statements.Answer(code=refusal)
             self.local.clients.answer(number, answer)
             return
