Split the gateway, the pool and the streams

Change: sql/service_groups and sql/statement_flow leave the gateway, sql/link_times leaves the pool, adapters/listeners leaves the streams. No behaviour changes.

--- a/jacinthhaven/adapters/callers_test.py
+++ b/jacinthhaven/adapters/callers_test.py
@@ -10,6 +10,7 @@
     callers,
     http_messages,
     http_server,
+    listeners,
     operators,
     streams,
     tls,
@@ -256,7 +257,7 @@
     """Guards against two processes that each get half of the connections."""
     setup = Setup()
     for shared in (True, False):
-        first = streams.Listener(
+        first = listeners.Listener(
             setup.driver.loop,
             (driver.HOST, 0),
             print,
@@ -266,7 +267,7 @@
             contextlib.nullcontext() if shared else pytest.raises(OSError)
         )
         with expected:
-            streams.Listener(
+            listeners.Listener(
                 setup.driver.loop,
                 (driver.HOST, first.port),
                 print,
--- a/jacinthhaven/adapters/http_server.py
+++ b/jacinthhaven/adapters/http_server.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from jacinthhaven.adapters import http_messages, poller, streams
+from jacinthhaven.adapters import http_messages, listeners, poller, streams
 
 _IDLE_CHECK_MS = 1000
 # Time within which a client must complete a partially sent request.
@@ -226,7 +226,7 @@
         self.max_body = max_body
         self.new_parser: type[http_messages.Parser] = http_messages.Parser
         self.connections: set[ServerConnection] = set()
-        self.listener: streams.Listener | None = None
+        self.listener: listeners.Listener | None = None
         self.draining = False
         self.headers = ''
         self.on_disconnect: typing.Callable[[ServerConnection], None] = _ignore
@@ -255,7 +255,7 @@
         Raises:
           OSError: If the address cannot be bound.
         """
-        self.listener = streams.Listener(
+        self.listener = listeners.Listener(
             self.poller,
             address,
             self._on_stream,
--- a/jacinthhaven/adapters/peers.py
+++ b/jacinthhaven/adapters/peers.py
@@ -10,6 +10,7 @@
 import typing
 
 from jacinthhaven.adapters import (
+    listeners,
     peer_codec,
     peer_handshake,
     peer_link,
@@ -71,7 +72,7 @@
         # Link used for sending to each member, open or connecting.
         self.current: dict[str, peer_link.Link] = {}
         self.links: set[peer_link.Link] = set()
-        self.listener: streams.Listener | None = None
+        self.listener: listeners.Listener | None = None
         self.stopped = False
 
     def listen(self, address: tuple[str, int]) -> int:
@@ -83,7 +84,7 @@
         Raises:
           OSError: If the address cannot be bound.
         """
-        self.listener = streams.Listener(
+        self.listener = listeners.Listener(
             self.poller,
             address,
             self._on_stream,
--- a/jacinthhaven/adapters/streams.py
+++ b/jacinthhaven/adapters/streams.py
@@ -1,11 +1,10 @@
-"""Non-blocking TCP streams and listeners on the poller.
+"""Non-blocking TCP streams on the poller.
 
 A stream owns its socket. It reads and writes as much as possible in one
 callback, so that a small request takes one `recv` and one `send` call.
 """
 
 import collections
-import contextlib
 import errno
 import socket
 import sys
@@ -14,19 +13,9 @@
 from jacinthhaven.adapters import poller
 
 READ_BYTES = 65536
-_BACKLOG = 1024
-# Pause of a listener after an error, such as no free descriptor. Without it,
-# the connection that still waits would cause a busy loop.
-_ACCEPT_PAUSE_MS = 100
 # Time in which the last bytes must be read after `finish`.
 _FINISH_MS = 10_000
-# Bytes of the kernel's buffer that were not yet sent to the peer. Otherwise
-# the kernel would keep up to several MB for each peer that does not read.
-_UNSENT_BYTES = 65_536
 _HANGUP = poller.select.EPOLLHUP | poller.select.EPOLLERR
-_EXHAUSTED = frozenset(
-    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
-)
 
 # An `ssl.SSLContext`. Whoever creates one imports `ssl`. Processes without TLS
 # do without that module, whose import delays the first answer after a restart.
@@ -286,7 +275,7 @@
     Returns:
       A stream that calls `on_open` or `on_close` later.
     """
-    sock = _tcp_socket(address[0])
+    sock = tcp_socket(address[0])
     error = sock.connect_ex(address)
     if tls is not None:
         sock = tls.wrap_socket(
@@ -300,91 +289,8 @@
     return stream
 
 
-class Listener:
-    """Listening TCP socket that passes each accepted stream to its owner."""
-
-    __slots__ = ('poller', 'sock', 'on_stream', 'tls', 'port')
-
-    def __init__(
-        self,
-        loop: poller.Poller,
-        address: tuple[str, int],
-        on_stream: typing.Callable[[Stream], None],
-        tls: TlsContext | None = None,
-        *,
-        share_port: bool = False,
-    ) -> None:
-        """Bind and listen.
-
-        Args:
-          loop: Poller that will watch the socket.
-          address: IP address and port; port 0 takes any free port.
-          on_stream: Called with each accepted stream.
-          tls: Context for TLS, or None for plain TCP.
-          share_port: Whether several processes of one VM may listen on the
-            port; the kernel then distributes new connections over them.
-
-        Raises:
-          OSError: If the address cannot be bound.
-        """
-        self.poller = loop
-        self.on_stream = on_stream
-        self.tls = tls
-        self.sock = _tcp_socket(address[0])
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        if share_port:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        self.sock.bind(address)
-        self.sock.listen(_BACKLOG)
-        self.port = self.sock.getsockname()[1]
-        loop.watch(self.sock.fileno(), poller.READABLE, self._on_ready)
-
-    def close(self) -> None:
-        """Stop accepting connections."""
-        if self.sock.fileno() >= 0:
-            self.poller.forget(self.sock.fileno())
-            self.sock.close()
-
-    def _on_ready(self, mask: int) -> None:
-        try:
-            accepted, _address = self.sock.accept()
-        except OSError as error:
-            if error.errno in _EXHAUSTED:
-                self._pause()
-            return
-        accepted.setblocking(False)
-        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        # Without it, the limits of a connection still hold for the bytes that
-        # this process queues.
-        with contextlib.suppress(OSError):
-            accepted.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _UNSENT_BYTES
-            )
-        if self.tls is not None:
-            try:
-                accepted = self.tls.wrap_socket(
-                    accepted,
-                    server_side=True,
-                    do_handshake_on_connect=False,
-                )
-            except OSError:
-                # The client has already reset the connection.
-                accepted.close()
-                return
-        self.on_stream(Stream(self.poller, accepted))
-
-    def _pause(self) -> None:
-        self.poller.forget(self.sock.fileno())
-        self.poller.call_later(_ACCEPT_PAUSE_MS, self._resume)
-
-    def _resume(self) -> None:
-        if self.sock.fileno() >= 0:
-            self.poller.watch(
-                self.sock.fileno(), poller.READABLE, self._on_ready
-            )
-
-
-def _tcp_socket(host: str) -> socket.socket:
+def tcp_socket(host: str) -> socket.socket:
+    """Return a non-blocking TCP socket for an IP address."""
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setblocking(False)
--- a/jacinthhaven/platform/node_sockets.py
+++ b/jacinthhaven/platform/node_sockets.py
@@ -5,7 +5,7 @@
 import logging
 import typing
 
-from jacinthhaven.adapters import poller, streams
+from jacinthhaven.adapters import listeners, poller, streams
 from jacinthhaven.limits import guard
 from jacinthhaven.platform import connections, peer_wire, sockets, words
 from jacinthhaven.records import history
@@ -49,7 +49,7 @@
         self.guard = limits or guard.Guard()
         self.numbers = itertools.count(1)
         self.connections: dict[int, connections.ClientConnection] = {}
-        self.listener: streams.Listener | None = None
+        self.listener: listeners.Listener | None = None
         self.on_request: typing.Callable[[int, str, str, str], None] = (
             sockets.ignore
         )
@@ -66,7 +66,7 @@
 
     def listen(self, address: records.Address) -> int:
         """Start to accept connections and return the port."""
-        self.listener = streams.Listener(
+        self.listener = listeners.Listener(
             self.poller,
             address,
             self._on_stream,
--- a/jacinthhaven/platform/sockets.py
+++ b/jacinthhaven/platform/sockets.py
@@ -5,7 +5,7 @@
 import socket
 import typing
 
-from jacinthhaven.adapters import poller, streams
+from jacinthhaven.adapters import listeners, poller, streams
 from jacinthhaven.limits import accounts, guard
 from jacinthhaven.platform import (
     client_wire,
@@ -40,7 +40,7 @@
         self.guard = limits or guard.Guard()
         self.numbers = itertools.count(1)
         self.connections: dict[int, connections.ClientConnection] = {}
-        self.listener: streams.Listener | None = None
+        self.listener: listeners.Listener | None = None
         self.on_start: typing.Callable[[int, str, str], None] = ignore
         self.on_statement: typing.Callable[
             [int, statements.Statement],
@@ -51,7 +51,7 @@
 
     def listen(self, address: tuple[str, int]) -> int:
         """Start to accept connections and return the port."""
-        self.listener = streams.Listener(
+        self.listener = listeners.Listener(
             self.poller,
             address,
             self._on_stream,
--- a/jacinthhaven/sql/gateway.py
+++ b/jacinthhaven/sql/gateway.py
@@ -12,11 +12,12 @@
     execution,
     expiry,
     group,
-    local_statements,
     ports,
     quota_gate,
     records,
+    service_groups,
     sessions,
+    statement_flow,
     statements,
 )
 
@@ -24,18 +25,6 @@
 _MAX_PIPELINED = 64
 
 
-class LinkShares(typing.NamedTuple):
-    """How the connection limit of each instance is divided.
-
-    Attributes:
-      owner_count: Number of owners of each service.
-      owned: Names of the services that this node owns; None for all.
-    """
-
-    owner_count: int
-    owned: typing.Container[str] | None = None
-
-
 class Gateway:
     """Client sessions and service groups of one process.
 
@@ -70,7 +59,7 @@
         self.sessions: dict[int, sessions.Session] = {}
         self.groups: dict[str, group.Group] = {}
         self.configuration = records.EMPTY
-        self.shares = LinkShares(1)
+        self.shares = service_groups.LinkShares(1)
         self.entries: typing.Sequence[records.Instance] = ()
         self.pending_starts: list[tuple[int, str, str]] = []
         self.access = access.Access()
@@ -116,22 +105,7 @@
         )
         self.configuration = configuration
         self.access.configuration = configuration
-        for name, service_group in self.groups.items():
-            service_group.removed = name not in configuration.services
-        for name in configuration.services:
-            if name not in self.groups:
-                self.groups[name] = group.Group(
-                    name,
-                    self.zone,
-                    self.executor.databases,
-                    self.executor,
-                    now_ms,
-                )
-        for service_group in self.groups.values():
-            service_group.limits_ms = records.shortest_targets_ms(
-                configuration, service_group.name
-            )
-            service_group.backlog.retain(configuration.routes)
+        service_groups.configure(self, now_ms)
         self.set_link_shares(*self.shares)
         self.register(self.entries, now_ms)
         for start in self.pending_starts:
@@ -151,21 +125,8 @@
           owner_count: Number of owners of each service.
           owned: Names of the services that this node owns; None for all.
         """
-        self.shares = LinkShares(owner_count, owned)
-        for name, service_group in self.groups.items():
-            service = self.configuration.services.get(name)
-            if service is None:
-                continue
-            service_group.owned = owned is None or name in owned
-            # One share is reserved for connections of dead nodes, which
-            # stay open for a while, and for nodes that replace them.
-            share = service.max_connections // (owner_count + 1)
-            service_group.pool.max_links = (
-                max(share, 1) if service_group.owned else 1
-            )
-            service_group.pool.min_links = int(service_group.owned)
-            service_group.pool.owners = owner_count
-            service_group.pool.by_customer = self.access.needs_keys
+        self.shares = service_groups.LinkShares(owner_count, owned)
+        service_groups.share_links(self)
 
     def register(
         self,
@@ -240,7 +201,7 @@
             return
         session.active_ms = now_ms
         if session.work is None and not session.waiting:
-            self._handle(session, statement, now_ms)
+            statement_flow.handle(self, session, statement, now_ms)
             if session.work is None:
                 self._close_if_answered(session, now_ms)
         elif len(session.waiting) < _MAX_PIPELINED:
@@ -278,7 +239,9 @@
         self.quota_gate.tick(now_ms)
         for service_group in tuple(self.groups.values()):
             service_group.tick(now_ms)
-            if service_group.removed and _end_if_unused(service_group):
+            if service_group.removed and service_groups.end_if_unused(
+                service_group
+            ):
                 self.groups.pop(service_group.name)
         expiry.end_idle(self, now_ms)
 
@@ -399,7 +362,9 @@
         if transaction is not None:
             transaction.active_ms = now_ms
         while session.waiting and session.work is None:
-            self._handle(session, session.waiting.popleft(), now_ms)
+            statement_flow.handle(
+                self, session, session.waiting.popleft(), now_ms
+            )
         self._close_if_answered(session, now_ms)
 
     def _close_if_answered(
@@ -413,82 +378,3 @@
         if not self.clients.has_more(session.number):
             self.clients.close(session.number)
             self.on_closed(session.number, now_ms)
-
-    def _handle(
-        self,
-        session: sessions.Session,
-        statement: statements.Statement,
-        now_ms: int,
-    ) -> None:
-        transaction = session.transaction
-        verb = statement.verb
-        if transaction is not None:
-            transaction.active_ms = now_ms
-            ends_transaction = verb in _TRANSACTION_ENDS
-            if transaction.failure_unreported and not ends_transaction:
-                transaction.failure_unreported = False
-                self.answer_error(
-                    session, statements.Code.ABORTED, 'transaction lost'
-                )
-                return
-            if transaction.failed:
-                self._handle_failed(session, ends_transaction, now_ms)
-                return
-        if verb in self.refused_verbs:
-            self._refuse(session)
-            return
-        handler = local_statements.HANDLERS.get(verb)
-        if handler is not None:
-            handler(self, session, statement, now_ms)
-            return
-        self.execute(session, statement, now_ms)
-
-    def _refuse(self, session: sessions.Session) -> None:
-        """Refuse a statement, since the process is about to exit."""
-        transaction = session.transaction
-        code = statements.Code.BUSY
-        if transaction is not None:
-            code = statements.Code.ABORTED
-        self.answer_error(session, code, 'stopping')
-
-    def _handle_failed(
-        self,
-        session: sessions.Session,
-        ends_transaction: bool,
-        now_ms: int,
-    ) -> None:
-        if ends_transaction:
-            lost = session.transaction.failure_unreported
-            self.end_transaction(session, now_ms)
-            if lost:
-                self.answer_error(
-                    session, statements.Code.ABORTED, 'transaction lost'
-                )
-            else:
-                self.answer_success(session)
-        else:
-            self.answer_error(
-                session, statements.Code.MALFORMED, 'failed transaction'
-            )
-
-
-def _end_if_unused(service_group: group.Group) -> bool:
-    """Close the links of a removed service that has no statements left.
-
-    Returns:
-      Whether the service was ended.
-    """
-    links = tuple(service_group.pool.by_number.values())
-    if service_group.backlog.waiting or not all(link.unused for link in links):
-        return False
-    for link in links:
-        service_group.pool.drop(link)
-    service_group.journal.write(
-        'service_ended', {'service': service_group.name}
-    )
-    return True
-
-
-_TRANSACTION_ENDS = frozenset(
-    (statements.Verb.COMMIT, statements.Verb.ROLLBACK)
-)
--- a/jacinthhaven/sql/pool.py
+++ b/jacinthhaven/sql/pool.py
@@ -9,10 +9,10 @@
     commands,
     customer_links,
     instances,
+    link_times,
     links,
     ports,
     records,
-    sessions,
     statements,
 )
 
@@ -21,34 +21,17 @@
 # Delay after the instance refused a link because of its connection limit,
 # since connections of dead nodes still count for three seconds.
 _LIMIT_RETRY_MS = 500
-# Timeout for opening a link.
-OPEN_TIMEOUT_MS = 900
-# Timeout for borrowing a link, which the lender only has to look up.
-BORROW_TIMEOUT_MS = 150
-# Timeout for a reply, after which its link is closed.
-REPLY_TIMEOUT_MS = 5000
-# Timeout for a reply that nobody waits for any more. It is shorter, since
-# otherwise few links remain when one reply after the other is lost.
-_ABANDONED_TIMEOUT_MS = 700
 # Links to one instance that are opened at the same time; opening one takes
 # one of its slots.
 _MAX_OPENING = 1
 # The same where each link belongs to one customer, so that more are opened.
 _MAX_OPENING_BY_CUSTOMER = 2
 
-# Idle time after which a link beyond the minimum is closed.
-_IDLE_TIMEOUT_MS = 3000
-# The same for a link that belongs to a customer: the next statement of the
-# customer cannot use another one.
-_CUSTOMER_IDLE_TIMEOUT_MS = 20_000
-
 
 # Time for which links are borrowed after an own one could not be opened.
 _BORROW_PERIOD_MS = 2000
 # Delay before the next attempt after a node had no link to lend.
 _BORROW_RETRY_MS = 15
-# Idle time after which a borrowed link is returned.
-_BORROWED_IDLE_TIMEOUT_MS = 400
 # Limit of links to one instance that are borrowed at the same time.
 _MAX_BORROWED = 2
 # Delay before an own link is opened to an instance that does not answer.
@@ -250,7 +233,8 @@
         return [
             link
             for link in self.by_number.values()
-            if link.waiting and now_ms - link.sent_ms >= _timeout_ms(link)
+            if link.waiting
+            and now_ms - link.sent_ms >= link_times.timeout_ms(link)
         ]
 
     def expire_control_requests(self, now_ms: int) -> None:
@@ -278,7 +262,7 @@
         for state in self.states.values():
             spare = len(state.links) - min(self.min_links, self.max_links)
             for link in state.free_links:
-                if _idle_too_long(link, now_ms) and (
+                if link_times.idle_too_long(link, now_ms) and (
                     link.borrowed or spare > 0
                 ):
                     spare -= 1
@@ -403,23 +387,3 @@
         if not needs_link or not state.has_room():
             return min_links
         return min(max(len(own) + 1, min_links), self.max_links)
-
-
-def _timeout_ms(link: links.Link) -> int:
-    """Return the timeout for the reply or the opening of a link."""
-    if link.ready:
-        work = link.work
-        abandoned = work is None or (
-            isinstance(work, sessions.Work) and work.done
-        )
-        return _ABANDONED_TIMEOUT_MS if abandoned else REPLY_TIMEOUT_MS
-    return BORROW_TIMEOUT_MS if link.borrowed else OPEN_TIMEOUT_MS
-
-
-def _idle_too_long(link: links.Link, now_ms: int) -> bool:
-    timeout_ms = _IDLE_TIMEOUT_MS
-    if link.borrowed:
-        timeout_ms = _BORROWED_IDLE_TIMEOUT_MS
-    elif link.customer:
-        timeout_ms = _CUSTOMER_IDLE_TIMEOUT_MS
-    return now_ms - link.idle_since_ms >= timeout_ms
--- a/jacinthhaven/standins/sql_server.py
+++ b/jacinthhaven/standins/sql_server.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from jacinthhaven.adapters import poller, streams
+from jacinthhaven.adapters import listeners, poller, streams
 from jacinthhaven.platform import words
 from jacinthhaven.standins import sql_group
 
@@ -38,7 +38,7 @@
         self.most_open = 0
         self.listeners = []
         for name in group.instances:
-            listener = streams.Listener(
+            listener = listeners.Listener(
                 loop,
                 ('127.0.0.1', 0),
                 functools.partial(self._on_stream, name),
