Keep the names of the operator's fields in the adapter

Cause: the check of a configuration had the platform's names outside platform/.

Change: platform/configuration_names has them; the check refers to it.

Measured: tests of configcheck and cli pass.

--- a/jacinthhaven/configcheck/builders.py
+++ b/jacinthhaven/configcheck/builders.py
@@ -3,6 +3,7 @@
 import typing
 
 from jacinthhaven.configcheck import findings, report, rules
+from jacinthhaven.platform import configuration_names as names
 
 DEPLOYMENT = rules.Deployment()
 
@@ -12,22 +13,31 @@
     fields = {
         'host': 'lookup',
         'service': 's0',
-        'routeType': 'bounded_staleness',
-        'timeoutMs': 3000,
-        'targetLatencyMs': 1500,
-        'maxStalenessMs': 2000,
+        names.ROUTE_TYPE: names.BOUNDED,
+        names.TIMEOUT_MS: 3000,
+        names.TARGET_MS: 1500,
+        names.MAX_AGE_MS: 2000,
     }
     return fields | changes
 
 
 def service(**changes: typing.Any) -> findings.Entry:
     """Return the only service."""
-    return {'name': 's0', 'maxConnections': 72, 'syncReplicas': 2} | changes
+    return {
+        'name': 's0',
+        names.MAX_CONNECTIONS: 72,
+        names.ACKNOWLEDGING: 2,
+    } | changes
 
 
 def tenant(**changes: typing.Any) -> findings.Entry:
     """Return a tenant with one key."""
-    fields = {'name': 't0', 'apiKeys': ['secret-0'], 'ratePerS': 5, 'burst': 9}
+    fields = {
+        'name': 't0',
+        names.KEYS: ['secret-0'],
+        names.RATE_PER_S: 5,
+        'burst': 9,
+    }
     return fields | changes
 
 
@@ -37,7 +47,7 @@
         'version': 3,
         'routes': [route()],
         'services': [service()],
-        'limits': {'txIdleMs': 5000},
+        'limits': {names.TRANSACTION_IDLE_MS: 5000},
         'tenants': [tenant()],
     }
     return fields | changes
--- a/jacinthhaven/configcheck/changes.py
+++ b/jacinthhaven/configcheck/changes.py
@@ -3,10 +3,11 @@
 import typing
 
 from jacinthhaven.configcheck import fields, findings, rules
+from jacinthhaven.platform import configuration_names as names
 
 # Field that identifies the entries of each list.
 _NAMES = (('routes', 'host'), ('services', 'name'), ('tenants', 'name'))
-_KEYS = 'apiKeys'
+_KEYS = names.KEYS
 
 
 def compare(
--- a/jacinthhaven/configcheck/fields.py
+++ b/jacinthhaven/configcheck/fields.py
@@ -8,6 +8,7 @@
 import typing
 
 from jacinthhaven.configcheck import findings
+from jacinthhaven.platform import configuration_names as names
 
 # Names that are sent between processes are part of a line without spaces.
 _FIRST_LETTER = '!'
@@ -35,38 +36,37 @@
 
 Fields = typing.Mapping[str, Field]
 
-BOUNDED = 'bounded_staleness'
 ROUTE: Fields = types.MappingProxyType(
     {
         'host': Field('text'),
         'service': Field('text'),
-        'routeType': Field(
-            'text', choices=('primary', BOUNDED, 'read_your_writes')
-        ),
-        'timeoutMs': Field(_INTEGER, minimum=1),
-        'targetLatencyMs': Field(_INTEGER, minimum=1),
+        names.ROUTE_TYPE: Field('text', choices=names.ROUTE_TYPES),
+        names.TIMEOUT_MS: Field(_INTEGER, minimum=1),
+        names.TARGET_MS: Field(_INTEGER, minimum=1),
         'priority': Field(_INTEGER, 0),
-        'maxStalenessMs': Field(_INTEGER, 0),
+        names.MAX_AGE_MS: Field(_INTEGER, 0),
         'public': Field('flag', default=False),
     },
 )
 SERVICE: Fields = types.MappingProxyType(
     {
         'name': Field('text'),
-        'maxConnections': Field(_INTEGER, 1, minimum=1),
-        'syncReplicas': Field(_INTEGER, 0),
+        names.MAX_CONNECTIONS: Field(_INTEGER, 1, minimum=1),
+        names.ACKNOWLEDGING: Field(_INTEGER, 0),
     },
 )
 TENANT: Fields = types.MappingProxyType(
     {
         'name': Field('name'),
-        'apiKeys': Field('keys'),
+        names.KEYS: Field('keys'),
         'priority': Field(_INTEGER, 0),
-        'ratePerS': Field('number', 0),
+        names.RATE_PER_S: Field('number', 0),
         'burst': Field('number', 0),
     },
 )
-LIMITS: Fields = types.MappingProxyType({'txIdleMs': Field(_INTEGER, 0)})
+LIMITS: Fields = types.MappingProxyType(
+    {names.TRANSACTION_IDLE_MS: Field(_INTEGER, 0)}
+)
 LISTS: typing.Mapping[str, Fields] = types.MappingProxyType(
     {'routes': ROUTE, 'services': SERVICE, 'tenants': TENANT},
 )
--- a/jacinthhaven/configcheck/rules.py
+++ b/jacinthhaven/configcheck/rules.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from jacinthhaven.configcheck import fields, findings
+from jacinthhaven.platform import configuration_names as names
 
 Place = tuple[findings.Path, findings.Entry]
 
@@ -38,7 +39,7 @@
 def _check_routes(document: findings.Document) -> findings.Findings:
     services = {entry['name'] for entry in document['services']}
     idle_ms = fields.value(
-        document.get('limits', {}), fields.LIMITS, 'txIdleMs'
+        document.get('limits', {}), fields.LIMITS, names.TRANSACTION_IDLE_MS
     )
     yield from _find_repeated(document, 'routes', 'host')
     for path, route in places(document, 'routes'):
@@ -53,21 +54,21 @@
 def _check_route_limits(
     path: findings.Path, route: findings.Entry, idle_ms: int
 ) -> findings.Findings:
-    timeout_ms = route['timeoutMs']
-    target_ms = route['targetLatencyMs']
+    timeout_ms = route[names.TIMEOUT_MS]
+    target_ms = route[names.TARGET_MS]
     if target_ms > timeout_ms:
         yield findings.error(
-            (*path, 'targetLatencyMs'),
+            (*path, names.TARGET_MS),
             f'target of {target_ms} ms is above the timeout of {timeout_ms} ms',
         )
-    age_ms = fields.value(route, fields.ROUTE, 'maxStalenessMs')
-    if route['routeType'] == fields.BOUNDED and not age_ms:
+    age_ms = fields.value(route, fields.ROUTE, names.MAX_AGE_MS)
+    if route[names.ROUTE_TYPE] == names.BOUNDED and not age_ms:
         yield findings.error(
             path, 'allows a staleness of 0 ms, which no replica can keep'
         )
     if 0 < idle_ms < timeout_ms:
         yield findings.warning(
-            (*path, 'timeoutMs'),
+            (*path, names.TIMEOUT_MS),
             f'timeout of {timeout_ms} ms is above the idle time of '
             f'transactions of {idle_ms} ms',
         )
@@ -81,17 +82,19 @@
     for path, service in places(document, 'services'):
         if service['name'] not in used:
             yield findings.warning(path, 'no route leads to this service')
-        acknowledging = fields.value(service, fields.SERVICE, 'syncReplicas')
+        acknowledging = fields.value(
+            service, fields.SERVICE, names.ACKNOWLEDGING
+        )
         if acknowledging > deployment.replicas:
             yield findings.error(
-                (*path, 'syncReplicas'),
+                (*path, names.ACKNOWLEDGING),
                 f'{acknowledging} replicas must acknowledge, and there are '
                 f'{deployment.replicas}',
             )
-        limit = fields.value(service, fields.SERVICE, 'maxConnections')
+        limit = fields.value(service, fields.SERVICE, names.MAX_CONNECTIONS)
         if limit < deployment.owners:
             yield findings.error(
-                (*path, 'maxConnections'),
+                (*path, names.MAX_CONNECTIONS),
                 f'{limit} connections are fewer than the {deployment.owners} '
                 'nodes that need one each',
             )
@@ -110,7 +113,7 @@
     yield from _find_repeated(document, 'tenants', 'name')
     yield from _find_shared_keys(document)
     for path, tenant in places(document, 'tenants'):
-        if not tenant['apiKeys']:
+        if not tenant[names.KEYS]:
             yield findings.warning(
                 path, f'tenant {tenant["name"]!r} has no key: nobody can use it'
             )
@@ -120,7 +123,7 @@
 def _check_rate(
     path: findings.Path, tenant: findings.Entry
 ) -> findings.Findings:
-    rate = fields.value(tenant, fields.TENANT, 'ratePerS')
+    rate = fields.value(tenant, fields.TENANT, names.RATE_PER_S)
     burst = fields.value(tenant, fields.TENANT, 'burst')
     if rate and burst < rate:
         yield findings.warning(
@@ -130,7 +133,7 @@
         )
     elif burst and not rate:
         yield findings.warning(
-            (*path, 'burst'), 'has no effect without ratePerS'
+            (*path, 'burst'), f'has no effect without {names.RATE_PER_S}'
         )
 
 
@@ -154,8 +157,8 @@
 def _find_shared_keys(document: findings.Document) -> findings.Findings:
     holders: dict[str, list[findings.Path]] = collections.defaultdict(list)
     for path, tenant in places(document, 'tenants'):
-        for index, key in enumerate(tenant['apiKeys']):
-            holders[key].append((*path, 'apiKeys', index))
+        for index, key in enumerate(tenant[names.KEYS]):
+            holders[key].append((*path, names.KEYS, index))
     for held in holders.values():
         first = held[0]
         for second in held[1:]:
