Play keys and limits in the soak

Cause: the soak knew neither keys nor customers, so that no run with real processes and faults checked under whose name a request runs, or the limit of a customer over all processes.

--- a/jacinthhaven/standins/sql_group.py
+++ b/jacinthhaven/standins/sql_group.py
@@ -124,6 +124,7 @@
       violations: What a client or proxy did against the protocol.
       fenced: Whether a promotion ends the lead of the old primary.
       split_commits: Statements that wrote at a replaced primary.
+      ran: When each client request ran first, by the name of the caller.
     """
 
     def __init__(
@@ -144,6 +145,7 @@
         self.term = 1
         self.rolled_back: list[Entry] = []
         self.committed: dict[str, int] = {}
+        self.ran: dict[str, dict[str, int]] = {}
         self.violations: list[str] = []
 
     def commit(
@@ -254,6 +256,10 @@
         """Return the reply to one statement."""
         self.handled.append(line)
         request, text = line.split(' ', 2)[1:]
+        if request != '-':
+            self.group.ran.setdefault(self.caller, {}).setdefault(
+                request, now_ms
+            )
         after = None
         if text.startswith('WAITPOS '):
             after, text = text.split(' ', 2)[1:]
--- a/jacinthhaven/standins/sql_platform.py
+++ b/jacinthhaven/standins/sql_platform.py
@@ -60,6 +60,8 @@
       copy_age_ms: Age of the copy at the next restore.
       odd_entries: Values of registry entries that another writer has left.
       advertised: Ports that the registry names instead of the real ones.
+      customers: Customers in the configuration from its next version on; none
+        means that clients need no keys.
     """
 
     silent: list[str] = msgspec.field(default_factory=list)
@@ -72,6 +74,7 @@
     copy_age_ms: int = 0
     odd_entries: list[str] = msgspec.field(default_factory=list)
     advertised: dict[str, int] = msgspec.field(default_factory=dict)
+    customers: list[dict[str, typing.Any]] = msgspec.field(default_factory=list)
 
 
 class SqlPlatform:
@@ -131,6 +134,8 @@
             'services': services,
             'limits': {'txIdleMs': 3000},
         }
+        if self.faults.customers:
+            document['tenants'] = self.faults.customers
         self._write('op/config', msgspec.json.encode(document).decode())
 
     def _register(self) -> None:
@@ -195,6 +200,7 @@
             'most_open': self.instances.most_open,
             'limit': _MAX_CONNECTIONS,
             'violations': self.group.violations,
+            'ran': self.group.ran,
             'ports': self.instances.ports,
         }
 
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -11,7 +11,7 @@
 import time
 import typing
 
-from soak import fleet
+from soak import customers, fleet
 
 _TIMEOUT_S = 4
 _PAUSE_S = 0.005
@@ -64,7 +64,7 @@
 class Session:
     """One connection to a proxy."""
 
-    def __init__(self, port: int, database: str) -> None:
+    def __init__(self, port: int, database: str, key: str = 'soak') -> None:
         """Open a session.
 
         Raises:
@@ -73,7 +73,7 @@
         self.socket = socket.create_connection(('127.0.0.1', port), 1)
         self.socket.settimeout(_TIMEOUT_S)
         self.lines = self.socket.makefile('rb')
-        self.socket.sendall(f'START {database} soak\r\n'.encode())
+        self.socket.sendall(f'START {database} {key}\r\n'.encode())
         if self._line().partition(' ')[0] != 'READY':
             self.close()
             raise ConnectionRefusedError(database)
@@ -150,7 +150,8 @@
 
     def _use(self, proxy: fleet.Proxy) -> None:
         database = 'strict' if self.number % 2 else 'own'
-        with contextlib.closing(Session(proxy.port, database)) as session:
+        key = customers.of_client(self.number).key
+        with contextlib.closing(Session(proxy.port, database, key)) as session:
             while not self.stopped.wait(_PAUSE_S):
                 self._step(session)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,6 +17,7 @@
 
 from soak import (
     clients,
+    customers,
     faults,
     fleet,
     harms,
@@ -39,31 +40,39 @@
 _LOST_VERSIONS = (40, 10)
 
 
+class Options(typing.NamedTuple):
+    """What is varied between runs.
+
+    Attributes:
+      harmed: Whether connections are harmed meanwhile.
+      fenced: Whether a promotion ends the lead of the old primary.
+      proxies: Number of proxies.
+      keyed: Whether clients need keys and have limits.
+    """
+
+    harmed: bool = True
+    fenced: bool = True
+    proxies: int = _PROXIES
+    keyed: bool = False
+
+
 class Soak:
     """One run from a seed."""
 
     def __init__(
-        self,
-        seed: int,
-        folder: pathlib.Path,
-        *,
-        harmed: bool = True,
-        fenced: bool = True,
-        proxies: int = _PROXIES,
+        self, seed: int, folder: pathlib.Path, options: Options
     ) -> None:
         """Start the processes and the clients.
 
         Args:
           seed: Seed of all draws.
           folder: Where settings and logs go.
-          harmed: Whether connections are harmed meanwhile.
-          fenced: Whether a promotion ends the lead of the old primary.
-          proxies: Number of proxies.
+          options: What is varied.
         """
         self.rng = random.Random(seed)
         self.store_rng = random.Random(f'store {seed}')
-        self.harmed = harmed
-        self.fleet = fleet.Fleet(folder, proxies, fenced=fenced)
+        self.options = options
+        self.fleet = fleet.Fleet(folder, options.proxies, fenced=options.fenced)
         self.clients = [
             clients.Client(number, self.fleet.proxies)
             for number in range(_CLIENTS)
@@ -74,7 +83,10 @@
         self.restores = 0
         self.harms = harms.Harms(seed, self.fleet.paths)
         self.releases = releases.Releases(seed, self.fleet.control)
-        if harmed:
+        if options.keyed:
+            self.fleet.control(customers=customers.documents())
+            self.operator.change()
+        if options.harmed:
             self.harms.start()
             self.operator.start()
             self.releases.start()
@@ -87,7 +99,10 @@
         for fault in self.rng.choices(faults.FAULTS, k=_STEPS):
             self._inject(fault)
             time.sleep(self.rng.uniform(0, _MAX_PAUSE_S))
-            if self.harmed and self.store_rng.random() < _STORE_FAULT_SHARE:
+            if (
+                self.options.harmed
+                and self.store_rng.random() < _STORE_FAULT_SHARE
+            ):
                 self._inject(self.store_rng.choice(faults.STORE_FAULTS))
         self._end_faults()
         self.end_clients()
@@ -139,6 +154,8 @@
         problems = list(state['violations'])
         if state['most_open'] > state['limit']:
             problems.append(f'{state["most_open"]} connections were open')
+        if self.options.keyed:
+            problems.extend(customers.problems(state['ran']))
         fences = [order[2] for order in state['orders']]
         if fences != sorted(set(fences)):
             problems.append(f'fences {fences}')
@@ -247,9 +264,9 @@
       seed: Seed of all draws.
       folder: Where settings and logs go.
       plot: File for the timeline.
-      options: Keyword arguments of `Soak`.
+      options: Fields of `Options`.
     """
-    soak = Soak(seed, folder, **options)
+    soak = Soak(seed, folder, Options(**options))
     with contextlib.closing(soak):
         problems = soak.run()
     if plot is not None:
@@ -263,7 +280,7 @@
 @contextlib.contextmanager
 def _calm_soak(folder: pathlib.Path) -> typing.Iterator[Soak]:
     """Start the processes and the clients, without harms; end them."""
-    soak = Soak(0, folder, harmed=False)
+    soak = Soak(0, folder, Options(harmed=False))
     with contextlib.closing(soak):
         for client in soak.clients:
             client.start()
@@ -306,24 +323,26 @@
         return soak.problems()
 
 
-def main(
+def main(  # noqa: WPS211
     seed: int,
     count: int = 1,
     plot: pathlib.Path | None = None,
     fenced: bool = True,
     proxies: int = _PROXIES,
+    keyed: bool = False,
 ) -> None:
     """Play seeds and print one line for each.
 
     `--plot FILE` draws the timeline of the last one; with `--no-fenced` a
     promotion does not end the lead of the old primary. With 10 `--proxies` or
-    more, some own the service and the others relay.
+    more, some own the service and the others relay; with `--keyed` clients need
+    keys, and one of two customers asks for more than its limit.
     """
     failed = False
     for number in range(seed, seed + count):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{number}-'))
         problems, summary = play(
-            number, folder, plot, fenced=fenced, proxies=proxies
+            number, folder, plot, fenced=fenced, proxies=proxies, keyed=keyed
         )
         verdict = 'FAILED' if problems else 'ok'
         typer.echo(f'seed {number} {verdict} {summary}')
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -7,13 +7,14 @@
 
 import pytest
 
-from soak import clients, loopback, run, timeline, versions
+from soak import clients, customers, loopback, run, timeline, versions
 
 # Both once stopped with a timeout of the stand-in, whose model copied the
 # whole log for each read. They are from before connections were harmed.
 _OLD_SEEDS = (1, 100)
 _SEEDS = (4000,)
 _UNFENCED_SEED = 4100
+_KEYED_SEED = 4200
 
 
 @pytest.mark.parametrize('seed', _OLD_SEEDS)
@@ -66,6 +67,27 @@
     assert "'done'" in summary
 
 
+def test_keyed_seed(tmp_path):
+    """Guards against work for other customers, or beyond a limit."""
+    problems, summary = run.play(_KEYED_SEED, tmp_path, keyed=True)
+    assert not problems, summary
+    assert "'done'" in summary
+
+
+def test_checks_find_work_for_another_customer():
+    """Guards against a check that cannot fail."""
+    ran = {'free': {'0x1': 0}, 'busy': {'4x1': 0}}
+    assert not customers.problems(ran)
+    assert customers.problems({'free': {'4x1': 0}})
+
+
+def test_checks_find_work_beyond_a_limit():
+    """Guards against a check that cannot fail."""
+    most = {f'4x{step}': 50 * step for step in range(86)}
+    assert not customers.problems({'busy': most})
+    assert customers.problems({'busy': {**most, '5x1': 4000}})
+
+
 def _client() -> clients.Client:
     return clients.Client(1, [])
 
