Receive whole reports of long queues, and report only the first statements

Cause: datagrams above 4,096 bytes were truncated and could not be decoded. A report has all waiting statements of an owner; with the new fields 39 of them exceed it (about 60 before), so that an owner with a long queue got no permits at all, just under overload. Each report also cost time for all waiting statements, with each statement.

Change: a datagram of any size is received; a report has the first 32 statements that need the primary and 32 others; a statement without a permit is not placed on trial, and windows without room are not searched.

--- a/jacinthhaven/adapters/datagrams.py
+++ b/jacinthhaven/adapters/datagrams.py
@@ -5,8 +5,9 @@
 
 from jacinthhaven.adapters import poller
 
-# The kernel truncates larger datagrams, which then cannot be decoded.
-_MAX_BYTES = 4096
+# Largest datagram over IPv4. A smaller buffer would truncate the reports of owners
+# with long queues, which then could not be decoded.
+MAX_BYTES = 65_507
 # Datagrams read in one callback, so that a flood does not starve other
 # sockets and timers.
 _MAX_BATCH = 64
@@ -26,6 +27,7 @@
         """Store the poller; `listen` creates the socket."""
         self.poller = loop
         self.sock: socket.socket | None = None
+        self.buffer = bytearray(MAX_BYTES)
         self.on_datagram: typing.Callable[[bytes], None] = _ignore
         self.on_error: typing.Callable[[str], None] = _ignore
 
@@ -74,13 +76,14 @@
         if self.sock is None:
             return None
         try:
-            return self.sock.recv(_MAX_BYTES)
+            size = self.sock.recv_into(self.buffer)
         except BlockingIOError:
             return None
         except OSError as error:
             # A send to a peer port without a listener is reported here.
             self.on_error(str(error))
             return None
+        return bytes(self.buffer[:size])
 
 
 def _ignore(_subject: typing.Any) -> None:
--- a/jacinthhaven/adapters/datagrams_test.py
+++ b/jacinthhaven/adapters/datagrams_test.py
@@ -7,6 +7,7 @@
 
 from jacinthhaven.adapters import datagrams
 from jacinthhaven.process import node_messenger
+from jacinthhaven.scheduling import scheduler
 from jacinthhaven.sql import builders, peer_messages
 from jacinthhaven.standins import driver
 
@@ -76,3 +77,23 @@
     setup.sender.on_error = errors.append
     setup.sender.send(('127.0.0.1', 99_999), b'x')
     assert len(errors) == 1
+
+
+def test_large_datagram_arrives_whole():
+    """Guards against reports of long queues that are cut off."""
+    setup = _Setup()
+    names = ('i-0123456789',) * 3
+    waiting = [
+        peer_messages.Waiting(
+            number, 2, names, 25, 300, 'customer-1', 500, 100, names[:2]
+        )
+        for number in range(2 * scheduler.MAX_REPORTED)
+    ]
+    report = peer_messages.PermitRequest(
+        'n1', 'ledger', 1, 1, peer_messages.Load({}, tuple(waiting))
+    )
+    chunk = peer_messages.encode(report)
+    assert 4096 < len(chunk) < datagrams.MAX_BYTES
+    setup.send(chunk)
+    setup.driver.run_until(lambda: setup.received)
+    assert setup.received == [report]
--- a/jacinthhaven/scheduling/scheduler.py
+++ b/jacinthhaven/scheduling/scheduler.py
@@ -9,6 +9,11 @@
 # Time that a statement waits for the window of an instance before the owner
 # asks for permits. Most statements in flight end sooner under light load.
 _ASK_AFTER_MS = 15
+# Waiting statements in a report that need the primary, and as many others: the
+# first in the queue. They are several times what an owner's share of the slots can
+# take before the next report; more of them would cost the owner and the dispatcher
+# time with each statement.
+MAX_REPORTED = 32
 _QUEUE_TOO_LONG = 'queue too long'
 _MISSES_TIMEOUT = 'timeout would be missed'
 
@@ -90,6 +95,9 @@
 
     def _fill_windows(self, now_ms: int) -> None:
         """Send statements without permits."""
+        states = self.service.pool.states.values()
+        if not any(state.has_room() for state in states):
+            return
         for work in tuple(self.backlog.waiting):
             choice = placement.choose(work, self.service.view(now_ms))
             if choice is not None:
@@ -99,21 +107,24 @@
         """Send the statements that have permits and refuse rejected ones."""
         for work in tuple(self.backlog.waiting):
             number = work.permit_number
-            if number in self.permits.refused:
-                self.backlog.remove(work)
-                self.backlog.overloaded_ms = now_ms
-                reason = _QUEUE_TOO_LONG
-                if admission.may_wait(
-                    work.route.target_ms, work.route.timeout_ms
-                ):
-                    reason = _MISSES_TIMEOUT
-                self.service.executor.refuse(work, reason, now_ms)
-                continue
             instance = self.permits.granted.get(number)
-            view = self.service.view(now_ms)
-            if instance in placement.candidates(work, view):
-                choice = placement.choose_at(work, view, instance)
-                self._place(work, choice, now_ms)
+            if number in self.permits.refused:
+                self._refuse_rejected(work, now_ms)
+            elif instance is not None:
+                view = self.service.view(now_ms)
+                if instance in placement.candidates(work, view):
+                    choice = placement.choose_at(work, view, instance)
+                    self._place(work, choice, now_ms)
+
+    def _refuse_rejected(self, work: sessions.Work, now_ms: int) -> None:
+        """Refuse a statement that the dispatcher has rejected."""
+        self.backlog.remove(work)
+        self.backlog.overloaded_ms = now_ms
+        route = work.route
+        reason = _QUEUE_TOO_LONG
+        if admission.may_wait(route.target_ms, route.timeout_ms):
+            reason = _MISSES_TIMEOUT
+        self.service.executor.refuse(work, reason, now_ms)
 
     def _place(
         self,
@@ -137,14 +148,27 @@
                 )
                 for name, state in states.items()
             }
-            waiting = [
-                self._waiting(work, view, free) for work in self.backlog.waiting
-            ]
+            waiting = self._reports(view, free)
         return peer_messages.Load(
             {name: count for name, count in running.items() if count},
-            tuple(report for report in waiting if report is not None),
+            tuple(waiting),
         )
 
+    def _reports(
+        self, view: placement.View, free: FreeLinks
+    ) -> list[peer_messages.Waiting]:
+        """Return the reports on the first statements that wait for a slot."""
+        reports = []
+        count: collections.Counter[bool] = collections.Counter()
+        for work in self.backlog.waiting:
+            if count[work.needs_primary] >= MAX_REPORTED:
+                continue
+            report = self._waiting(work, view, free)
+            if report is not None:
+                count[work.needs_primary] += 1
+                reports.append(report)
+        return reports
+
     def _waiting(
         self,
         work: sessions.Work,
--- a/jacinthhaven/sql/load_test.py
+++ b/jacinthhaven/sql/load_test.py
@@ -4,6 +4,7 @@
 import random
 import types
 
+from jacinthhaven.scheduling import scheduler
 from jacinthhaven.sql import builders, pool, records, statements
 
 _SLOTS = 5
@@ -235,3 +236,24 @@
     rig.run(2500)
     assert state.usable_at(rig.now_ms)
     assert state.free_links
+
+
+def test_long_queue_for_the_primary_does_not_hide_reads():
+    """Guards against reads that get no permit behind many writes."""
+    rig = builders.Rig()
+    for state in rig.service.pool.states.values():
+        state.window.size = 0
+    texts = {builders.STRICT: 'WRITE k v', builders.OWN: 'READ k'}
+    for database, text in texts.items():
+        for _ in range(2 * scheduler.MAX_REPORTED):
+            rig.send(rig.connect(database), text)
+    # Statements ask for permits once they have waited for a while.
+    rig.run(30)
+    permits = rig.service.scheduler.permits
+    counts = collections.Counter(
+        report.instances == ('db-a',) for report in permits.last_load.waiting
+    )
+    assert counts == {
+        True: scheduler.MAX_REPORTED,
+        False: scheduler.MAX_REPORTED,
+    }
