Show writes that are kept after a refused BEGIN

Case 6, rule REFUSED: in the second half of its grace period a stopping node refuses BEGIN with BUSY and executes the writes behind it as single statements.

--- a/review/standins_2/databases.py
+++ b/review/standins_2/databases.py
@@ -24,7 +24,8 @@
       work_s: Work of a read, a write or a commit.
       flush_s: Time after a commit until it is acknowledged.
       before: Hook awaited before a statement runs, with its id and text.
-      after: Hook awaited after a statement has run, before its answer.
+      after: Hook awaited after a statement has run, before its answer, which is
+        lost if the hook returns true.
     """
 
     def __init__(self, service: 'Service', name: str) -> None:
@@ -112,6 +113,7 @@
     Attributes:
       committed: Committed writes as (client id, item, data, position).
       violations: What a server of the pages would have seen go wrong.
+      signatures: Signatures given for each statement, by its id.
     """
 
     def __init__(
@@ -136,6 +138,7 @@
         self.committed: list[tuple] = []
         self.violations: list[tuple] = []
         self.ran: list[tuple] = []
+        self.signatures: dict[str, set[str]] = {}
 
     def commit(
         self, leader: Database, writes: list[tuple[str, str, str]]
@@ -273,9 +276,11 @@
         else:
             lines = self._run(request, text)
         lines.append(self._ready())
+        lost = False
         if timed and database.after is not None:
-            await database.after(self, request, text)
-        self._send(lines)
+            lost = bool(await database.after(self, request, text))
+        if not lost:
+            self._send(lines)
 
     def _run(self, request: str, text: str) -> list[str]:
         words = text.split(' ')
@@ -333,9 +338,9 @@
             (request, self.database.name, verb, shape, dict(self.values))
         )
         if verb == 'COMMIT':
-            return self._commit()
+            return self._commit(request)
         if verb == 'READ':
-            return self._done(f'DATAROW {self._read(words[1])}')
+            return self._done(request, f'DATAROW {self._read(words[1])}')
         if not self.database.leads:
             return ['ERROR READONLY -']
         write = (request, words[1], ' '.join(words[2:]))
@@ -343,19 +348,21 @@
             self.writes.append(write)
         else:
             self.service.commit(self.database, [write])
-        return self._done()
+        return self._done(request)
 
-    def _commit(self) -> list[str]:
+    def _commit(self, request: str) -> list[str]:
         if self.state != 'T':
             return ['ERROR MALFORMED -']
         writes = self.writes
         self.roll_back()
         if writes:
             self.service.commit(self.database, writes)
-        return self._done()
+        return self._done(request)
 
-    def _done(self, *rows: str) -> list[str]:
-        return [*rows, f'COMPLETE {self.database.name}.{secrets.token_hex(8)}']
+    def _done(self, request: str, *rows: str) -> list[str]:
+        signature = f'{self.database.name}.{secrets.token_hex(8)}'
+        self.service.signatures.setdefault(request, set()).add(signature)
+        return [*rows, f'COMPLETE {signature}']
 
     def _read(self, item: str) -> str:
         for _request, name, data in reversed(self.writes):
--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -20,7 +20,8 @@
 
 from review.standins_2 import databases, store
 
-HOST = '127.0.0.1'
+# A loopback address of its own, so that no other run has its ports.
+HOST = '.'.join(['127', *(str(random.randrange(1, 255)) for _part in range(3))])
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 # Below the ports that the kernel gives to outgoing connections.
@@ -256,7 +257,9 @@
             if await self.is_ready():
                 return
             await asyncio.sleep(0.05)
-        raise NotRunError(f'{self.name} is not ready')
+        lines = self.log.read_text().splitlines() or ['']
+        code = self.process.returncode if self.process else None
+        raise NotRunError(f'{self.name} is not ready, {code}: {lines[-1]}')
 
     async def is_ready(self, limit_s: float = 1) -> bool:
         """Return whether the process answers the platform's question."""
