Let an error of a review script end it as not run

An error of the script itself, or too few descriptors for case 10, ended it with 1, as a broken rule does.

--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -170,6 +170,9 @@
             result = asyncio.run(self._run(case))
         except NotRunError as error:
             self.record('not run:', error)
+        except Exception as error:
+            # An error of the script itself must not look like a broken rule.
+            self.record('not run:', repr(error))
         finally:
             self.record('result', result)
             text = '\n'.join((*self.events, ''))
