--- a/review/9/case.py
+++ b/review/9/case.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from review.standins_2 import deployment
+from standins import deployment
 
 # Usual sessions, each with prepared statements of its own: 64 in all, and 32
 # transactions in a second.
